Lay out the package, its result codes, identities and configuration document

Cause: a new project needs one place for the words that every later part shares. Ruled out: JSON schema as the source of the forms, because the validator gives named tuples an array schema; the field definitions are read directly instead. Conclusion: the pure parts and the entry process can be built on this independently.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# Every target sets up its own environment; `make demo` and `make test` work on a fresh machine.
+PYTHON ?= python3.11
+VENV := .venv
+PY := $(VENV)/bin/python
+# The stamp carries the checksum of the lock file, so that a changed lock file is installed anew.
+STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock 2>/dev/null | cut -c1-16)
+
+.PHONY: setup test format check unit features demo build bench lock clean
+
+setup: $(STAMP)
+
+$(STAMP):
+	test -x $(PY) || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $@
+
+format: setup
+	$(PY) -m ruff check --fix --quiet kumquatlift tests
+	$(PY) -m black --quiet kumquatlift tests
+
+check: setup
+	$(PY) -m black --check --quiet kumquatlift tests
+	$(PY) -m ruff check kumquatlift tests
+	$(PY) -m mypy
+
+unit: setup
+	$(PY) -m pytest
+
+features: setup
+	$(PY) -m behave --format progress --no-timings
+
+# pytest runs last, so that its closing line is the verdict of the run.
+test: check unit
+
+demo: setup
+	$(PY) tools/demo.py
+
+build: setup
+	mkdir -p build/wheel
+	$(PY) -m pip wheel --quiet --disable-pip-version-check --no-deps --wheel-dir build/wheel .
+	$(PY) -m pip freeze --exclude-editable >/dev/null
+	$(PY) -m shiv --quiet --compressed --output-file build/kumquatlift --python "/usr/bin/env python3.11" \
+	  --entry-point kumquatlift.cli:main --find-links build/wheel kumquatlift -c requirements.lock
+
+lock:
+	$(PY) -m uv pip compile --quiet --no-header --no-annotate --no-emit-index-url --extra dev pyproject.toml -o requirements.lock
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/kumquatlift/blackboard.py
@@ -0,0 +1,89 @@
+"""Shared state of one process: a section for each controller, one writer a section."""
+
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from kumquatlift.clock import Clock, MonotonicClock
+
+
+class Section:
+    """One controller's part of the blackboard; only its owner writes to it.
+
+    Args:
+        owner: Name of the controller that writes the section.
+        lock: Lock shared by all sections of the blackboard.
+    """
+
+    def __init__(self, *, owner: str, lock: threading.Lock) -> None:
+        self.owner = owner
+        self._lock = lock
+        self._values: dict[str, Any] = {}
+        self._views: dict[str, Callable[[], Any]] = {}
+
+    def put(self, key: str, value: Any) -> None:
+        """Store a plain value under a key."""
+        with self._lock:
+            self._values[key] = value
+
+    def count(self, key: str, amount: int = 1) -> None:
+        """Add to a counter; a missing counter starts at 0."""
+        with self._lock:
+            self._values[key] = self._values.get(key, 0) + amount
+
+    def get(self, key: str, default: Any = None) -> Any:
+        """Return the value stored under a key."""
+        with self._lock:
+            return self._values.get(key, default)
+
+    def publish(self, key: str, view: Callable[[], Any]) -> None:
+        """Register a function that returns state too large to copy on every change."""
+        with self._lock:
+            self._views[key] = view
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return all values and the results of all views, as plain data."""
+        with self._lock:
+            values = dict(self._values)
+            views = dict(self._views)
+        # Views take their owner's lock, so they run outside the blackboard's lock.
+        values.update({key: view() for key, view in views.items()})
+        return values
+
+
+class Blackboard:
+    """The state of one process.
+
+    Args:
+        clock: Clock for the age of the process.
+    """
+
+    def __init__(self, *, clock: Clock | None = None) -> None:
+        self._clock = clock or MonotonicClock()
+        self._started_at = self._clock.now()
+        self._lock = threading.Lock()
+        self._sections: dict[str, Section] = {}
+
+    def section(self, owner: str) -> Section:
+        """Create the section of a controller.
+
+        Raises:
+            ValueError: The section has an owner already.
+        """
+        if owner in self._sections:
+            raise ValueError(f"section {owner!r} has an owner already")
+        section = Section(owner=owner, lock=self._lock)
+        self._sections[owner] = section
+        return section
+
+    def read(self, owner: str, key: str, default: Any = None) -> Any:
+        """Return a value from any section; the default when section or key is missing."""
+        section = self._sections.get(owner)
+        return default if section is None else section.get(key, default)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state dump: one entry per section."""
+        dump: dict[str, Any] = {"uptime_s": round(self._clock.now() - self._started_at, 3)}
+        for owner, section in sorted(self._sections.items()):
+            dump[owner] = section.snapshot()
+        return dump
--- /dev/null
+++ b/kumquatlift/document.py
@@ -0,0 +1,206 @@
+"""The configuration document: every setting of services, teams and limits in one place.
+
+Each field states its type, unit, range, default and help text. The validator, the forms of the
+console and the reference page in the docs are made from these definitions alone.
+"""
+
+import tomllib
+from enum import Enum
+from functools import cache
+from typing import TYPE_CHECKING, Annotated, Any, NamedTuple
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+
+from kumquatlift.identity import NAME_PATTERN
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MAX_JOB_TASKS = 540
+MAX_REQUEST_BYTES = 4 * 1024 * 1024
+MAX_TASK_BYTES = 64 * 1024
+
+Name = Annotated[str, Field(pattern=f"^{NAME_PATTERN}$")]
+
+
+def _number(default_unit: str, ge: float, le: float, text: str) -> Any:
+    return Field(ge=ge, le=le, description=text, json_schema_extra={"unit": default_unit})
+
+
+class Urgency(Enum):
+    """Order in which waiting tasks are started; earlier members go first."""
+
+    CRITICAL = "critical"
+    URGENT = "urgent"
+    NORMAL = "normal"
+    BATCH = "batch"
+
+    @property
+    def rank(self) -> int:
+        """Position in the order; 0 goes first."""
+        return list(Urgency).index(self)
+
+
+class Kind(NamedTuple):
+    """A request kind of a service: how its work is ordered, split, retried and refused."""
+
+    urgency: Annotated[
+        Urgency, Field(description="order among waiting tasks of the service", strict=False)
+    ] = Urgency.NORMAL
+    repeatable: Annotated[
+        bool, Field(description="whether a task may run again after an attempt that ended")
+    ] = False
+    tasks_per_request: Annotated[
+        int, _number("tasks", 1, 64, "consecutive tasks sent to a runner in one request")
+    ] = 1
+    max_tasks: Annotated[int, _number("tasks", 1, MAX_JOB_TASKS, "largest job accepted")] = (
+        MAX_JOB_TASKS
+    )
+    expected_ms: Annotated[
+        int, _number("ms", 1, 600_000, "declared run time of a task, corrected by observation")
+    ] = 300
+    lease_ms: Annotated[
+        int, _number("ms", 10, 600_000, "longest run of one request; the runner stops it then")
+    ] = 10_000
+    deadline_ms: Annotated[
+        int, _number("ms", 10, 3_600_000, "time from acceptance to the answer, at most")
+    ] = 30_000
+    max_attempts: Annotated[
+        int, _number("attempts", 1, 10, "attempts of a task, the first one included")
+    ] = 3
+
+
+class Service(NamedTuple):
+    """A service: its request kinds, its runners' limits and the bounds of its queue."""
+
+    kinds: Annotated[
+        dict[Name, Kind], Field(min_length=1, max_length=64, description="request kinds by name")
+    ]
+    slots: Annotated[int, _number("tasks", 1, 1024, "tasks that one runner runs at a time")] = 8
+    connections: Annotated[
+        int, _number("connections", 1, 4096, "open connections to one runner, from everywhere")
+    ] = 64
+    max_queued: Annotated[
+        int, _number("tasks", 1, 1_000_000, "tasks waiting in one availability zone, at most")
+    ] = 10_000
+    retry_budget: Annotated[
+        float, _number("share", 0.0, 1.0, "retries allowed as a share of completed requests")
+    ] = 0.1
+    message_weight: Annotated[
+        float,
+        _number("weight", 0.0, 1.0, "0 weighs response time alone, 1 weighs messages alone"),
+    ] = 0.3
+
+
+class Team(NamedTuple):
+    """A team that shares the services, with its quota."""
+
+    share: Annotated[int, _number("weight", 1, 1000, "weight among teams that wait")] = 10
+    max_running: Annotated[int, _number("tasks", 1, 1_000_000, "tasks running at a time")] = 100_000
+    max_queued: Annotated[int, _number("tasks", 1, 1_000_000, "tasks waiting at a time")] = 100_000
+
+
+class System(NamedTuple):
+    """Settings of kumquatlift itself that are the same in every process."""
+
+    voters: Annotated[
+        tuple[Name, ...],
+        Field(min_length=1, max_length=7, description="entry processes that agree on changes"),
+    ]
+    retention_s: Annotated[
+        int, _number("s", 10, 86_400, "how long a finished job's identity is remembered")
+    ] = 3600
+    ledger_rotation_s: Annotated[
+        int, _number("s", 1, 86_400, "age at which a ledger takes no new jobs")
+    ] = 600
+    ledger_max_claims: Annotated[
+        int, _number("claims", 1, 1_000_000, "claims at which a ledger takes no new jobs")
+    ] = 100_000
+    max_callers: Annotated[
+        int, _number("requests", 1, 4096, "requests of callers served at a time by one process")
+    ] = 64
+
+
+class Document(NamedTuple):
+    """The whole configuration."""
+
+    system: Annotated[System, Field(description="kumquatlift itself")]
+    services: Annotated[
+        dict[Name, Service], Field(min_length=1, max_length=256, description="services by name")
+    ]
+    teams: Annotated[dict[Name, Team], Field(max_length=256, description="teams by name")] = {}
+
+    @classmethod
+    def from_toml(cls, text: str) -> "Document | list[Problem]":
+        """Read and validate a TOML text.
+
+        Returns:
+            The document, or every problem found in it.
+        """
+        try:
+            source = tomllib.loads(text)
+        except tomllib.TOMLDecodeError as exc:
+            return [Problem("", f"not TOML: {exc}", "")]
+        return cls.from_mapping(source)
+
+    @classmethod
+    def from_mapping(cls, source: "Mapping[str, Any]") -> "Document | list[Problem]":
+        """Validate a document in plain dicts and lists.
+
+        Returns:
+            The document, or every problem found in it.
+        """
+        try:
+            doc = _adapter().validate_python(_lists_to_tuples(source))
+        except ValidationError as exc:
+            return [Problem.from_error(error) for error in exc.errors()]
+        return doc
+
+    def to_mapping(self) -> dict[str, Any]:
+        """Return plain dicts and lists, every default written out."""
+        plain = _adapter().dump_python(self, mode="json")
+        assert isinstance(plain, dict)
+        return plain
+
+    def to_toml(self) -> str:
+        """Return the document as TOML, every default written out."""
+        import tomli_w
+
+        return tomli_w.dumps(self.to_mapping())
+
+
+class Problem(NamedTuple):
+    """One error of a document.
+
+    Args:
+        path: Dotted path of the field.
+        message: What is allowed.
+        given: What was given, shortened.
+    """
+
+    path: str
+    message: str
+    given: str
+
+    def __str__(self) -> str:
+        return f"{self.path or 'document'}: {self.message} (given: {self.given})"
+
+    @classmethod
+    def from_error(cls, error: Any) -> "Problem":
+        """Make a problem from one entry of a pydantic error list."""
+        path = ".".join(str(part) for part in error["loc"] if part != "[key]")
+        return cls(path, str(error["msg"]), repr(error["input"])[:80])
+
+
+@cache
+def _adapter() -> TypeAdapter[Document]:
+    return TypeAdapter(Document, config=ConfigDict(strict=True))
+
+
+def _lists_to_tuples(value: Any) -> Any:
+    """Turn lists into tuples, which strict validation asks for in immutable fields."""
+    if isinstance(value, dict):
+        return {key: _lists_to_tuples(item) for key, item in value.items()}
+    if isinstance(value, list):
+        return tuple(_lists_to_tuples(item) for item in value)
+    return value
--- /dev/null
+++ b/kumquatlift/server.py
@@ -0,0 +1,77 @@
+"""An HTTP server that can drain: it finishes every request before it closes."""
+
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+import waitress
+
+from kumquatlift.document import MAX_REQUEST_BYTES
+from kumquatlift.settings import Address
+from kumquatlift.wsgi import WsgiApp
+
+MAX_CONNECTIONS = 1000
+BACKLOG = 1024
+# A client that sends nothing for this long in the middle of a request loses its connection.
+IDLE_TIMEOUT_S = 30
+_POLL_S = 0.02
+
+
+class HttpServer:
+    """Waitress on one address, run by one executor thread.
+
+    Args:
+        app: WSGI application.
+        address: Where to listen; the port is open when the constructor returns.
+        threads: Requests served at a time.
+        name: Prefix of thread names.
+    """
+
+    def __init__(self, *, app: WsgiApp, address: Address, threads: int, name: str) -> None:
+        self._server: Any = waitress.create_server(
+            app,
+            host=address.host,
+            port=address.port,
+            threads=threads,
+            backlog=BACKLOG,
+            connection_limit=MAX_CONNECTIONS,
+            channel_timeout=IDLE_TIMEOUT_S,
+            max_request_body_size=MAX_REQUEST_BYTES,
+            ident=None,
+        )
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix=f"http-{name}")
+        self._running: Future[None] | None = None
+
+    def start(self) -> None:
+        """Begin to serve requests."""
+        self._running = self._executor.submit(self._server.run)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read, served or answered."""
+        channels = list(self._server.active_channels.values())
+        return not any(
+            channel.requests or channel.total_outbufs_len or channel.request for channel in channels
+        )
+
+    def drain(self, *, timeout_s: float) -> bool:
+        """Wait until every request has its answer.
+
+        Returns:
+            Whether the server became idle in time.
+        """
+        deadline = time.monotonic() + timeout_s
+        while not self.is_idle:
+            if time.monotonic() > deadline:
+                return False
+            time.sleep(_POLL_S)
+        return True
+
+    def close(self) -> None:
+        """Close the listening socket and all connections."""
+        self._server.close()
+        self._server.task_dispatcher.shutdown(cancel_pending=False, timeout=1)
+        for channel in list(self._server.active_channels.values()):
+            channel.will_close = True
+        self._server.pull_trigger() if hasattr(self._server, "pull_trigger") else None
+        self._executor.shutdown(wait=False)
--- /dev/null
+++ b/kumquatlift/wsgi.py
@@ -0,0 +1,142 @@
+"""JSON requests and answers on top of WSGI."""
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs
+
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.log import get_logger
+
+_REASONS = {
+    200: "OK",
+    202: "Accepted",
+    303: "See Other",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+class ApiRequest(NamedTuple):
+    """One HTTP request.
+
+    Args:
+        method: HTTP method in capitals.
+        path: Decoded path without the query.
+        query: First value of each query parameter.
+        headers: Header values by lower-case name.
+        body: Whole body.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    @classmethod
+    def from_environ(cls, environ: dict[str, Any]) -> "ApiRequest":
+        """Read a WSGI environment; the body was buffered by the server."""
+        headers = {
+            name[5:].replace("_", "-").lower(): value
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        }
+        headers["content-type"] = environ.get("CONTENT_TYPE", "")
+        query = parse_qs(environ.get("QUERY_STRING", ""), keep_blank_values=True)
+        return cls(
+            environ["REQUEST_METHOD"],
+            environ.get("PATH_INFO", "/"),
+            {name: values[0] for name, values in query.items()},
+            headers,
+            environ["wsgi.input"].read(),
+        )
+
+    def json_object(self) -> dict[str, Any] | Failure:
+        """Return the body as a JSON object, or a ``MALFORMED`` failure."""
+        try:
+            value = json.loads(self.body)
+        except (ValueError, RecursionError) as exc:
+            return Failure(ResultCode.MALFORMED, f"the body is not JSON: {exc}")
+        if not isinstance(value, dict):
+            return Failure(ResultCode.MALFORMED, "the body is not a JSON object")
+        return value
+
+
+class ApiResponse(NamedTuple):
+    """One HTTP answer."""
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+
+    @classmethod
+    def from_json(
+        cls, status: int, value: Any, headers: tuple[tuple[str, str], ...] = ()
+    ) -> "ApiResponse":
+        """Encode a JSON answer."""
+        return cls(status, json.dumps(value).encode(), headers=headers)
+
+    @classmethod
+    def from_failure(cls, failure: Failure, **extra: Any) -> "ApiResponse":
+        """Encode a failure with its code and meaning."""
+        headers: tuple[tuple[str, str], ...] = ()
+        if failure.retry_after_ms:
+            seconds = -(-failure.retry_after_ms // 1000)
+            headers = (("Retry-After", str(seconds)),)
+        return cls.from_json(
+            failure.code.http_status, {**code_fields(failure), **extra}, headers=headers
+        )
+
+
+def code_fields(failure: Failure) -> dict[str, Any]:
+    """Return the fields by which every JSON answer shows a result code."""
+    fields: dict[str, Any] = {
+        "code": int(failure.code),
+        "name": failure.code.label,
+        "ran": failure.ran.value,
+        "resubmit": failure.code.resubmit.value,
+        "reason": failure.reason,
+    }
+    if failure.retry_after_ms:
+        fields["retry_after_ms"] = failure.retry_after_ms
+    return fields
+
+
+def application(handler: Callable[[ApiRequest], ApiResponse]) -> WsgiApp:
+    """Make a WSGI application of a function from request to answer."""
+
+    def app(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
+        try:
+            res = handler(ApiRequest.from_environ(environ))
+        except Exception as exc:
+            # A programming error must not take the server's thread with it.
+            get_logger().error(
+                "request_failed", path=environ.get("PATH_INFO"), error=repr(exc), exc_info=True
+            )
+            res = ApiResponse.from_json(500, {"reason": "internal error; the outcome is unknown"})
+        status = f"{res.status} {_REASONS.get(res.status, 'Unknown')}"
+        headers = [
+            ("Content-Type", res.content_type),
+            ("Content-Length", str(len(res.body))),
+            *res.headers,
+        ]
+        start_response(status, headers)
+        return [res.body]
+
+    return app
