Add the scheduler of one service in one zone

Cause: entry processes need one owner of a service's slots per zone that queues demands and grants slots.

A demand waits for a faster, full runner when that ends it sooner than a free slow one.

Ruled out: a plain "first free slot" rule, because runners differ tenfold in speed.

Conclusion: first version; the policy has not been measured yet.

--- /dev/null
+++ b/kumquatlift/fair_queue.py
@@ -0,0 +1,222 @@
+"""Waiting demands in order of urgency, fair share of teams and deadline."""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+from typing import Generic, TypeVar
+
+AGING_S = 2.0
+"""A demand that has waited this long is protected by the aging rule."""
+AGING_TURN = 16
+"""Every sixteenth grant goes to the longest-waiting demand, which costs urgent work at most 6%."""
+_COMPACT_FROM = 64
+
+T = TypeVar("T")
+
+
+class Entry(Generic[T]):
+    """A waiting demand.
+
+    Args:
+        item: The caller's own object.
+        rank: Urgency; 0 goes first.
+        team: Team that is charged.
+        left: Requests that still wait; 0 once removed.
+        deadline_at: Monotonic seconds.
+        waiting_since: Monotonic seconds.
+    """
+
+    __slots__ = (
+        "deadline_at",
+        "is_held",
+        "item",
+        "left",
+        "number",
+        "rank",
+        "team",
+        "waiting_since",
+    )
+
+    def __init__(
+        self,
+        *,
+        item: T,
+        rank: int,
+        team: str,
+        left: int,
+        deadline_at: float,
+        waiting_since: float,
+    ) -> None:
+        self.item = item
+        self.rank = rank
+        self.team = team
+        self.left = left
+        self.deadline_at = deadline_at
+        self.waiting_since = waiting_since
+        self.number = 0
+        self.is_held = False
+
+    @property
+    def key(self) -> tuple[float, int]:
+        """Order within one team and rank."""
+        return (self.deadline_at, self.number)
+
+
+class FairQueue(Generic[T]):
+    """Queue of entries; a team's share is kept by start-time fair queueing.
+
+    Each request taken advances its team's virtual time by cost / share, and the team with the
+    lowest virtual time goes next. A cancelled entry leaves its heap lazily, so that cancelling
+    costs constant time on average.
+    """
+
+    def __init__(self) -> None:
+        self.queued = 0
+        self._heaps: dict[int, dict[str, list[tuple[float, int, Entry[T]]]]] = {}
+        self._waiting: dict[str, OrderedDict[int, Entry[T]]] = {}
+        self._queued_by_team: dict[str, int] = {}
+        self._queued_by_rank: dict[int, int] = {}
+        self._virtual: dict[str, float] = {}
+        self._virtual_now = 0.0
+        self._number = 0
+        self._dead = 0
+        self._since_oldest = 0
+        self._held: list[Entry[T]] = []
+
+    def __len__(self) -> int:
+        return sum(len(entries) for entries in self._waiting.values())
+
+    def queued_of(self, team: str) -> int:
+        """Return the number of requests of a team that wait."""
+        return self._queued_by_team.get(team, 0)
+
+    def queued_to(self, rank: int) -> int:
+        """Return the number of requests that wait at this rank or a more urgent one."""
+        return sum(count for other, count in self._queued_by_rank.items() if other <= rank)
+
+    def push(self, entry: Entry[T]) -> None:
+        """Add an entry behind those of its team with an earlier deadline."""
+        self._number += 1
+        entry.number = self._number
+        waiting = self._waiting.setdefault(entry.team, OrderedDict())
+        if not waiting:
+            # A team that was idle gets no credit for that time.
+            self._virtual[entry.team] = max(self._virtual.get(entry.team, 0.0), self._virtual_now)
+        waiting[entry.number] = entry
+        self._push_heap(entry)
+        self._count(entry, entry.left)
+
+    def remove(self, entry: Entry[T]) -> int:
+        """Remove an entry.
+
+        Returns:
+            The number of requests that still waited.
+        """
+        left = entry.left
+        if left:
+            self._count(entry, -left)
+            entry.left = 0
+            self._forget(entry)
+            self._dead += 1
+            if self._dead > _COMPACT_FROM and self._dead > len(self):
+                self._compact()
+        return left
+
+    def peek(self, is_allowed: Callable[[str], bool], now: float) -> Entry[T] | None:
+        """Return the entry that goes next among allowed teams that are not held."""
+        if self._since_oldest >= AGING_TURN:
+            oldest = self._oldest(is_allowed, now)
+            if oldest is not None:
+                return oldest
+        for rank in sorted(self._heaps):
+            heads = [
+                (self._virtual[team], head.key, head)
+                for team in list(self._heaps[rank])
+                if (head := self._head(rank, team)) is not None and is_allowed(team)
+            ]
+            if heads:
+                return min(heads, key=lambda item: item[:2])[2]
+        return None
+
+    def take(self, entry: Entry[T], *, cost: float, share: float) -> None:
+        """Take one request from an entry that ``peek`` returned.
+
+        Args:
+            entry: The entry.
+            cost: Expected use of a slot, in seconds.
+            share: Weight of the entry's team.
+        """
+        oldest = self._oldest(lambda team: True, float("inf"))
+        self._since_oldest = 0 if entry is oldest else self._since_oldest + 1
+        self._virtual_now = self._virtual[entry.team]
+        self._virtual[entry.team] += cost / share
+        entry.left -= 1
+        self._count(entry, -1)
+        if not entry.left:
+            self._forget(entry)
+            self._dead += 1
+
+    def hold(self, entry: Entry[T]) -> None:
+        """Keep an entry out of ``peek`` until ``release``."""
+        entry.is_held = True
+        self._held.append(entry)
+
+    def release(self) -> None:
+        """Return all held entries to their places."""
+        for entry in self._held:
+            entry.is_held = False
+            if entry.left:
+                self._push_heap(entry)
+        self._held.clear()
+
+    def snapshot(self) -> Mapping[str, object]:
+        """Return counts for the state dump."""
+        return {
+            "queued": self.queued,
+            "by_team": {team: n for team, n in self._queued_by_team.items() if n},
+            "by_rank": {rank: n for rank, n in sorted(self._queued_by_rank.items()) if n},
+        }
+
+    def _head(self, rank: int, team: str) -> Entry[T] | None:
+        heap = self._heaps[rank][team]
+        while heap and (not heap[0][2].left or heap[0][2].is_held):
+            entry = heapq.heappop(heap)[2]
+            self._dead -= not entry.left
+        if heap:
+            return heap[0][2]
+        del self._heaps[rank][team]
+        return None
+
+    def _oldest(self, is_allowed: Callable[[str], bool], now: float) -> Entry[T] | None:
+        firsts = [
+            next(iter(waiting.values()))
+            for team, waiting in self._waiting.items()
+            if waiting and is_allowed(team)
+        ]
+        oldest = min(firsts, key=lambda entry: entry.number, default=None)
+        if oldest is None or oldest.is_held or now - oldest.waiting_since < AGING_S:
+            return None
+        return oldest
+
+    def _push_heap(self, entry: Entry[T]) -> None:
+        heap = self._heaps.setdefault(entry.rank, {}).setdefault(entry.team, [])
+        heapq.heappush(heap, (entry.deadline_at, entry.number, entry))
+
+    def _forget(self, entry: Entry[T]) -> None:
+        waiting = self._waiting[entry.team]
+        del waiting[entry.number]
+        if not waiting:
+            del self._waiting[entry.team]
+
+    def _count(self, entry: Entry[T], change: int) -> None:
+        self.queued += change
+        self._queued_by_team[entry.team] = self._queued_by_team.get(entry.team, 0) + change
+        self._queued_by_rank[entry.rank] = self._queued_by_rank.get(entry.rank, 0) + change
+
+    def _compact(self) -> None:
+        self._heaps.clear()
+        self._dead = 0
+        for waiting in self._waiting.values():
+            for entry in waiting.values():
+                if not entry.is_held:
+                    self._push_heap(entry)
--- /dev/null
+++ b/kumquatlift/run_times.py
@@ -0,0 +1,105 @@
+"""Learned run times: how far declared times are off, and how fast each runner is."""
+
+import math
+from collections import OrderedDict
+
+MAX_KINDS = 256
+MAX_RUNNERS = 2048
+_LEAST_GAIN = 0.03
+"""Smallest weight of a new observation; about the last 30 observations count."""
+_LARGEST_STEP = math.log(8.0)
+"""Bound on one observation's logarithm, so that a single very long task moves little."""
+_PRIOR = 4
+"""An estimate starts as if it had this many observations of the average."""
+_FORGET_S = 120.0
+"""An unobserved runner drifts back to the average, so that one that recovered is tried again."""
+
+
+class _Average:
+    """Moving average that starts as a plain mean."""
+
+    __slots__ = ("count", "seen_at", "value")
+
+    def __init__(self, value: float) -> None:
+        self.value = value
+        self.count = 0
+        self.seen_at = 0.0
+
+    def add(self, value: float, *, prior: int = 0) -> None:
+        self.count += 1
+        self.value += max(1 / (self.count + prior), _LEAST_GAIN) * (value - self.value)
+
+
+class RunTimes:
+    """Expected run times from declared times, learned per kind and per runner.
+
+    A run time is modelled as declared time x correction of the kind x slowness of the runner.
+    Slowness is a geometric mean, because run times of one kind spread widely; the correction is an
+    arithmetic mean, because waits add up. The least recently used kinds and runners are forgotten
+    beyond ``MAX_KINDS`` and ``MAX_RUNNERS``.
+    """
+
+    def __init__(self) -> None:
+        self._corrections: OrderedDict[str, _Average] = OrderedDict()
+        self._centres: OrderedDict[str, _Average] = OrderedDict()
+        self._runners: OrderedDict[str, _Average] = OrderedDict()
+
+    def observe(self, kind: str, runner: str, declared_s: float, run_s: float, now: float) -> None:
+        """Learn from a request that ran successfully.
+
+        Args:
+            kind: Request kind.
+            runner: Runner name.
+            declared_s: Declared run time of the request in seconds.
+            run_s: Run time in seconds.
+            now: Monotonic seconds.
+        """
+        ratio = max(run_s, 1e-4) / max(declared_s, 1e-4)
+        centre = _get(self._centres, kind, math.log(ratio), MAX_KINDS)
+        speed = _get(self._runners, runner, 0.0, MAX_RUNNERS)
+        slowness = self.slowness(runner, now)
+        seen = math.log(ratio) - centre.value
+        centre.add(_clip(math.log(ratio) - math.log(slowness), centre.value))
+        speed.value = math.log(slowness)
+        speed.add(_clip(seen, speed.value), prior=_PRIOR)
+        speed.seen_at = now
+        correction = _get(self._corrections, kind, ratio / slowness, MAX_KINDS)
+        correction.add(min(ratio / slowness, 20 * correction.value))
+
+    def is_learned(self, kind: str) -> bool:
+        """Whether enough requests of a kind ran to rely on the estimate."""
+        correction = self._corrections.get(kind)
+        return correction is not None and correction.count >= 8
+
+    def slowness(self, runner: str, now: float) -> float:
+        """Return a runner's run time relative to the average runner's."""
+        speed = self._runners.get(runner)
+        if speed is None:
+            return 1.0
+        return math.exp(speed.value * 0.5 ** (max(0.0, now - speed.seen_at) / _FORGET_S))
+
+    def expected_s(self, kind: str, declared_s: float) -> float:
+        """Return the expected run time on an average runner, in seconds."""
+        correction = self._corrections.get(kind)
+        return declared_s if correction is None else declared_s * correction.value
+
+    def snapshot(self, now: float) -> dict[str, object]:
+        """Return the estimates for the state dump."""
+        return {
+            "corrections": {kind: round(item.value, 3) for kind, item in self._corrections.items()},
+            "slowness": {runner: round(self.slowness(runner, now), 3) for runner in self._runners},
+        }
+
+
+def _get(table: OrderedDict[str, _Average], key: str, start: float, limit: int) -> _Average:
+    item = table.get(key)
+    if item is None:
+        item = table[key] = _Average(start)
+        if len(table) > limit:
+            table.popitem(last=False)
+    table.move_to_end(key)
+    return item
+
+
+def _clip(value: float, centre: float) -> float:
+    return min(max(value, centre - _LARGEST_STEP), centre + _LARGEST_STEP)
--- /dev/null
+++ b/kumquatlift/runner_pool.py
@@ -0,0 +1,268 @@
+"""Runners of one service in one zone as the scheduler sees them, and the choice among them."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from kumquatlift.document import Service
+from kumquatlift.run_times import RunTimes
+from kumquatlift.runner_health import HealthPolicy, RunnerHealth
+
+OWNER_LEASE_S = 2.0
+"""Nothing is granted for a runner whose announcements stayed away this long."""
+REFUSAL_PAUSE_S = 0.1
+"""Pause after a refusal by a runner, which is about one run time."""
+_ORDER_VALID_S = 0.02
+"""The order of preference is computed at most 50 times a second, which bounds its cost."""
+_SILENT_FACTOR = 8.0
+"""Preference lost by a stalled runner: it counts as this many times slower."""
+_SETTLED_S = 0.1
+"""A request that was started this long ago is included in the runner's own count of busy slots."""
+
+
+class RunnerOffer(NamedTuple):
+    """What a runner announces.
+
+    Args:
+        runner: Runner name.
+        incarnation: Random identity of the runner's current run.
+        address: "ip:port".
+        worker: Machine that it runs on.
+        slots: Requests that it runs at a time.
+        connections: Connections that it accepts.
+        busy: Slots in use as the runner reports.
+        is_leaving: Whether the runner shuts down.
+    """
+
+    runner: str
+    incarnation: str
+    address: str
+    worker: str
+    slots: int
+    connections: int
+    busy: int = 0
+    is_leaving: bool = False
+
+
+class RunningRequest(NamedTuple):
+    """A slot in use.
+
+    Args:
+        expected_s: Expected run time on an average runner, in seconds.
+        started_at: Monotonic seconds; 0 while the grant is not started.
+    """
+
+    expected_s: float
+    started_at: float
+
+
+class RunnerState:
+    """One incarnation of a runner.
+
+    Args:
+        offer: Last announcement.
+        health: Failures of the runner.
+        now: Monotonic seconds.
+        foreign_until: When slots held for a former owner are free at the latest.
+    """
+
+    def __init__(
+        self, *, offer: RunnerOffer, health: RunnerHealth, now: float, foreign_until: float
+    ) -> None:
+        self.offer = offer
+        self.health = health
+        self.seen_at = now
+        self.progress_at = now
+        self.paused_until = 0.0
+        self.running: dict[str, RunningRequest] = {}
+        self._foreign = offer.busy
+        self._foreign_until = foreign_until
+
+    def update(self, offer: RunnerOffer, now: float) -> None:
+        """Take a newer announcement of the same incarnation."""
+        self.offer = offer
+        self.seen_at = now
+        settled = sum(0 < req.started_at <= now - _SETTLED_S for req in self.running.values())
+        self._foreign = min(self._foreign, max(0, offer.busy - settled))
+
+    def foreign(self, now: float) -> int:
+        """Return slots that are in use by grants of a former owner."""
+        return self._foreign if now < self._foreign_until else 0
+
+    def started(self, grant_id: str, now: float) -> None:
+        """Record that a request was sent to the runner."""
+        if not any(req.started_at for req in self.running.values()):
+            self.progress_at = now
+        self.running[grant_id] = self.running[grant_id]._replace(started_at=now)
+
+    def is_silent(self, slowness: float, now: float) -> bool:
+        """Whether nothing ended for so long that the runner has probably stalled.
+
+        With b requests in flight, the time to the next end is about the run time / b. The
+        threshold is b + 4 times that, which a healthy runner passes about once in a hundred times
+        with one request and more rarely with several.
+        """
+        started = [req.expected_s for req in self.running.values() if req.started_at]
+        if not started:
+            return False
+        expected_s = slowness * sum(started) / len(started)
+        return now - self.progress_at > expected_s * (1 + 4 / len(started))
+
+
+class Ranked(NamedTuple):
+    """A runner in the order of preference.
+
+    Args:
+        state: The runner.
+        slowness: Effective run time relative to the average runner's.
+        slots: Requests that it may run at a time.
+        faster_slots: Slots of the runners before it in the order.
+        faster_speed: Their slots, each divided by the slowness of its runner.
+    """
+
+    state: RunnerState
+    slowness: float
+    slots: int
+    faster_slots: int
+    faster_speed: float
+
+
+class RunnerPool:
+    """The runners, and the order in which they are preferred.
+
+    Args:
+        service: Configuration of the service.
+        run_times: Learned run times.
+        health_policy: Parameters of quarantine.
+    """
+
+    def __init__(
+        self, *, service: Service, run_times: RunTimes, health_policy: HealthPolicy
+    ) -> None:
+        self.service = service
+        self.health_policy = health_policy
+        self._run_times = run_times
+        self._states: dict[str, RunnerState] = {}
+        self._order: list[Ranked] = []
+        self._order_until = 0.0
+        self._is_distrusted = False
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def __iter__(self) -> Iterator[RunnerState]:
+        return iter(self._states.values())
+
+    def offer(self, offer: RunnerOffer, now: float) -> None:
+        """Add or refresh a runner."""
+        state = self._states.get(offer.runner)
+        if state is not None and state.offer.incarnation == offer.incarnation:
+            if state.offer != offer._replace(busy=state.offer.busy) or self._is_stale(state, now):
+                self.invalidate()
+            state.update(offer, now)
+            return
+        longest_s = max(kind.lease_ms for kind in self.service.kinds.values()) / 1000 + 1
+        self._states[offer.runner] = RunnerState(
+            offer=offer,
+            health=RunnerHealth(policy=self.health_policy),
+            now=now,
+            foreign_until=now + longest_s,
+        )
+        self.invalidate()
+
+    def withdraw(self, runner: str) -> None:
+        """Remove a runner; its running requests keep their own reference."""
+        self._states.pop(runner, None)
+        self.invalidate()
+
+    def invalidate(self) -> None:
+        """Compute the order of preference anew at the next use."""
+        self._order_until = 0.0
+
+    def order(self, now: float) -> list[Ranked]:
+        """Return usable runners, most preferred first."""
+        if now >= self._order_until:
+            self._order = self._ranked(now)
+            self._order_until = now + _ORDER_VALID_S
+        return self._order
+
+    def capacity(self, state: RunnerState) -> int:
+        """Return how many requests the runner may run at a time."""
+        offer, cfg = state.offer, self.service
+        return min(offer.slots, offer.connections, cfg.slots, cfg.connections)
+
+    def free(self, state: RunnerState, now: float) -> int:
+        """Return free slots of a runner; 0 when it must not be used at the moment."""
+        if state.offer.is_leaving or now < state.paused_until or self._is_stale(state, now):
+            return 0
+        return max(0, self.capacity(state) - len(state.running) - state.foreign(now))
+
+    def trial(self, now: float) -> RunnerState | None:
+        """Return a quarantined runner that may get a trial request."""
+        if self._is_distrusted:
+            return None
+        for state in self._states.values():
+            if state.health.may_try(now) and self.free(state, now):
+                return state
+        return None
+
+    def next_trial_at(self) -> float:
+        """Return when the next quarantine ends; infinity when there is none."""
+        ends = (state.health.out_until for state in self if state.health.is_out)
+        return min(ends, default=float("inf"))
+
+    def speed(self, now: float) -> float:
+        """Return the usable slots, each divided by the slowness of its runner."""
+        order = self.order(now)
+        if not order:
+            return 0.0
+        last = order[-1]
+        return last.faster_speed + last.slots / last.slowness
+
+    def snapshot(self, now: float) -> dict[str, object]:
+        """Return the runners for the state dump."""
+        return {
+            name: {
+                "address": state.offer.address,
+                "worker": state.offer.worker,
+                "slots": self.capacity(state),
+                "running": len(state.running),
+                "foreign": state.foreign(now),
+                "is_leaving": state.offer.is_leaving,
+                "is_out": state.health.is_out,
+                "failure_rate": round(state.health.failure_rate, 3),
+                "slowness": round(self._slowness(state, now), 3),
+                "age_s": round(now - state.seen_at, 3),
+            }
+            for name, state in sorted(self._states.items())
+        }
+
+    def _is_stale(self, state: RunnerState, now: float) -> bool:
+        return now - state.seen_at > OWNER_LEASE_S
+
+    def _ranked(self, now: float) -> list[Ranked]:
+        present = [
+            state for state in self if not state.offer.is_leaving and not self._is_stale(state, now)
+        ]
+        out = sum(state.health.is_out for state in present)
+        # A fault that hits most runners at once lies elsewhere, so nobody is taken out for it.
+        self._is_distrusted = 2 * out > len(present)
+        trusted = [state for state in present if self._is_distrusted or not state.health.is_out]
+        by_slowness = sorted(
+            ((self._slowness(state, now), state) for state in trusted), key=lambda item: item[0]
+        )
+        ranked: list[Ranked] = []
+        slots, speed = 0, 0.0
+        for slowness, state in by_slowness:
+            capacity = self.capacity(state)
+            ranked.append(Ranked(state, slowness, capacity, slots, speed))
+            slots += capacity
+            speed += capacity / slowness
+        return ranked
+
+    def _slowness(self, state: RunnerState, now: float) -> float:
+        slowness = self._run_times.slowness(state.offer.runner, now)
+        if state.is_silent(slowness, now):
+            slowness *= _SILENT_FACTOR
+        rate = min(state.health.failure_rate, 0.9)
+        # 1 / (1 - rate) attempts are needed on average; their messages count by their weight.
+        return slowness / (1 - rate) * (1 + 4 * self.service.message_weight * rate)
