--- /dev/null
+++ b/kumquatlift/announcer.py
@@ -0,0 +1,85 @@
+"""The runner's side of announcements: who it is, where it is, and which owner it knows."""
+
+import http.client
+import json
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from kumquatlift.codes import ResultCode
+from kumquatlift.log import get_logger
+
+FIRST_RENEW_MS = 500
+# Half of the 2 s after which an owner drops a silent runner, so that a second entry is tried first.
+ANSWER_TIMEOUT_S = 0.8
+
+
+class Announcer:
+    """Announces a runner again and again to one of several entry processes.
+
+    Args:
+        entries: Addresses for announcements, each "ip:port"; the next is used when one is silent.
+        announcement: Returns the fields of the next announcement, without the owner.
+    """
+
+    def __init__(
+        self, *, entries: tuple[str, ...], announcement: Callable[[], dict[str, Any]]
+    ) -> None:
+        self._entries = entries
+        self._announcement = announcement
+        self._current = 0
+        self._conn: http.client.HTTPConnection | None = None
+        self._wake = threading.Event()
+        self._stopped = False
+        self.owner = ""
+        self.answers = 0
+
+    def run(self) -> None:
+        """Announce until stopped."""
+        while self._entries and not self._stopped:
+            self._wake.clear()
+            renew_ms = self._announce()
+            self._wake.wait(renew_ms / 1000)
+
+    def announce_now(self) -> None:
+        """Make the next announcement without waiting for its time."""
+        self._wake.set()
+
+    def stop(self) -> None:
+        """Make ``run`` return."""
+        self._stopped = True
+        self._wake.set()
+
+    def _announce(self) -> int:
+        """Try each entry process once; returns the time to the next announcement in ms."""
+        for _ in self._entries:
+            answer = self._post({**self._announcement(), "owner": self.owner})
+            if answer is not None:
+                self.answers += 1
+                # An answer without an owner says nothing about the old one, which stays echoed.
+                self.owner = str(answer.get("owner") or self.owner)
+                if answer.get("code") != ResultCode.RUNNER_ACCEPTED:
+                    get_logger().warning("announcement_refused", answer=answer)
+                return int(answer.get("renew_ms") or FIRST_RENEW_MS)
+            self._drop_connection()
+            self._current = (self._current + 1) % len(self._entries)
+        return FIRST_RENEW_MS
+
+    def _post(self, fields: dict[str, Any]) -> dict[str, Any] | None:
+        try:
+            if self._conn is None:
+                entry = self._entries[self._current]
+                self._conn = http.client.HTTPConnection(entry, timeout=ANSWER_TIMEOUT_S)
+            body = json.dumps(fields).encode()
+            headers = {"Content-Type": "application/json"}
+            self._conn.request("POST", "/v1/announcements", body, headers)
+            res = self._conn.getresponse()
+            answer = json.loads(res.read())
+        except (OSError, http.client.HTTPException, ValueError):
+            return None
+        return answer if isinstance(answer, dict) else None
+
+    def _drop_connection(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
