Add configuration and settings of the two example deployments

Each has a document, and settings for six entry processes in three availability zones on loopback ports. The first process of each zone votes and has a data folder. A test checks that the documents are valid, that voters and data folders agree, and that no two listeners share a port.

--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,41 @@
+"""The example deployments: documents and settings agree with each other."""
+
+from pathlib import Path
+
+import pytest
+
+from kumquatlift.document import Document
+from kumquatlift.settings import Settings
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+@pytest.mark.parametrize("deployment", ["glenkirk", "maulwurf"])
+class TestExamples:
+    """Guards against an example that an entry process would refuse or could not join."""
+
+    def test_document_is_valid_and_has_the_sizes_of_the_design(self, deployment: str) -> None:
+        text = (EXAMPLES / deployment / "document.toml").read_text(encoding="utf-8")
+        doc = Document.from_toml(text)
+        assert isinstance(doc, Document), doc
+        (service,) = doc.services.values()
+        assert (service.slots, service.connections, len(service.kinds)) == (8, 64, 3)
+        assert any(not kind.repeatable for kind in service.kinds.values())
+
+    def test_settings_name_the_voters_and_share_no_port(self, deployment: str) -> None:
+        folder = EXAMPLES / deployment
+        settings = [
+            Settings.from_file(path)
+            for path in sorted(folder.glob("*.toml"))
+            if path.name != "document.toml"
+        ]
+        processes = [entry for entry in settings if isinstance(entry, Settings)]
+        assert len(processes) == len(settings) == 6
+        assert len({entry.zone for entry in processes}) == 3
+        ports = [port for entry in processes for port in entry[2:6]]
+        assert len(set(ports)) == 24
+        assert all(seed in ports for entry in processes for seed in entry.seeds)
+        doc = Document.from_toml((folder / "document.toml").read_text(encoding="utf-8"))
+        assert isinstance(doc, Document), doc
+        with_disk = {entry.name for entry in processes if entry.data_folder}
+        assert set(doc.system.voters) == with_disk
