--- /dev/null
+++ b/kumquatlift/announcements.py
@@ -0,0 +1,66 @@
+"""HTTP application for runners' announcements."""
+
+from kumquatlift.announcement import Announcement, AnnouncementAnswer
+from kumquatlift.channel import Channel, Topic
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.membership import Members
+from kumquatlift.slot_client import slot_owner_of
+from kumquatlift.slot_owner import SlotOwner
+from kumquatlift.wsgi import ApiRequest, ApiResponse, code_fields
+
+# Below the time after which an announcer tries another entry process.
+FORWARD_TIMEOUT_S = 0.5
+
+
+class Announcements:
+    """Takes announcements at any entry process and hands them to the owner of the slots.
+
+    Args:
+        members: Membership view.
+        channel: Messages to other entry processes.
+        owner: Slots that this process owns.
+    """
+
+    def __init__(self, *, members: Members, channel: Channel, owner: SlotOwner) -> None:
+        self._members = members
+        self._channel = channel
+        self._owner = owner
+        channel.handle(Topic.RUNNER_ANNOUNCE, self._handle_forwarded)
+
+    def handle(self, req: ApiRequest) -> ApiResponse:
+        """Answer one HTTP request."""
+        if req.path != "/v1/announcements":
+            return ApiResponse.from_failure(
+                Failure(ResultCode.NOT_FOUND, f"no such path: {req.path[:100]}")
+            )
+        if req.method != "POST":
+            return ApiResponse.from_json(405, {"reason": "only POST is allowed"})
+        ann = Announcement.from_bytes(req.body)
+        answer = ann if isinstance(ann, Failure) else self._announce(ann)
+        if isinstance(answer, Failure):
+            return ApiResponse.from_failure(answer)
+        accepted = Failure(ResultCode.RUNNER_ACCEPTED, "")
+        return ApiResponse.from_json(200, {**code_fields(accepted), **answer._asdict()})
+
+    def _announce(self, ann: Announcement) -> AnnouncementAnswer | Failure:
+        owner = slot_owner_of(ann.service, ann.zone, self._members)
+        if owner == self._members.me.name:
+            return self._owner.announce(ann)
+        self._owner.release(ann)
+        if owner is None:
+            return Failure(ResultCode.RUNNER_REFUSED, "no live entry process", 500)
+        fut = self._channel.call(
+            owner, Topic.RUNNER_ANNOUNCE, ann.to_bytes(), timeout_s=FORWARD_TIMEOUT_S
+        )
+        reply = fut.result()
+        if isinstance(reply, Failure):
+            return Failure(ResultCode.RUNNER_REFUSED, f"owner {owner}: {reply.reason}", 500)
+        return AnnouncementAnswer.from_bytes(reply)
+
+    def _handle_forwarded(self, _sender: str, body: bytes) -> bytes | None:
+        ann = Announcement.from_bytes(body)
+        if isinstance(ann, Failure):
+            return None
+        result = self._owner.announce(ann)
+        return None if isinstance(result, Failure) else result.to_bytes()
--- a/kumquatlift/cli.py
+++ b/kumquatlift/cli.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import os
 import signal
 import sys
 from pathlib import Path
@@ -95,12 +96,33 @@
     stand_in.close()
 
 
+def entry(settings: Path, *, log_level: str = "info") -> None:
+    """Run an entry process until it gets SIGTERM.
+
+    Args:
+        settings: TOML file with the process's own settings.
+        log_level: Lowest level of events shown: debug, info, warning or error.
+    """
+    from kumquatlift.entry import run_entry
+    from kumquatlift.log import configure_logs
+    from kumquatlift.settings import Settings
+
+    cfg = Settings.from_file(settings)
+    if isinstance(cfg, list):
+        _fail("\n".join(f"{settings}: {problem}" for problem in cfg))
+    configure_logs(process=cfg.name, level=log_level)
+    code = run_entry(cfg)
+    sys.stderr.flush()
+    # The servers' loops offer no stop from outside; everything they served has been answered.
+    os._exit(code)
+
+
 def main() -> None:
     """Run the subcommand named on the command line."""
     usage = io.StringIO()
     try:
         with contextlib.redirect_stderr(usage):
-            command = defopt.bind([check, runner], no_negated_flags=True)
+            command = defopt.bind([check, entry, runner], no_negated_flags=True)
     except SystemExit as exc:
         if exc.code:
             # The last line is the error; the usage text before it is what --help shows.
--- a/kumquatlift/codes.py
+++ b/kumquatlift/codes.py
@@ -60,6 +60,7 @@
     OWNER_LOST = 4005
     RECORD_LOST = 4006
     BAD_RUNNER_ANSWER = 4007
+    PARTLY_RUN = 4008
 
     OWNER_UNREACHABLE = 5001
     CLAIM_UNKNOWN = 5002
@@ -142,6 +143,7 @@
     _C.OWNER_LOST: _Meaning(Ran.MAYBE, _NEVER, 502, "the entry process running the job was lost"),
     _C.RECORD_LOST: _Meaning(Ran.MAYBE, _NEVER, 410, "the record is lost or expired"),
     _C.BAD_RUNNER_ANSWER: _Meaning(Ran.YES, _NEVER, 502, "a runner's answer was incomplete"),
+    _C.PARTLY_RUN: _Meaning(Ran.MAYBE, _NEVER, 502, "some tasks may have run, others were refused"),
     _C.OWNER_UNREACHABLE: _Meaning(Ran.MAYBE, _SAME, 503, "not run here; owner unreachable"),
     _C.CLAIM_UNKNOWN: _Meaning(Ran.MAYBE, _SAME, 503, "the copy of the claim is not confirmed"),
     _C.TIMED_OUT: _Meaning(Ran.MAYBE, _SAME, 504, "no answer from another entry process in time"),
--- a/kumquatlift/dispatcher.py
+++ b/kumquatlift/dispatcher.py
@@ -1,10 +1,29 @@
 """Runs jobs: splits them into requests, places them on runners and collects the answer."""
 
-from concurrent.futures import Future
-from typing import Protocol
+import itertools
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any, Protocol
 
+from kumquatlift.blackboard import Section
+from kumquatlift.clock import Clock
+from kumquatlift.codes import ResultCode
+from kumquatlift.document import Document, Kind
 from kumquatlift.failure import Failure
 from kumquatlift.job import JobAnswer, JobRequest
+from kumquatlift.job_run import Attempt, Batch, JobRun
+from kumquatlift.log import get_logger
+from kumquatlift.runner_client import AttemptEnd, AttemptResult, RunnerClient
+from kumquatlift.scheduler import AttemptOutcome
+from kumquatlift.slot_client import GrantedSlot, SlotSource
+from kumquatlift.slot_messages import SlotRequest
+from kumquatlift.timer import Timer, TimerHandle
+
+# Attempts in flight in one process; each holds a thread while its runner works.
+MAX_ATTEMPTS_IN_FLIGHT = 256
+# Jobs that run or wait in one process; beyond it new jobs are refused.
+MAX_JOBS = 20_000
 
 
 class JobExecutor(Protocol):
@@ -31,3 +50,266 @@
 
     def cancel(self, job_id: str) -> None:
         """Cancel a job; its future gets a cancelled answer."""
+
+
+class Dispatcher:
+    """The ``JobExecutor`` of an entry process.
+
+    Args:
+        document: Returns the configuration in force.
+        slots: Where slots come from.
+        client: Sends requests to runners.
+        timer: Calls functions at deadlines and retry times.
+        clock: Source of time.
+        section: Section of the blackboard for this controller.
+    """
+
+    def __init__(
+        self,
+        *,
+        document: Callable[[], Document],
+        slots: SlotSource,
+        client: RunnerClient,
+        timer: Timer,
+        clock: Clock,
+        section: Section,
+    ) -> None:
+        self._document = document
+        self._slots = slots
+        self._client = client
+        self._timer = timer
+        self._clock = clock
+        self._section = section
+        self._lock = threading.Lock()
+        self._jobs: dict[str, _RunningJob] = {}
+        self._attempts = ThreadPoolExecutor(
+            max_workers=MAX_ATTEMPTS_IN_FLIGHT, thread_name_prefix="attempt"
+        )
+        section.publish("jobs", lambda: len(self._jobs))
+
+    def admit(self, req: JobRequest) -> Failure | None:
+        """Check a job against the configuration; see ``JobExecutor.admit``."""
+        kind = find_kind(self._document(), req)
+        if isinstance(kind, Failure):
+            return kind
+        if len(req.tasks) > kind.max_tasks:
+            return Failure(
+                ResultCode.NEVER_FITS,
+                f"{len(req.tasks)} tasks given, {req.kind} allows {kind.max_tasks}",
+            )
+        if len(self._jobs) >= MAX_JOBS:
+            return Failure(ResultCode.OVERLOADED, f"{MAX_JOBS} jobs are running", 1000)
+        return None
+
+    def run(self, job_id: str, req: JobRequest, *, deadline_at: float) -> Future[JobAnswer]:
+        """Run a claimed job; see ``JobExecutor.run``."""
+        fut: Future[JobAnswer] = Future()
+        kind = find_kind(self._document(), req)
+        if isinstance(kind, Failure):
+            fut.set_result(JobAnswer.from_failure(kind))
+            return fut
+        run = JobRun(job_id=job_id, req=req, kind=kind, deadline_at=deadline_at)
+        job = _RunningJob(dispatcher=self, run=run, fut=fut)
+        with self._lock:
+            if job_id in self._jobs:
+                raise ValueError(f"job {job_id} is running already")
+            self._jobs[job_id] = job
+        self._section.count("jobs_started")
+        job.begin()
+        return fut
+
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job; an unknown or finished one is left as it is."""
+        with self._lock:
+            job = self._jobs.get(job_id)
+        if job is not None:
+            job.cancel()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no job and no attempt is in flight."""
+        return not self._jobs
+
+    def close(self) -> None:
+        """End the threads once their attempts are over."""
+        self._attempts.shutdown(wait=False, cancel_futures=True)
+
+    def forget(self, job_id: str, answer: JobAnswer) -> None:
+        """Drop a job that has its answer and no attempt in flight."""
+        with self._lock:
+            self._jobs.pop(job_id, None)
+        self._section.count("jobs_finished")
+        get_logger().info(
+            "job_finished",
+            job=job_id,
+            code=int(answer.code),
+            result=answer.code.label,
+            reason=answer.reason or None,
+        )
+
+    def submit_attempt(self, function: Callable[..., None], *args: Any) -> None:
+        """Run a function in an attempt thread."""
+        self._attempts.submit(_logged, function, *args)
+
+    @property
+    def parts(self) -> tuple[SlotSource, RunnerClient, Timer, Clock, Section]:
+        """What a running job works with."""
+        return self._slots, self._client, self._timer, self._clock, self._section
+
+
+class _RunningJob:
+    """Connects one job's state machine with slots, runners and timers."""
+
+    def __init__(self, *, dispatcher: Dispatcher, run: JobRun, fut: Future[JobAnswer]) -> None:
+        self._dispatcher = dispatcher
+        self._slots, self._client, self._timer, self._clock, self._section = dispatcher.parts
+        self._run = run
+        self._fut = fut
+        self._lock = threading.Lock()
+        self._wishes = itertools.count(1)
+        self._open_wishes: list[str] = []
+        self._deadline: TimerHandle | None = None
+        self._is_settled = False
+        self._is_forgotten = False
+
+    def begin(self) -> None:
+        """Ask for slots for every batch."""
+        self._deadline = self._timer.call_at(self._run.deadline_at, self._expire)
+        self._ask(self._run.batch_count)
+
+    def cancel(self) -> None:
+        """Cancel the job."""
+        with self._lock:
+            self._run.cancel()
+        self._settle()
+
+    def slot_granted(self, slot: GrantedSlot) -> None:
+        """Use a slot in an attempt thread."""
+        self._dispatcher.submit_attempt(self._use, slot)
+
+    def slots_refused(self, count: int, failure: Failure) -> None:
+        """Fail the job, or come back later when a part of it may have run."""
+        with self._lock:
+            is_waiting = self._run.may_have_run and self._run.answer is None
+            if not is_waiting:
+                self._run.fail(failure)
+        if is_waiting:
+            delay_s = max(failure.retry_after_ms, 100) / 1000
+            self._timer.call_after(delay_s, lambda: self._ask(count))
+        self._settle()
+
+    def _ask(self, count: int) -> None:
+        wish_id = f"{self._run.job_id}/{next(self._wishes)}"
+        with self._lock:
+            if self._run.answer is not None:
+                return
+            self._open_wishes.append(wish_id)
+        kind = self._run.kind
+        wish = SlotRequest(
+            id=wish_id,
+            kind=self._run.req.kind,
+            team=self._run.req.team,
+            count=count,
+            urgency=kind.urgency.rank,
+            deadline_s=self._run.deadline_at - self._clock.now(),
+            expected_s=kind.expected_ms * kind.tasks_per_request / 1000,
+        )
+        self._slots.request(self._run.req.service, wish, self)
+
+    def _use(self, slot: GrantedSlot) -> None:
+        now = self._clock.now()
+        is_late = now > slot.use_by
+        with self._lock:
+            attempt = None if is_late else self._run.start(now)
+        if attempt is None:
+            self._slots.finish(slot, AttemptOutcome.UNUSED, 0.0)
+            if is_late:
+                # The owner takes a late grant back, so the batch needs another one.
+                self._ask(1)
+            return
+        self._section.count("attempts_started")
+        result = self._client.run(slot.address, attempt.req)
+        self._slots.finish(slot, _outcome(result), result.run_s)
+        self._end(attempt, slot, result)
+
+    def _end(self, attempt: Attempt, slot: GrantedSlot, result: AttemptResult) -> None:
+        now = self._clock.now()
+        with self._lock:
+            retry = self._run.end(attempt, result, now)
+        if result.end is not AttemptEnd.OK:
+            self._section.count(f"attempts_{result.end.value}")
+            get_logger().warning(
+                "attempt_failed",
+                attempt=attempt.req.attempt,
+                runner=slot.runner,
+                end=result.end.value,
+                reason=str(result.failure),
+                retry=retry is not None,
+            )
+        if retry is not None:
+            self._section.count("retries")
+            self._timer.call_at(retry.not_before, lambda: self._again(retry.batch))
+        self._settle()
+
+    def _again(self, batch: Batch) -> None:
+        with self._lock:
+            is_open = self._run.requeue(batch)
+        if is_open:
+            self._ask(1)
+
+    def _expire(self) -> None:
+        with self._lock:
+            self._run.expire()
+        self._settle()
+
+    def _settle(self) -> None:
+        """Publish the answer once, and drop the job when nothing of it is in flight."""
+        with self._lock:
+            answer = self._run.answer
+            if answer is None:
+                return
+            is_first = not self._is_settled
+            self._is_settled = True
+            is_last = self._run.is_idle and not self._is_forgotten
+            self._is_forgotten = self._is_forgotten or is_last
+            wishes, self._open_wishes = self._open_wishes, []
+        if is_first:
+            if self._deadline is not None:
+                self._deadline.cancel()
+            for wish_id in wishes:
+                self._slots.cancel(wish_id)
+            self._fut.set_result(answer)
+        if is_last:
+            self._dispatcher.forget(self._run.job_id, answer)
+
+
+def find_kind(doc: Document, req: JobRequest) -> Kind | Failure:
+    """Return the configuration of a job's request kind, or why there is none."""
+    service = doc.services.get(req.service)
+    if service is None:
+        return Failure(ResultCode.UNKNOWN_SERVICE, f"service {req.service!r} is not configured")
+    kind = service.kinds.get(req.kind)
+    if kind is None:
+        return Failure(
+            ResultCode.UNKNOWN_KIND, f"kind {req.kind!r} is not configured for {req.service}"
+        )
+    if req.team and req.team not in doc.teams:
+        return Failure(ResultCode.UNKNOWN_TEAM, f"team {req.team!r} is not configured")
+    return kind
+
+
+def _outcome(result: AttemptResult) -> AttemptOutcome:
+    if result.end is AttemptEnd.OK:
+        return AttemptOutcome.OK
+    if result.end is AttemptEnd.FAILED:
+        return AttemptOutcome.FAILED
+    if result.end is AttemptEnd.UNKNOWN:
+        return AttemptOutcome.UNKNOWN
+    return AttemptOutcome.REFUSED if result.sent else AttemptOutcome.UNREACHABLE
+
+
+def _logged(function: Callable[..., None], *args: Any) -> None:
+    try:
+        function(*args)
+    except Exception as exc:
+        get_logger().error("attempt_crashed", error=repr(exc), exc_info=True)
--- /dev/null
+++ b/kumquatlift/job_run.py
@@ -0,0 +1,193 @@
+"""State of one running job: which requests wait, run and are done, and its one answer."""
+
+from collections import deque
+from typing import Any, NamedTuple
+
+from kumquatlift.codes import ResultCode
+from kumquatlift.document import Kind
+from kumquatlift.failure import Failure
+from kumquatlift.job import JobAnswer, JobRequest, Task, TaskResult
+from kumquatlift.runner_client import DELIVERY_MARGIN_S, AttemptEnd, AttemptResult, RunRequest
+
+
+class Batch(NamedTuple):
+    """Consecutive tasks that travel to a runner in one request."""
+
+    number: int
+    tasks: tuple[Task, ...]
+
+
+class Attempt(NamedTuple):
+    """One start of a batch."""
+
+    batch: Batch
+    number: int
+    started_at: float
+    req: RunRequest
+
+
+class Retry(NamedTuple):
+    """A batch that may be started again at ``not_before``, in monotonic seconds."""
+
+    batch: Batch
+    not_before: float
+
+
+def split(req: JobRequest, kind: Kind) -> list[Batch]:
+    """Divide a job's tasks into batches, as the request kind says."""
+    size = kind.tasks_per_request
+    return [
+        Batch(index, req.tasks[start : start + size])
+        for index, start in enumerate(range(0, len(req.tasks), size))
+    ]
+
+
+class JobRun:
+    """State machine of one job; the caller holds a lock around every method.
+
+    Args:
+        job_id: Text form of the job's identity.
+        req: The job.
+        kind: The request kind's configuration when the job was admitted.
+        deadline_at: Monotonic seconds at which the job fails.
+    """
+
+    def __init__(self, *, job_id: str, req: JobRequest, kind: Kind, deadline_at: float) -> None:
+        self.job_id = job_id
+        self.req = req
+        self.kind = kind
+        self.deadline_at = deadline_at
+        self.answer: JobAnswer | None = None
+        self._batches = split(req, kind)
+        self._waiting = deque(self._batches)
+        self._attempts = [0] * len(self._batches)
+        self._done: dict[int, dict[str, Any]] = {}
+        self._running: set[str] = set()
+        self._has_run = False
+
+    @property
+    def batch_count(self) -> int:
+        """Requests that the job is split into."""
+        return len(self._batches)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any task may have run; refused attempts do not count."""
+        return self._has_run or bool(self._running)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no attempt is in flight."""
+        return not self._running
+
+    @property
+    def open_count(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._waiting)
+
+    def start(self, now: float) -> Attempt | None:
+        """Take the next waiting batch for a slot.
+
+        Returns:
+            The attempt to send, or None when nothing waits or the job has its answer.
+        """
+        left_ms = int((self.deadline_at - now) * 1000)
+        if self.answer is not None or not self._waiting or left_ms <= 0:
+            return None
+        batch = self._waiting.popleft()
+        self._attempts[batch.number] += 1
+        number = self._attempts[batch.number]
+        run_req = RunRequest(
+            job=self.job_id,
+            attempt=f"{self.job_id}/{batch.number}/{number}",
+            kind=self.req.kind,
+            lease_ms=min(self.kind.lease_ms, left_ms),
+            tasks=batch.tasks,
+        )
+        self._running.add(run_req.attempt)
+        return Attempt(batch, number, now, run_req)
+
+    def end(self, attempt: Attempt, result: AttemptResult, now: float) -> Retry | None:
+        """Record how an attempt ended; this may settle the answer.
+
+        Returns:
+            The batch to start again, or None.
+        """
+        self._running.discard(attempt.req.attempt)
+        self._has_run = self._has_run or result.end is not AttemptEnd.NOT_RUN
+        if self.answer is not None:
+            return None
+        if result.end is AttemptEnd.OK:
+            self._done[attempt.batch.number] = result.results
+            if len(self._done) == len(self._batches):
+                self.answer = self._complete()
+            return None
+        not_before = self._retry_time(attempt, result, now)
+        if not_before is None:
+            assert result.failure is not None
+            self.fail(result.failure)
+            return None
+        return Retry(attempt.batch, not_before)
+
+    def requeue(self, batch: Batch) -> bool:
+        """Put a batch back to be started again; False when the job has its answer."""
+        if self.answer is not None:
+            return False
+        self._waiting.append(batch)
+        return True
+
+    def fail(self, failure: Failure) -> JobAnswer | None:
+        """Fail the job; a code that says "not run" is widened when a task may have run.
+
+        Returns:
+            The answer, or None when the job has one already.
+        """
+        if self.answer is not None:
+            return None
+        if self.may_have_run and failure.code in _AFTER_START:
+            failure = failure._replace(code=_AFTER_START[failure.code])
+        elif self.may_have_run and failure.ran.value == "no":
+            failure = failure._replace(code=ResultCode.PARTLY_RUN)
+        self.answer = JobAnswer.from_failure(failure)
+        return self.answer
+
+    def expire(self) -> JobAnswer | None:
+        """Fail the job because its deadline has passed."""
+        return self.fail(
+            Failure(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed while waiting for a slot")
+        )
+
+    def cancel(self) -> JobAnswer | None:
+        """Cancel the job."""
+        return self.fail(Failure(ResultCode.CANCELLED_BEFORE_START, "cancelled by the caller"))
+
+    def _retry_time(self, attempt: Attempt, result: AttemptResult, now: float) -> float | None:
+        """Return when the batch may start again, or None when it may not."""
+        if attempt.number >= self.kind.max_attempts:
+            return None
+        if result.end is AttemptEnd.NOT_RUN:
+            retry_after_ms = result.failure.retry_after_ms if result.failure else 0
+            not_before = now + retry_after_ms / 1000
+        elif not self.kind.repeatable:
+            return None
+        elif result.end is AttemptEnd.FAILED:
+            not_before = now
+        else:
+            # The attempt may still run until its lease has ended; two must never overlap.
+            lease_end = attempt.started_at + attempt.req.lease_ms / 1000 + DELIVERY_MARGIN_S
+            not_before = max(now, lease_end)
+        return not_before if not_before < self.deadline_at else None
+
+    def _complete(self) -> JobAnswer:
+        rows = [
+            TaskResult(task.id, self._done[batch.number][task.id], self._attempts[batch.number])
+            for batch in self._batches
+            for task in batch.tasks
+        ]
+        return JobAnswer(ResultCode.COMPLETE, results=tuple(rows))
+
+
+_AFTER_START = {
+    ResultCode.DEADLINE_UNREACHABLE: ResultCode.DEADLINE_PASSED,
+    ResultCode.CANCELLED_BEFORE_START: ResultCode.CANCELLED_AFTER_START,
+}
--- a/kumquatlift/scheduler.py
+++ b/kumquatlift/scheduler.py
@@ -23,6 +23,7 @@
     RunnerState,
     RunningRequest,
 )
+from kumquatlift.zone_choice import ZoneLoad
 
 __all__ = ["AttemptOutcome", "Demand", "Grant", "RunnerOffer", "Scheduler"]
 
@@ -296,6 +297,16 @@
         rank = cfg.urgency.rank if cfg else len(Urgency) - 1
         return self._wait(rank, count, now)
 
+    def load(self, now: float) -> ZoneLoad:
+        """Return slots in all, free slots, waiting requests and the mean run time."""
+        return ZoneLoad(
+            free=sum(self._pool.free(ranked.state, now) for ranked in self._pool.order(now)),
+            queued=self._queue.queued,
+            slots=sum(self._pool.capacity(state) for state in self._pool),
+            expected_s=self._mean_s,
+            delay_s=0.0,
+        )
+
     def snapshot(self, now: float = 0.0) -> dict[str, object]:
         """Return plain data for the state dump."""
         return {
--- /dev/null
+++ b/kumquatlift/slot_client.py
@@ -0,0 +1,359 @@
+"""Requester side of slots: asks owners for slots, takes grants and gives slots back."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, NamedTuple, Protocol
+
+from kumquatlift.blackboard import Section
+from kumquatlift.channel import Channel, Topic
+from kumquatlift.clock import Clock
+from kumquatlift.failure import Failure
+from kumquatlift.log import get_logger
+from kumquatlift.membership import Members, owner_of
+from kumquatlift.scheduler import AttemptOutcome
+from kumquatlift.slot_messages import (
+    SlotDemands,
+    SlotFinish,
+    SlotGrants,
+    SlotLoad,
+    SlotRequest,
+)
+from kumquatlift.slot_owner import OUTCOMES
+from kumquatlift.zone_choice import ZoneLoad, choose_zones
+
+# The owner takes back a grant that was not used within 1 s; the shorter time here leaves room for
+# the message's way.
+GRANT_USE_S = 0.7
+STATE_INTERVAL_S = 1.0
+# Zones of a service that had no request for this long are not asked for their load any more.
+INTEREST_S = 30.0
+ZONE_DELAY_S = 0.001
+
+Place = tuple[str, str]
+"""Service and availability zone."""
+
+
+class GrantedSlot(NamedTuple):
+    """A slot that this process may use until ``use_by``, in monotonic seconds."""
+
+    id: str
+    place: Place
+    runner: str
+    address: str
+    use_by: float
+
+
+class SlotListener(Protocol):
+    """Whoever asked for slots."""
+
+    def slot_granted(self, slot: GrantedSlot) -> None:
+        """Take a slot; must not block."""
+
+    def slots_refused(self, count: int, failure: Failure) -> None:
+        """Learn that no zone takes a wish for this many slots."""
+
+
+class SlotSource(Protocol):
+    """Where a dispatcher gets its slots."""
+
+    def request(self, service: str, wish: SlotRequest, listener: SlotListener) -> None:
+        """Ask for slots; the listener hears of each."""
+
+    def cancel(self, demand_id: str) -> None:
+        """Withdraw what is still open of a wish."""
+
+    def finish(self, slot: GrantedSlot, outcome: AttemptOutcome, run_s: float) -> None:
+        """Give a slot back."""
+
+
+class _OpenWish:
+    """A wish that is not fully granted: open counts by zone, and zones that refused it."""
+
+    def __init__(
+        self, *, service: str, wish: SlotRequest, listener: SlotListener, deadline_at: float
+    ) -> None:
+        self.service = service
+        self.wish = wish
+        self.listener = listener
+        self.deadline_at = deadline_at
+        self.by_zone: dict[str, int] = {}
+        self.refused: dict[str, Failure] = {}
+
+    def at(self, zone: str, now: float) -> SlotRequest:
+        """Return the wish as one zone sees it now."""
+        return self.wish._replace(
+            count=self.by_zone[zone], deadline_s=max(0.0, self.deadline_at - now)
+        )
+
+
+class _Changes:
+    """What a place's owner has not been told yet."""
+
+    def __init__(self) -> None:
+        self.demands: list[str] = []
+        self.cancelled: list[str] = []
+        self.finished: list[SlotFinish] = []
+        self.full = False
+
+
+class SlotClient:
+    """Controller of the slots that this process uses.
+
+    Messages to one owner are collected while an earlier one is being sent, so that bursts travel
+    in few messages. Every second each owner gets the whole state, which repairs lost messages and
+    tells a new owner what its predecessor knew.
+
+    Args:
+        members: Membership view.
+        channel: Messages to other entry processes.
+        apply_locally: Takes a message for this process's own ``SlotOwner``.
+        message_weight: Returns the weight of messages against response time for a service.
+        clock: Source of time.
+        section: Section of the blackboard for this controller.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        channel: Channel,
+        apply_locally: Callable[[str, SlotDemands], None],
+        message_weight: Callable[[str], float],
+        clock: Clock,
+        section: Section,
+    ) -> None:
+        self._members = members
+        self._channel = channel
+        self._apply_locally = apply_locally
+        self._message_weight = message_weight
+        self._clock = clock
+        self._section = section
+        self._lock = threading.Lock()
+        self._wishes: dict[str, _OpenWish] = {}
+        self._held: dict[str, GrantedSlot] = {}
+        self._changes: dict[Place, _Changes] = {}
+        self._loads: dict[Place, SlotLoad] = {}
+        self._interest: dict[str, float] = {}
+        self._changed = threading.Event()
+        self._closed = False
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="slots")
+        self._executor.submit(self._flush_loop)
+        channel.handle(Topic.SLOTS_GRANT, self._handle_grants)
+        section.publish("requester", self._snapshot)
+
+    def request(self, service: str, wish: SlotRequest, listener: SlotListener) -> None:
+        """Ask for slots; the listener hears of each grant or of a refusal."""
+        now = self._clock.now()
+        entry = _OpenWish(
+            service=service, wish=wish, listener=listener, deadline_at=now + wish.deadline_s
+        )
+        with self._lock:
+            self._interest[service] = now
+            self._wishes[wish.id] = entry
+            self._place(entry, wish.count)
+        self._changed.set()
+
+    def cancel(self, demand_id: str) -> None:
+        """Withdraw what is still open of a wish."""
+        with self._lock:
+            entry = self._wishes.pop(demand_id, None)
+            if entry is None:
+                return
+            for zone, count in entry.by_zone.items():
+                if count > 0:
+                    self._at((entry.service, zone)).cancelled.append(demand_id)
+        self._changed.set()
+
+    def finish(self, slot: GrantedSlot, outcome: AttemptOutcome, run_s: float) -> None:
+        """Give a slot back with the outcome and the run time in seconds."""
+        with self._lock:
+            if self._held.pop(slot.id, None) is None:
+                return
+            row = SlotFinish(slot.id, OUTCOMES.index(outcome), run_s)
+            self._at(slot.place).finished.append(row)
+        self._changed.set()
+
+    def take_grants(self, msg: SlotGrants) -> None:
+        """Take an owner's message and tell the listeners."""
+        now = self._clock.now()
+        place = (msg.service, msg.zone)
+        granted: list[tuple[SlotListener, GrantedSlot]] = []
+        refused: list[tuple[SlotListener, int, Failure]] = []
+        with self._lock:
+            self._loads[place] = msg.load
+            for grant in msg.grants:
+                slot = GrantedSlot(grant.id, place, grant.runner, grant.address, now + GRANT_USE_S)
+                listener = self._accept(grant.demand, slot)
+                if listener is not None:
+                    granted.append((listener, slot))
+            for refusal in msg.refused:
+                rest = self._place_elsewhere(refusal.demand, msg.zone, refusal.failure)
+                if rest is not None:
+                    refused.append((*rest, refusal.failure))
+        self._changed.set()
+        for listener, slot in granted:
+            listener.slot_granted(slot)
+        for listener, count, failure in refused:
+            listener.slots_refused(count, failure)
+
+    def send_state(self) -> None:
+        """Send the whole state to every owner of a service that had recent requests."""
+        now = self._clock.now()
+        with self._lock:
+            zones = self._zones()
+            for service, since in list(self._interest.items()):
+                is_used = any(wish.service == service for wish in self._wishes.values())
+                is_used = is_used or any(slot.place[0] == service for slot in self._held.values())
+                if not is_used and now - since > INTEREST_S:
+                    del self._interest[service]
+                    continue
+                for zone in zones:
+                    self._at((service, zone)).full = True
+        self._changed.set()
+
+    def load(self, service: str) -> dict[str, SlotLoad]:
+        """Return the last known load of a service by zone."""
+        with self._lock:
+            return {zone: load for (name, zone), load in self._loads.items() if name == service}
+
+    def close(self) -> None:
+        """End the sending thread."""
+        self._closed = True
+        self._changed.set()
+        self._executor.shutdown(wait=False)
+
+    def _zones(self) -> set[str]:
+        return {member.zone for member in self._members.live()}
+
+    def _at(self, place: Place) -> _Changes:
+        return self._changes.setdefault(place, _Changes())
+
+    def _place(self, entry: _OpenWish, count: int) -> bool:
+        """Divide an open count over the zones that have not refused the wish."""
+        own = self._members.me.zone
+        zones = {zone: self._zone_load(entry.service, zone) for zone in self._zones() | {own}}
+        open_zones = {zone: load for zone, load in zones.items() if zone not in entry.refused}
+        if not open_zones:
+            return False
+        weight = self._message_weight(entry.service)
+        for zone, part in choose_zones(count, own, open_zones, weight).items():
+            if part > 0:
+                self._add(entry, zone, part)
+        return True
+
+    def _add(self, entry: _OpenWish, zone: str, count: int) -> None:
+        entry.by_zone[zone] = entry.by_zone.get(zone, 0) + count
+        self._at((entry.service, zone)).demands.append(entry.wish.id)
+        load = self._loads.get((entry.service, zone))
+        if load is not None:
+            # Until the owner reports again, what was sent there counts as taken.
+            taken = min(load.free, count)
+            self._loads[(entry.service, zone)] = load._replace(
+                free=load.free - taken, queued=load.queued + count - taken
+            )
+
+    def _zone_load(self, service: str, zone: str) -> ZoneLoad:
+        load = self._loads.get((service, zone), SlotLoad())
+        delay = 0.0 if zone == self._members.me.zone else ZONE_DELAY_S
+        return ZoneLoad(load.free, load.queued, load.slots, load.expected_s, delay)
+
+    def _accept(self, demand_id: str, slot: GrantedSlot) -> SlotListener | None:
+        entry = self._wishes.get(demand_id)
+        zone = slot.place[1]
+        if entry is None or entry.by_zone.get(zone, 0) <= 0:
+            row = SlotFinish(slot.id, OUTCOMES.index(AttemptOutcome.UNUSED), 0.0)
+            self._at(slot.place).finished.append(row)
+            return None
+        entry.by_zone[zone] -= 1
+        if not any(entry.by_zone.values()):
+            del self._wishes[demand_id]
+        self._held[slot.id] = slot
+        return entry.listener
+
+    def _place_elsewhere(
+        self, demand_id: str, zone: str, failure: Failure
+    ) -> tuple[SlotListener, int] | None:
+        """Move a refused wish to another zone, or return who must hear that none takes it."""
+        entry = self._wishes.get(demand_id)
+        if entry is None:
+            return None
+        count = entry.by_zone.pop(zone, 0)
+        entry.refused[zone] = failure
+        if count == 0 or self._place(entry, count):
+            return None
+        if not any(entry.by_zone.values()):
+            del self._wishes[demand_id]
+        return entry.listener, count
+
+    def _handle_grants(self, _sender: str, body: bytes) -> None:
+        self.take_grants(SlotGrants.from_bytes(body))
+
+    def _flush_loop(self) -> None:
+        while not self._closed:
+            self._changed.wait()
+            self._changed.clear()
+            try:
+                self._flush()
+            except Exception as exc:
+                get_logger().error("slots_flush_failed", error=repr(exc), exc_info=True)
+
+    def _flush(self) -> None:
+        with self._lock:
+            changes, self._changes = self._changes, {}
+            messages = [self._message(place, change) for place, change in changes.items()]
+        for msg in messages:
+            self._send(msg)
+
+    def _message(self, place: Place, change: _Changes) -> SlotDemands:
+        service, zone = place
+        now = self._clock.now()
+        ids = change.demands
+        held: tuple[str, ...] = ()
+        if change.full:
+            ids = [key for key, wish in self._wishes.items() if wish.service == service]
+            held = tuple(key for key, slot in self._held.items() if slot.place == place)
+        demands = tuple(
+            self._wishes[key].at(zone, now)
+            for key in dict.fromkeys(ids)
+            if key in self._wishes and self._wishes[key].by_zone.get(zone, 0) > 0
+        )
+        return SlotDemands(
+            service,
+            zone,
+            demands,
+            tuple(change.cancelled),
+            tuple(change.finished),
+            change.full,
+            held,
+        )
+
+    def _send(self, msg: SlotDemands) -> None:
+        owner = slot_owner_of(msg.service, msg.zone, self._members)
+        if owner is None:
+            return
+        if owner == self._members.me.name:
+            self._apply_locally(owner, msg)
+            return
+        self._section.count("messages_sent")
+        self._channel.send(owner, Topic.SLOTS_DEMAND, msg.to_bytes())
+
+    def _snapshot(self) -> dict[str, Any]:
+        with self._lock:
+            return {
+                "open": len(self._wishes),
+                "held": len(self._held),
+                "loads": {
+                    f"{key[0]}@{key[1]}": load._asdict() for key, load in self._loads.items()
+                },
+            }
+
+
+def slot_owner_of(service: str, zone: str, members: Members) -> str | None:
+    """Return the name of the entry process that owns a service's slots in a zone.
+
+    A zone without a live entry process is owned by one of another zone.
+    """
+    candidates = members.live(zone) or members.live()
+    owner = owner_of(f"{service}@{zone}", candidates)
+    return None if owner is None else owner.name
--- /dev/null
+++ b/kumquatlift/slot_messages.py
@@ -0,0 +1,191 @@
+"""Messages between requesters and owners of slots, and their encoding."""
+
+from functools import cache
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+
+MAX_FRAME_WORDS = 1 << 20
+
+
+class SlotRequest(NamedTuple):
+    """A wish for slots.
+
+    Args:
+        id: Identity, unique at the requester.
+        kind: Request kind.
+        team: Team that the work is counted for; empty for none.
+        count: Slots wanted.
+        urgency: Rank of the kind's urgency; 0 goes first.
+        deadline_s: Seconds until the slots are of no use any more.
+        expected_s: Declared run time of one request, in seconds.
+    """
+
+    id: str
+    kind: str
+    team: str
+    # The name is the one that the protocol uses; it hides the method tuple.count.
+    count: int  # type: ignore[assignment]
+    urgency: int
+    deadline_s: float
+    expected_s: float
+
+
+class SlotFinish(NamedTuple):
+    """A slot given back: position of the outcome in ``AttemptOutcome`` and run time in seconds."""
+
+    grant: str
+    outcome: int
+    run_s: float
+
+
+class SlotDemands(NamedTuple):
+    """Requester to owner: changes since the last message, or the whole state with ``full``.
+
+    Args:
+        service: Service name.
+        zone: Availability zone of the runners.
+        demands: New wishes; with ``full`` all open ones, with the counts that are still open.
+        cancelled: Identities of wishes that are withdrawn.
+        finished: Slots given back.
+        full: Whether the owner drops every wish and grant that is not listed.
+        held: With ``full``, identities of the grants that the requester holds.
+    """
+
+    service: str
+    zone: str
+    demands: tuple[SlotRequest, ...] = ()
+    cancelled: tuple[str, ...] = ()
+    finished: tuple[SlotFinish, ...] = ()
+    full: bool = False
+    held: tuple[str, ...] = ()
+
+    def to_bytes(self) -> bytes:
+        """Encode as a Cap'n Proto message."""
+        msg = _schema().SlotDemands.new_message(
+            service=self.service, zone=self.zone, full=self.full
+        )
+        for row, demand in zip(msg.init("demands", len(self.demands)), self.demands, strict=True):
+            row.id, row.kind, row.team = demand.id, demand.kind, demand.team
+            row.count, row.urgency = demand.count, demand.urgency
+            row.deadlineMs = max(0, int(demand.deadline_s * 1000))
+            row.expectedMs = int(demand.expected_s * 1000)
+        msg.cancelled = list(self.cancelled)
+        msg.held = list(self.held)
+        for row, finish in zip(
+            msg.init("finished", len(self.finished)), self.finished, strict=True
+        ):
+            row.grant, row.outcome, row.runMs = finish.grant, finish.outcome, finish.run_s * 1000
+        return bytes(msg.to_bytes())
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "SlotDemands":
+        """Decode what ``to_bytes`` made.
+
+        Raises:
+            Exception: The library's own error when the bytes are not such a message.
+        """
+        with _schema().SlotDemands.from_bytes(data) as msg:
+            demands = tuple(
+                SlotRequest(
+                    row.id,
+                    row.kind,
+                    row.team,
+                    row.count,
+                    row.urgency,
+                    row.deadlineMs / 1000,
+                    row.expectedMs / 1000,
+                )
+                for row in msg.demands
+            )
+            finished = tuple(
+                SlotFinish(row.grant, row.outcome, row.runMs / 1000) for row in msg.finished
+            )
+            return cls(
+                msg.service,
+                msg.zone,
+                demands,
+                tuple(msg.cancelled),
+                finished,
+                msg.full,
+                tuple(msg.held),
+            )
+
+
+class SlotGrant(NamedTuple):
+    """One slot of a runner to use."""
+
+    id: str
+    demand: str
+    runner: str
+    address: str
+
+
+class SlotRefusal(NamedTuple):
+    """A wish that the owner does not take."""
+
+    demand: str
+    failure: Failure
+
+
+class SlotLoad(NamedTuple):
+    """Load of a service in a zone: slots in all, free slots, waiting requests, mean run time."""
+
+    slots: int = 0
+    free: int = 0
+    queued: int = 0
+    expected_s: float = 0.0
+
+
+class SlotGrants(NamedTuple):
+    """Owner to requester: slots to use, refused wishes and the load of the zone."""
+
+    service: str
+    zone: str
+    grants: tuple[SlotGrant, ...] = ()
+    refused: tuple[SlotRefusal, ...] = ()
+    load: SlotLoad = SlotLoad()
+
+    def to_bytes(self) -> bytes:
+        """Encode as a Cap'n Proto message."""
+        msg = _schema().SlotGrants.new_message(service=self.service, zone=self.zone)
+        for row, grant in zip(msg.init("grants", len(self.grants)), self.grants, strict=True):
+            row.id, row.demand, row.runner, row.address = grant
+        for row, refusal in zip(msg.init("refused", len(self.refused)), self.refused, strict=True):
+            row.demand, row.code = refusal.demand, int(refusal.failure.code)
+            row.reason = refusal.failure.reason
+            row.retryAfterMs = refusal.failure.retry_after_ms
+        load = msg.init("load")
+        load.slots, load.free, load.queued = self.load.slots, self.load.free, self.load.queued
+        load.expectedMs = int(self.load.expected_s * 1000)
+        return bytes(msg.to_bytes())
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "SlotGrants":
+        """Decode what ``to_bytes`` made.
+
+        Raises:
+            Exception: The library's own error when the bytes are not such a message.
+        """
+        with _schema().SlotGrants.from_bytes(data) as msg:
+            grants = tuple(
+                SlotGrant(row.id, row.demand, row.runner, row.address) for row in msg.grants
+            )
+            refused = tuple(
+                SlotRefusal(row.demand, Failure(ResultCode(row.code), row.reason, row.retryAfterMs))
+                for row in msg.refused
+            )
+            load = SlotLoad(
+                msg.load.slots, msg.load.free, msg.load.queued, msg.load.expectedMs / 1000
+            )
+            return cls(msg.service, msg.zone, grants, refused, load)
+
+
+@cache
+def _schema() -> Any:
+    import capnp
+
+    capnp.remove_import_hook()
+    return capnp.load(str(Path(__file__).with_name("slots.capnp")))
--- /dev/null
+++ b/kumquatlift/slot_owner.py
@@ -0,0 +1,358 @@
+"""Owner side of slots: one scheduler for each service and zone that this process owns."""
+
+import threading
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from kumquatlift.announcement import CONFIRM_MS, RENEW_MS, Announcement, AnnouncementAnswer
+from kumquatlift.blackboard import Section
+from kumquatlift.clock import Clock
+from kumquatlift.codes import ResultCode
+from kumquatlift.document import Document
+from kumquatlift.failure import Failure
+from kumquatlift.log import get_logger
+from kumquatlift.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
+from kumquatlift.slot_messages import (
+    SlotDemands,
+    SlotFinish,
+    SlotGrant,
+    SlotGrants,
+    SlotLoad,
+    SlotRefusal,
+    SlotRequest,
+)
+
+# An owner grants nothing for a runner whose announcements have not reached it for this long, so a
+# new owner that waits as long never grants beside the former one.
+OWNER_LEASE_S = 2.0
+# Requesters send their whole state every second; a silent one is gone or cut off.
+REQUESTER_TIMEOUT_S = 5.0
+# A grant younger than this may cross the requester's state message on the way.
+GRANT_CROSSING_S = 1.0
+OUTCOMES = tuple(AttemptOutcome)
+
+Deliver = Callable[[str, SlotGrants], None]
+"""Takes the requester's name and a message for it; must not block."""
+
+
+class _Registration(NamedTuple):
+    announcement: Announcement
+    heard_at: float
+    grants_from: float
+
+
+class _Held(NamedTuple):
+    requester: str
+    granted_at: float
+
+
+class _OpenDemand(NamedTuple):
+    requester: str
+    remaining: int
+    granted_at: float
+
+
+class ServiceSlots:
+    """The slots of one service in one zone.
+
+    Args:
+        service: Service name.
+        zone: Availability zone of the runners.
+        doc: Configuration in force.
+        owner: This process's owner token: name and incarnation.
+    """
+
+    def __init__(self, *, service: str, zone: str, doc: Document, owner: str) -> None:
+        self._service = service
+        self._zone = zone
+        self._owner = owner
+        # Requesters hold grants of several owners, so the ids must differ between them.
+        self._scheduler = Scheduler(
+            service=doc.services[service],
+            teams=doc.teams,
+            grant_prefix=f"{owner}/{service}@{zone}/",
+        )
+        self._runners: dict[str, _Registration] = {}
+        self._held: dict[str, _Held] = {}
+        self._open: dict[str, _OpenDemand] = {}
+        self._heard: dict[str, float] = {}
+
+    def reconfigure(self, doc: Document) -> None:
+        """Apply a new configuration."""
+        self._scheduler.reconfigure(doc.services[self._service], doc.teams)
+
+    def announce(self, ann: Announcement, now: float) -> AnnouncementAnswer:
+        """Take a runner's announcement and offer its slots once this process may grant them.
+
+        The runner echoes the owner named in the last answer. Slots are granted only while the
+        echo names this process, so that a runner has one granting owner at a time.
+        """
+        known = self._runners.get(ann.runner)
+        is_new_run = known is None or known.announcement.incarnation != ann.incarnation
+        if known is None or is_new_run:
+            foreign = ann.owner not in ("", self._owner)
+            grants_from = now + (OWNER_LEASE_S if foreign else 0.0)
+            get_logger().info(
+                "runner_announced", runner=ann.runner, service=ann.service, zone=ann.zone
+            )
+        else:
+            grants_from = known.grants_from
+        self._runners[ann.runner] = _Registration(ann, now, grants_from)
+        confirmed = ann.owner == self._owner
+        if confirmed and now >= grants_from:
+            self._scheduler.offer(_offer(ann), now)
+        renew_ms = RENEW_MS if confirmed else CONFIRM_MS
+        return AnnouncementAnswer(self._owner, renew_ms)
+
+    def release(self, runner: str, now: float) -> None:
+        """Stop granting a runner's slots, because another process owns them now."""
+        if self._runners.pop(runner, None) is not None:
+            self._scheduler.withdraw(runner, now)
+
+    def apply(self, requester: str, msg: SlotDemands, now: float) -> list[SlotRefusal]:
+        """Take a requester's message.
+
+        Returns:
+            The wishes that are refused.
+        """
+        self._heard[requester] = now
+        for finish in msg.finished:
+            self._finish(finish, now)
+        for demand_id in msg.cancelled:
+            self._cancel(demand_id, now)
+        if msg.full:
+            self._reconcile(requester, msg, now)
+        return [
+            SlotRefusal(demand.id, failure)
+            for demand in msg.demands
+            if (failure := self._enqueue(requester, demand, now)) is not None
+        ]
+
+    def poll(self, now: float) -> dict[str, list[SlotGrant]]:
+        """Grant free slots.
+
+        Returns:
+            New grants by requester.
+        """
+        grants: dict[str, list[SlotGrant]] = {}
+        for grant in self._scheduler.poll(now):
+            self._scheduler.started(grant.id, now)
+            self._held[grant.id] = _Held(grant.requester, now)
+            demand = self._open.get(grant.demand_id)
+            if demand is not None:
+                self._open[grant.demand_id] = _OpenDemand(
+                    demand.requester, demand.remaining - 1, now
+                )
+            row = SlotGrant(grant.id, grant.demand_id, grant.runner, grant.address)
+            grants.setdefault(grant.requester, []).append(row)
+        return grants
+
+    def expire(self, now: float) -> None:
+        """Drop runners and requesters that have been silent for too long."""
+        for name, reg in list(self._runners.items()):
+            if now - reg.heard_at > OWNER_LEASE_S:
+                get_logger().warning("runner_lost", runner=name, service=self._service)
+                self.release(name, now)
+        for requester, heard_at in list(self._heard.items()):
+            if now - heard_at > REQUESTER_TIMEOUT_S:
+                del self._heard[requester]
+                self._drop_demands(requester, set(), now)
+
+    def load(self, now: float) -> SlotLoad:
+        """Return slots in all, free slots, waiting requests and the mean run time."""
+        load = self._scheduler.load(now)
+        return SlotLoad(load.slots, load.free, load.queued, load.expected_s)
+
+    def snapshot(self, now: float) -> dict[str, Any]:
+        """Return the state for the dump."""
+        runners = {
+            name: {
+                "worker": reg.announcement.worker,
+                "address": reg.announcement.address,
+                "state": "leaving" if reg.announcement.leaving else "serving",
+                "heard_s": round(now - reg.heard_at, 3),
+                "granting": now >= reg.grants_from,
+            }
+            for name, reg in sorted(self._runners.items())
+        }
+        return {**self._scheduler.snapshot(now), "announced": runners, "held": len(self._held)}
+
+    def _enqueue(self, requester: str, wish: SlotRequest, now: float) -> Failure | None:
+        known = self._open.get(wish.id)
+        if known is not None:
+            crossed = now - known.granted_at < GRANT_CROSSING_S
+            if crossed or known.remaining >= wish.count:
+                return None
+            # Grants of this wish were lost on the way, so it is taken anew with the open count.
+            self._cancel(wish.id, now)
+        failure = self._scheduler.enqueue(
+            Demand(
+                id=wish.id,
+                requester=requester,
+                service=self._service,
+                kind=wish.kind,
+                team=wish.team,
+                count=wish.count,
+                urgency=wish.urgency,
+                deadline_at=now + wish.deadline_s,
+                expected_s=wish.expected_s,
+            ),
+            now,
+        )
+        if failure is None:
+            self._open[wish.id] = _OpenDemand(requester, wish.count, 0.0)
+        return failure
+
+    def _cancel(self, demand_id: str, now: float) -> None:
+        if self._open.pop(demand_id, None) is not None:
+            self._scheduler.cancel(demand_id, now)
+
+    def _finish(self, finish: SlotFinish, now: float) -> None:
+        if self._held.pop(finish.grant, None) is not None:
+            self._scheduler.finish(finish.grant, OUTCOMES[finish.outcome], finish.run_s, now)
+
+    def _reconcile(self, requester: str, msg: SlotDemands, now: float) -> None:
+        """Repair what lost messages left behind: wishes and grants that only one side has."""
+        self._drop_demands(requester, {demand.id for demand in msg.demands}, now)
+        held = set(msg.held)
+        for grant_id, grant in list(self._held.items()):
+            crossed = now - grant.granted_at < GRANT_CROSSING_S
+            if grant.requester == requester and grant_id not in held and not crossed:
+                self._finish(SlotFinish(grant_id, OUTCOMES.index(AttemptOutcome.UNUSED), 0.0), now)
+
+    def _drop_demands(self, requester: str, keep: set[str], now: float) -> None:
+        for demand_id, demand in list(self._open.items()):
+            if demand.requester == requester and demand_id not in keep:
+                self._cancel(demand_id, now)
+
+
+class SlotOwner:
+    """Controller of all slots that this process owns.
+
+    Args:
+        token: Name and incarnation of this process, as runners echo it.
+        document: Returns the configuration in force.
+        deliver: Sends a message to a requester.
+        clock: Source of time.
+        section: Section of the blackboard for this controller.
+    """
+
+    def __init__(
+        self,
+        *,
+        token: str,
+        document: Callable[[], Document],
+        deliver: Deliver,
+        clock: Clock,
+        section: Section,
+    ) -> None:
+        self._token = token
+        self._document = document
+        self._deliver = deliver
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._services: dict[tuple[str, str], ServiceSlots] = {}
+        section.publish("services", self._snapshot)
+
+    def announce(self, ann: Announcement) -> AnnouncementAnswer | Failure:
+        """Take an announcement of a runner that this process owns."""
+        key = (ann.service, ann.zone)
+        now = self._clock.now()
+        with self._lock:
+            slots = self._get(key)
+            if slots is None:
+                return Failure(ResultCode.UNKNOWN_SERVICE, f"{ann.service} is not configured")
+            answer = slots.announce(ann, now)
+        self._pump(key)
+        return answer
+
+    def release(self, ann: Announcement) -> None:
+        """Stop granting a runner's slots, because another process owns them now."""
+        with self._lock:
+            slots = self._services.get((ann.service, ann.zone))
+            if slots is not None:
+                slots.release(ann.runner, self._clock.now())
+
+    def apply(self, requester: str, msg: SlotDemands) -> None:
+        """Take a requester's message and deliver what it leads to."""
+        key = (msg.service, msg.zone)
+        now = self._clock.now()
+        with self._lock:
+            slots = self._get(key)
+            if slots is None:
+                failure = Failure(ResultCode.UNKNOWN_SERVICE, f"{msg.service} is not configured")
+                refused = [SlotRefusal(demand.id, failure) for demand in msg.demands]
+            else:
+                refused = slots.apply(requester, msg, now)
+        self._pump(key, requester if msg.full else None, {requester: refused} if refused else {})
+
+    def tick(self) -> None:
+        """Expire what is silent and grant what became free."""
+        now = self._clock.now()
+        with self._lock:
+            keys = list(self._services)
+            for slots in self._services.values():
+                slots.expire(now)
+        for key in keys:
+            self._pump(key)
+
+    def reconfigure(self, doc: Document) -> None:
+        """Apply a new configuration; services that are gone are dropped."""
+        with self._lock:
+            for key in list(self._services):
+                if key[0] in doc.services:
+                    self._services[key].reconfigure(doc)
+                else:
+                    del self._services[key]
+
+    def _get(self, key: tuple[str, str]) -> ServiceSlots | None:
+        if key not in self._services:
+            doc = self._document()
+            service, zone = key
+            if service not in doc.services:
+                return None
+            self._services[key] = ServiceSlots(
+                service=service, zone=zone, doc=doc, owner=self._token
+            )
+        return self._services[key]
+
+    def _pump(
+        self,
+        key: tuple[str, str],
+        reply_to: str | None = None,
+        refused: dict[str, list[SlotRefusal]] | None = None,
+    ) -> None:
+        """Grant free slots and deliver the messages; the lock is not held while delivering."""
+        refused = refused or {}
+        now = self._clock.now()
+        with self._lock:
+            slots = self._services.get(key)
+            grants = {} if slots is None else slots.poll(now)
+            requesters = {*grants, *refused, *([reply_to] if reply_to else [])}
+            load = slots.load(now) if slots is not None and requesters else SlotLoad()
+        for requester in requesters:
+            msg = SlotGrants(
+                *key, tuple(grants.get(requester, ())), tuple(refused.get(requester, ())), load
+            )
+            self._deliver(requester, msg)
+
+    def _snapshot(self) -> dict[str, Any]:
+        now = self._clock.now()
+        with self._lock:
+            return {
+                f"{service}@{zone}": slots.snapshot(now)
+                for (service, zone), slots in sorted(self._services.items())
+            }
+
+
+def _offer(ann: Announcement) -> RunnerOffer:
+    return RunnerOffer(
+        runner=ann.runner,
+        incarnation=ann.incarnation,
+        address=ann.address,
+        worker=ann.worker,
+        slots=ann.slots,
+        connections=ann.connections,
+        busy=ann.busy,
+        is_leaving=ann.leaving,
+    )
