--- /dev/null
+++ b/tests/test_codes.py
@@ -0,0 +1,33 @@
+"""Result codes and their table in the docs."""
+
+import re
+from pathlib import Path
+
+from kumquatlift.codes import Ran, ResultCode
+
+PAGE = Path(__file__).parent.parent / "docs" / "result-codes.md"
+ROW = re.compile(r"\| (\d{4}) \| ([a-z-]+) \| (\w+) \| ([a-z-]+) \| (\d{3}) \| (.+) \|")
+
+
+class TestResultCode:
+    """Guards against a page that promises another meaning than the code has."""
+
+    def test_page_and_code_agree(self) -> None:
+        rows = [
+            match.groups() for match in map(ROW.fullmatch, PAGE.read_text().splitlines()) if match
+        ]
+        codes = [
+            (
+                str(int(code)),
+                code.label,
+                code.ran.value,
+                code.resubmit.value,
+                str(code.http_status),
+                code.help,
+            )
+            for code in ResultCode
+        ]
+        assert rows == codes
+
+    def test_refusals_say_not_run(self) -> None:
+        assert all(code.ran is Ran.NO for code in ResultCode if 2000 <= code < 4000)
