Add baselines and scheduling experiments

Cause: the policy of the scheduler has to be judged by figures.

Change: `baselines` (random, round robin, fewest outstanding, omniscient central scheduler), `bench_cases` (runners, faults and arrivals from seeds), `bench_harness` (fake runners on a manual clock, message delays, one policy in each zone), `bench` (figures, table, JSON; `make bench`) and `zone_choice` (split of a job between zones). The silence rule needs two requests in flight, because 1% of the tasks run for several seconds. `UNUSED` also ends a request that was cancelled.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,9 @@
 demo: setup
 	$(PY) tools/demo.py
 
+bench: setup
+	$(PY) -m kumquatlift.bench
+
 build: setup
 	mkdir -p build/wheel
 	$(PY) -m pip wheel --quiet --disable-pip-version-check --no-deps --wheel-dir build/wheel .
--- /dev/null
+++ b/kumquatlift/bench_cases.py
@@ -0,0 +1,190 @@
+"""Cases of the scheduling experiments: runners, faults and recorded arrivals, from seeds."""
+
+import math
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from kumquatlift.baselines import KnownRunner
+from kumquatlift.document import Kind, Service, Urgency
+
+ZONES = ("a", "b", "c")
+RUNNERS = 24
+SLOTS = 8
+CONNECTIONS = 64
+ARRIVALS_S = 16.0
+WARM_UP_S = 4.0
+"""Jobs that arrive earlier are run but not counted, so that learned values are in place."""
+FAULT_FROM_S, STALL_S = 6.0, 10.0
+BURST_FROM_S, BURST_S, BURST_LOAD = 6.0, 2.0, 3.0
+CANCEL_AT_S = 10.0
+DEADLINE_S = 30.0
+FAIL_AFTER_S = 0.001
+MEAN_TASK_S = (1.0 - 0.05) / math.log(20) * 0.99 + 4.0 * 0.01
+MEAN_JOB_TASKS = 63 / math.log(64)
+
+
+class CaseRunner(NamedTuple):
+    """A fake runner's behaviour.
+
+    Args:
+        name: Runner name.
+        zone: Availability zone.
+        speed: Work done per second; a task of size 1 s takes 1 / speed.
+        fails_from: From when on every task fails at once, in seconds.
+        stalls_at: Start of a stall of ``STALL_S``, in seconds.
+    """
+
+    name: str
+    zone: str
+    speed: float
+    fails_from: float = math.inf
+    stalls_at: float = math.inf
+
+    def end_of(self, starts_at: float, size_s: float) -> float:
+        """Return when a task ends that starts now, a stall included."""
+        run_s = size_s / self.speed
+        resumes_at = self.stalls_at + STALL_S
+        if self.stalls_at <= starts_at < resumes_at:
+            return resumes_at + run_s
+        if starts_at < self.stalls_at < starts_at + run_s:
+            return starts_at + run_s + STALL_S
+        return starts_at + run_s
+
+    @property
+    def known(self) -> KnownRunner:
+        """The runner as the omniscient scheduler knows it."""
+        return KnownRunner(self.name, SLOTS, self._known_end_of)
+
+    @property
+    def known_healthy(self) -> KnownRunner:
+        """The runner without its faults, for the ideal response time."""
+        healthy = self._replace(fails_from=math.inf, stalls_at=math.inf)
+        return KnownRunner(self.name, SLOTS, healthy.end_of)
+
+    def _known_end_of(self, starts_at: float, size_s: float) -> float:
+        if starts_at >= self.fails_from:
+            return math.inf
+        return self.end_of(starts_at, size_s)
+
+
+class Arrival(NamedTuple):
+    """A recorded job.
+
+    Args:
+        at: Time of arrival in seconds.
+        zone: Zone in which it arrives.
+        kind: Request kind.
+        sizes_s: Size of each task in seconds.
+        is_cancelled: Whether the wave of cancellations hits it.
+    """
+
+    at: float
+    zone: str
+    kind: str
+    sizes_s: tuple[float, ...]
+    is_cancelled: bool
+
+
+class Case(NamedTuple):
+    """One experiment.
+
+    Args:
+        name: Name of the case.
+        load: Offered load as a share of capacity.
+        delay_s: One-way message delay between zones, in seconds.
+        declared_ms: Declared run times of the kinds "read" and "write".
+        is_uniform: Whether all runners have the same speed; otherwise they differ tenfold.
+        has_burst: Whether arrivals rise to ``BURST_LOAD`` times the capacity for ``BURST_S``.
+        has_cancels: Whether half of the jobs in progress are cancelled at ``CANCEL_AT_S``.
+        failing: Whether one runner in eight fails everything.
+        stalled: Whether one runner in eight stalls.
+        message_weight: Setting of the service.
+    """
+
+    name: str
+    load: float = 0.5
+    delay_s: float = 0.0005
+    declared_ms: tuple[int, int] = (360, 360)
+    is_uniform: bool = True
+    has_burst: bool = False
+    has_cancels: bool = False
+    failing: bool = False
+    stalled: bool = False
+    message_weight: float = 0.3
+
+    @property
+    def service(self) -> Service:
+        """Configuration of the service."""
+        read, write = self.declared_ms
+        return Service(
+            kinds={
+                "read": Kind(repeatable=True, expected_ms=read, urgency=Urgency.NORMAL),
+                "write": Kind(expected_ms=write, urgency=Urgency.NORMAL),
+            },
+            slots=SLOTS,
+            connections=CONNECTIONS,
+            message_weight=self.message_weight,
+        )
+
+    def runners(self, seed: int) -> list[CaseRunner]:
+        """Return the runners; a faulty one in each zone where the case has faults."""
+        speeds = [1.0] * RUNNERS
+        if not self.is_uniform:
+            speeds = [10 ** (i / (RUNNERS - 1) - 0.5) for i in range(RUNNERS)]
+            random.Random(f"speeds {seed}").shuffle(speeds)
+        runners = []
+        for i, speed in enumerate(speeds):
+            is_faulty = i < len(ZONES)
+            runners.append(
+                CaseRunner(
+                    f"r{i}",
+                    ZONES[i % len(ZONES)],
+                    speed,
+                    FAULT_FROM_S if is_faulty and self.failing else math.inf,
+                    FAULT_FROM_S if is_faulty and self.stalled else math.inf,
+                )
+            )
+        return runners
+
+    def arrivals(self, seed: int) -> list[Arrival]:
+        """Return the jobs in order of arrival."""
+        rng = random.Random(f"arrivals {seed} {self.load}")
+        speed = sum(runner.speed for runner in self.runners(seed)) * SLOTS
+        jobs_per_s = speed / (MEAN_TASK_S * MEAN_JOB_TASKS)
+        arrivals: list[Arrival] = []
+        at = 0.0
+        while True:
+            in_burst = self.has_burst and BURST_FROM_S <= at < BURST_FROM_S + BURST_S
+            at += rng.expovariate(jobs_per_s * (BURST_LOAD if in_burst else self.load))
+            if at >= ARRIVALS_S:
+                return arrivals
+            count = round(math.exp(rng.uniform(0, math.log(64))))
+            arrivals.append(
+                Arrival(
+                    at,
+                    rng.choice(ZONES),
+                    "read" if rng.random() < 0.8 else "write",
+                    tuple(_size_s(rng) for _ in range(count)),
+                    self.has_cancels and rng.random() < 0.5,
+                )
+            )
+
+
+def _size_s(rng: random.Random) -> float:
+    if rng.random() < 0.01:
+        return rng.uniform(2.0, 6.0)
+    return math.exp(rng.uniform(math.log(0.05), 0.0))
+
+
+CASES: dict[str, Callable[[float], Case]] = {
+    "uniform": lambda load: Case("uniform", load),
+    "tenfold": lambda load: Case("tenfold", load, is_uniform=False),
+    "tenfold 1 ms": lambda load: Case("tenfold 1 ms", load, 0.001, is_uniform=False),
+    "burst": lambda load: Case("burst", load, has_burst=True),
+    "wrong sizes": lambda load: Case("wrong sizes", load, declared_ms=(3600, 36), is_uniform=False),
+    "failing": lambda load: Case("failing", load, failing=True),
+    "stalled": lambda load: Case("stalled", load, stalled=True),
+    "cancel": lambda load: Case("cancel", load, is_uniform=False, has_cancels=True),
+}
+LOADS = (0.3, 0.5, 0.7)
--- /dev/null
+++ b/kumquatlift/bench_harness.py
@@ -0,0 +1,408 @@
+"""Runs the decision functions of a policy against fake runners on a manual clock."""
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from kumquatlift.baselines import (
+    FewestOutstanding,
+    Omniscient,
+    RandomChoice,
+    RoundRobin,
+    SlotPolicy,
+)
+from kumquatlift.bench_cases import (
+    CANCEL_AT_S,
+    CONNECTIONS,
+    DEADLINE_S,
+    FAIL_AFTER_S,
+    SLOTS,
+    ZONES,
+    Arrival,
+    Case,
+    CaseRunner,
+)
+from kumquatlift.clock import ManualClock
+from kumquatlift.retry_budget import RetryBudget
+from kumquatlift.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer, Scheduler
+from kumquatlift.zone_choice import ZoneLoad, choose_zones
+
+HOP_S = 0.00025
+"""One-way message delay within a zone."""
+ANNOUNCE_S = 0.5
+LOADS_S = 0.02
+"""Interval at which zones tell each other their load."""
+MAX_ATTEMPTS = 3
+GIVE_UP_S = 120.0
+
+
+class JobResult(NamedTuple):
+    """End of a job; ``ended_at`` is None unless it is complete."""
+
+    number: int
+    ended_at: float | None
+    was_cancelled: bool
+
+
+class RunResult(NamedTuple):
+    """Results of one run.
+
+    Args:
+        jobs: One result a job.
+        messages: Requests sent to runners.
+        completed_tasks: Tasks that ended well, those of failed jobs included.
+    """
+
+    jobs: list[JobResult]
+    messages: int
+    completed_tasks: int
+
+
+class _Job:
+    def __init__(self, *, number: int, arrival: Arrival) -> None:
+        self.number = number
+        self.arrival = arrival
+        self.waiting = list(arrival.sizes_s)
+        self.left = len(arrival.sizes_s)
+        self.demands: dict[str, str] = {}
+        self.in_flight: dict[str, _Task] = {}
+        self.ended_at: float | None = None
+        self.is_over = False
+        self.was_cancelled = False
+
+
+class _Task(NamedTuple):
+    job: _Job
+    size_s: float
+    attempt: int
+    policy_zone: str
+    grant: Grant
+    answer: Callable[[AttemptOutcome, float], None]
+
+
+class _Runner:
+    """A fake runner: slots, a queue as long as its connections allow, and faults."""
+
+    def __init__(self, *, events: "_Events", spec: CaseRunner) -> None:
+        self.spec = spec
+        self._events = events
+        self._running: set[int] = set()
+        self._queue: deque[_Task] = deque()
+
+    @property
+    def busy(self) -> int:
+        return len(self._running)
+
+    def receive(self, task: _Task) -> None:
+        if len(self._running) < SLOTS:
+            self._start(task)
+        elif len(self._queue) < CONNECTIONS - SLOTS:
+            self._queue.append(task)
+        else:
+            task.answer(AttemptOutcome.REFUSED, 0.0)
+
+    def cancel(self, task: _Task) -> None:
+        if task in self._queue:
+            self._queue.remove(task)
+        elif id(task) in self._running:
+            self._running.discard(id(task))
+            self._next()
+
+    def _start(self, task: _Task) -> None:
+        self._running.add(id(task))
+        now = self._events.now
+        if now >= self.spec.fails_from:
+            self._events.at(now + FAIL_AFTER_S, self._end, task, AttemptOutcome.FAILED, now)
+        else:
+            ends_at = self.spec.end_of(now, task.size_s)
+            self._events.at(ends_at, self._end, task, AttemptOutcome.OK, now)
+
+    def _end(self, task: _Task, outcome: AttemptOutcome, started_at: float) -> None:
+        if id(task) not in self._running:
+            return
+        self._running.discard(id(task))
+        task.answer(outcome, self._events.now - started_at)
+        self._next()
+
+    def _next(self) -> None:
+        if self._queue:
+            self._start(self._queue.popleft())
+
+
+class _Events:
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self._heap: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
+        self._numbers = itertools.count()
+
+    @property
+    def now(self) -> float:
+        return self.clock.now()
+
+    def at(self, time: float, action: Callable[..., None], *args: object) -> None:
+        heapq.heappush(self._heap, (time, next(self._numbers), action, args))
+
+    def run(self) -> None:
+        while self._heap:
+            time, _, action, args = heapq.heappop(self._heap)
+            self.clock.advance(time - self.now)
+            action(*args)
+
+
+class Experiment:
+    """One run of a case with one policy for each zone.
+
+    Args:
+        case: The case.
+        seed: Seed of runners and arrivals.
+        policies: A policy by zone.
+        is_zonal: Whether a policy owns the runners of its zone; otherwise each sees all runners.
+    """
+
+    def __init__(
+        self, *, case: Case, seed: int, policies: dict[str, SlotPolicy], is_zonal: bool
+    ) -> None:
+        self.case = case
+        self.events = _Events()
+        self.policies = policies
+        self._is_zonal = is_zonal
+        self._runners = {
+            spec.name: _Runner(events=self.events, spec=spec) for spec in case.runners(seed)
+        }
+        arrivals = case.arrivals(seed)
+        self._jobs = [_Job(number=i, arrival=arrival) for i, arrival in enumerate(arrivals)]
+        self._open = len(self._jobs)
+        self._by_demand: dict[str, tuple[_Job, deque[tuple[float, int]]]] = {}
+        self._ids = itertools.count()
+        self._budgets = {zone: RetryBudget(share=case.service.retry_budget) for zone in ZONES}
+        self._wakes = dict.fromkeys(ZONES, float("inf"))
+        self._loads: dict[str, dict[str, ZoneLoad]] = {zone: {} for zone in ZONES}
+        self._messages = 0
+        self._completed = 0
+
+    def run(self) -> RunResult:
+        """Run until every job is over."""
+        self._announce()
+        if self._is_zonal:
+            self._publish_loads()
+        for job in self._jobs:
+            self.events.at(job.arrival.at, self._arrive, job)
+        self.events.at(CANCEL_AT_S, self._cancel_wave)
+        self.events.run()
+        jobs = [JobResult(job.number, job.ended_at, job.was_cancelled) for job in self._jobs]
+        return RunResult(jobs, self._messages, self._completed)
+
+    def _delay(self, zone: str, other: str) -> float:
+        return HOP_S if zone == other else self.case.delay_s
+
+    def _announce(self) -> None:
+        for runner in self._runners.values():
+            spec = runner.spec
+            offer = RunnerOffer(
+                spec.name, "1", spec.name, spec.name, SLOTS, CONNECTIONS, runner.busy
+            )
+            for zone in ZONES:
+                if zone == spec.zone or not self._is_zonal:
+                    self.policies[zone].offer(offer, self.events.now)
+        for zone in ZONES:
+            self._poll(zone)
+        if self._open and self.events.now < GIVE_UP_S:
+            self.events.at(self.events.now + ANNOUNCE_S, self._announce)
+
+    def _publish_loads(self) -> None:
+        for zone in ZONES:
+            for other in ZONES:
+                delay_s = self._delay(zone, other)
+                load = self._load(zone)._replace(delay_s=delay_s)
+                self.events.at(self.events.now + delay_s, self._learn_load, other, zone, load)
+        if self._open and self.events.now < GIVE_UP_S:
+            self.events.at(self.events.now + LOADS_S, self._publish_loads)
+
+    def _load(self, zone: str) -> ZoneLoad:
+        policy = self.policies[zone]
+        assert isinstance(policy, Scheduler)
+        return policy.zone_load(self.events.now)
+
+    def _learn_load(self, zone: str, other: str, load: ZoneLoad) -> None:
+        self._loads[zone][other] = load
+
+    def _arrive(self, job: _Job) -> None:
+        self._demand(job, [(size_s, 1) for size_s in job.arrival.sizes_s])
+
+    def _demand(self, job: _Job, tasks: list[tuple[float, int]]) -> None:
+        """Ask for slots for tasks, given as size and number of the attempt."""
+        zone = job.arrival.zone
+        split = {zone: len(tasks)}
+        if self._is_zonal:
+            loads = self._loads[zone]
+            loads[zone] = self._load(zone)._replace(delay_s=HOP_S)
+            split = choose_zones(len(tasks), zone, loads, self.case.message_weight)
+            for other, count in split.items():
+                loads[other] = loads[other].after(count)
+        queue = deque(tasks)
+        for other, count in split.items():
+            part = deque(queue.popleft() for _ in range(count))
+            demand_id = f"d{next(self._ids)}"
+            self._by_demand[demand_id] = (job, part)
+            job.demands[demand_id] = other
+            self.events.at(
+                self.events.now + self._hop(zone, other), self._enqueue, other, demand_id, count
+            )
+
+    def _hop(self, zone: str, other: str) -> float:
+        return self._delay(zone, other) if self._is_zonal else 0.0
+
+    def _enqueue(self, zone: str, demand_id: str, count: int) -> None:
+        job, _ = self._by_demand[demand_id]
+        if job.is_over:
+            return
+        arrival = job.arrival
+        kind = self.case.service.kinds[arrival.kind]
+        demand = Demand(
+            demand_id,
+            arrival.zone,
+            "s",
+            arrival.kind,
+            "",
+            count,
+            kind.urgency.rank,
+            arrival.at + DEADLINE_S,
+            kind.expected_ms / 1000,
+        )
+        if self.policies[zone].enqueue(demand, self.events.now) is not None:
+            self._fail(job)
+        self._poll(zone)
+
+    def _poll(self, zone: str) -> None:
+        policy = self.policies[zone]
+        now = self.events.now
+        for grant in policy.poll(now):
+            delay_s = self._hop(zone, grant.requester)
+            self.events.at(now + delay_s, self._use, zone, grant)
+        wake_at = policy.next_wakeup(now)
+        if now < wake_at < self._wakes[zone] or self._wakes[zone] <= now < wake_at < 1e9:
+            self._wakes[zone] = wake_at
+            self.events.at(wake_at, self._wake, zone)
+
+    def _wake(self, zone: str) -> None:
+        if self.events.now >= self._wakes[zone]:
+            self._wakes[zone] = float("inf")
+            self._poll(zone)
+
+    def _use(self, zone: str, grant: Grant) -> None:
+        job, part = self._by_demand[grant.demand_id]
+        now = self.events.now
+        if job.is_over:
+            self._finish(zone, grant, AttemptOutcome.UNUSED, 0.0)
+            return
+        size_s, attempt = part.popleft()
+        self.policies[zone].started(grant.id, now)
+        self._messages += 1
+        runner = self._runners[grant.runner]
+        delay_s = self._delay(job.arrival.zone, runner.spec.zone)
+
+        def answer(outcome: AttemptOutcome, run_s: float) -> None:
+            at = self.events.now + delay_s
+            self.events.at(at, self._answered, zone, grant, task, outcome, run_s)
+
+        task = _Task(job, size_s, attempt, zone, grant, answer)
+        job.in_flight[grant.id] = task
+        self.events.at(now + delay_s, self._receive, runner, grant, task)
+
+    def _receive(self, runner: _Runner, grant: Grant, task: _Task) -> None:
+        if grant.id in task.job.in_flight:
+            runner.receive(task)
+
+    def _answered(
+        self, zone: str, grant: Grant, task: _Task, outcome: AttemptOutcome, run_s: float
+    ) -> None:
+        job = task.job
+        if job.in_flight.pop(grant.id, None) is None:
+            return
+        self._finish(zone, grant, outcome, run_s)
+        budget = self._budgets[job.arrival.zone]
+        if outcome is AttemptOutcome.OK:
+            budget.succeeded()
+            self._completed += 1
+            job.left -= 1
+            if not job.left:
+                self._close(job, self.events.now)
+            return
+        kind = self.case.service.kinds[job.arrival.kind]
+        may_retry = outcome is AttemptOutcome.REFUSED or kind.repeatable
+        if may_retry and task.attempt < MAX_ATTEMPTS and budget.take():
+            self._demand(job, [(task.size_s, task.attempt + 1)])
+        else:
+            self._fail(job)
+
+    def _finish(self, zone: str, grant: Grant, outcome: AttemptOutcome, run_s: float) -> None:
+        at = self.events.now + self._hop(zone, grant.requester)
+        self.events.at(at, self._finished, zone, grant.id, outcome, run_s)
+
+    def _finished(self, zone: str, grant_id: str, outcome: AttemptOutcome, run_s: float) -> None:
+        self.policies[zone].finish(grant_id, outcome, run_s, self.events.now)
+        self._poll(zone)
+
+    def _cancel_wave(self) -> None:
+        for job in self._jobs:
+            if job.arrival.is_cancelled and job.arrival.at <= self.events.now and not job.is_over:
+                job.was_cancelled = True
+                self._fail(job)
+
+    def _fail(self, job: _Job) -> None:
+        if job.is_over:
+            return
+        self._close(job, None)
+        for demand_id, zone in job.demands.items():
+            delay_s = self._hop(job.arrival.zone, zone)
+            self.events.at(self.events.now + delay_s, self._cancel, zone, demand_id)
+        for grant_id, task in list(job.in_flight.items()):
+            # The requester closes the connection, which stops the task.
+            self._runners[task.grant.runner].cancel(task)
+            del job.in_flight[grant_id]
+            self._finish(task.policy_zone, task.grant, AttemptOutcome.UNUSED, 0.0)
+
+    def _cancel(self, zone: str, demand_id: str) -> None:
+        self.policies[zone].cancel(demand_id, self.events.now)
+        self._poll(zone)
+
+    def _close(self, job: _Job, ended_at: float | None) -> None:
+        job.is_over = True
+        job.ended_at = ended_at
+        self._open -= 1
+
+
+def run_policy(name: str, case: Case, seed: int) -> RunResult:
+    """Run a case with a policy by name: scheduler, random, round robin or fewest outstanding."""
+    policies: dict[str, SlotPolicy] = {}
+    for i, zone in enumerate(ZONES):
+        if name == "scheduler":
+            policies[zone] = Scheduler(service=case.service, teams={}, grant_prefix=zone)
+        elif name == "random":
+            policies[zone] = RandomChoice(seed=seed * 10 + i)
+        elif name == "round robin":
+            policies[zone] = RoundRobin(first=i * 8)
+        else:
+            policies[zone] = FewestOutstanding(seed=seed * 10 + i)
+    return Experiment(case=case, seed=seed, policies=policies, is_zonal=name == "scheduler").run()
+
+
+def run_omniscient(case: Case, seed: int) -> dict[int, float]:
+    """Return when each job ends under the omniscient scheduler, by number."""
+    central = Omniscient(runners=[runner.known for runner in case.runners(seed)])
+    arrivals: Sequence[Arrival] = case.arrivals(seed)
+    wave_is_due = case.has_cancels
+    for number, arrival in enumerate(arrivals):
+        if wave_is_due and arrival.at > CANCEL_AT_S:
+            wave_is_due = False
+            ends = central.ends()
+            hit = {
+                i
+                for i, earlier in enumerate(arrivals[:number])
+                if earlier.is_cancelled and ends[i] > CANCEL_AT_S
+            }
+            central.cancel(hit, CANCEL_AT_S)
+        central.submit(number, arrival.sizes_s, arrival.at)
+    return central.ends()
--- a/kumquatlift/runner_pool.py
+++ b/kumquatlift/runner_pool.py
@@ -98,11 +98,11 @@
         """Whether nothing ended for so long that the runner has probably stalled.
 
         With b requests in flight, the time to the next end is about the run time / b. The
-        threshold is b + 4 times that, which a healthy runner passes about once in a hundred times
-        with one request and more rarely with several.
+        threshold is b + 4 times that, which a healthy runner rarely passes. One request alone
+        proves nothing, since a few tasks run very long.
         """
         started = [req.expected_s for req in self.running.values() if req.started_at]
-        if not started:
+        if len(started) < 2:
             return False
         expected_s = slowness * sum(started) / len(started)
         return now - self.progress_at > expected_s * (1 + 4 / len(started))
--- a/kumquatlift/scheduler.py
+++ b/kumquatlift/scheduler.py
@@ -23,6 +23,7 @@
     RunnerState,
     RunningRequest,
 )
+from kumquatlift.zone_choice import FreeSlots, ZoneLoad
 
 __all__ = ["AttemptOutcome", "Demand", "Grant", "RunnerOffer", "Scheduler"]
 
@@ -41,6 +42,8 @@
 _MAX_VOIDED = 1024
 """Void grants that are remembered, for the case that they were started after all."""
 _RECHECK_S = 0.05
+MAX_FREE_GROUPS = 16
+"""Runners with free slots that are named to other zones."""
 
 
 class Demand(NamedTuple):
@@ -103,7 +106,7 @@
     UNKNOWN = "unknown"
     """It may have run."""
     UNUSED = "unused"
-    """The grant was returned or expired."""
+    """The grant was returned, or its requester cancelled the request: nothing is learned."""
 
 
 class _Running:
@@ -119,6 +122,14 @@
         self.started_at = 0.0
 
 
+class _FreeRunner:
+    __slots__ = ("free", "ranked")
+
+    def __init__(self, ranked: Ranked, free: int) -> None:
+        self.ranked = ranked
+        self.free = free
+
+
 class Scheduler:
     """Demands, grants and runners of one service in one zone.
 
@@ -159,6 +170,7 @@
         self._running_by_team: dict[str, int] = {}
         self._granted = 0
         self._mean_s = 0.0
+        self._finished = 0
         self._first_call_at: float | None = None
 
     def offer(self, offer: RunnerOffer, now: float) -> None:
@@ -215,21 +227,19 @@
         """
         self._expire(now)
         grants: list[Grant] = []
+        if not self._queue.queued:
+            return grants
+        free = self._free_slots(now)
         ahead = 0
-        for _ in range(self._queue.queued):
-            entry = self._queue.peek(self._is_under_quota, now)
-            if entry is None:
-                break
-            runner = self._choose(entry, ahead, now)
+        while entry := self._queue.peek(self._is_under_quota, now):
+            runner = self._choose(free, entry, ahead, now)
             if runner is not None:
                 grants.append(self._grant(entry, runner, now))
                 continue
-            if ahead == 0 and not self._has_free(now):
-                break
             ahead += entry.left
-            self._queue.hold(entry)
-            if ahead >= _MAX_HELD:
+            if not free or ahead >= _MAX_HELD:
                 break
+            self._queue.hold(entry)
         self._queue.release()
         return grants
 
@@ -272,7 +282,7 @@
             times.append(self._lapses[0][0])
         if self._queue.queued:
             times.append(max(self._pool.next_trial_at(), now + _RECHECK_S))
-            if self._has_free(now):
+            if self._free_slots(now):
                 times.append(now + _RECHECK_S)
         return min(times)
 
@@ -296,6 +306,20 @@
         rank = cfg.urgency.rank if cfg else len(Urgency) - 1
         return self._wait(rank, count, now)
 
+    def zone_load(self, now: float) -> ZoneLoad:
+        """Return the load that other zones need for their choice; the delay is left at 0."""
+        order = self._pool.order(now)
+        free = self._free_slots(now)
+        groups = tuple(
+            FreeSlots(item.free, self._mean_s * item.ranked.slowness)
+            for item in free[: -MAX_FREE_GROUPS - 1 : -1]
+        )
+        slots = sum(ranked.slots for ranked in order)
+        speed = self._pool.speed(now)
+        expected_s = self._mean_s * slots / speed if speed > 0 else 0.0
+        total = sum(item.free for item in free)
+        return ZoneLoad(total, self._queue.queued, slots, expected_s, 0.0, groups)
+
     def snapshot(self, now: float = 0.0) -> dict[str, object]:
         """Return plain data for the state dump."""
         return {
@@ -373,7 +397,7 @@
         return _clamp_ms(count * self._mean_s / speed)
 
     def _wait(self, rank: int, count: int, now: float) -> float:
-        free = sum(self._pool.free(ranked.state, now) for ranked in self._pool.order(now))
+        free = sum(item.free for item in self._free_slots(now))
         waiting = self._queue.queued_to(rank) + count - free
         if waiting <= 0:
             return 0.0
@@ -382,16 +406,27 @@
 
     # Placement
 
-    def _choose(self, entry: Entry[Demand], ahead: int, now: float) -> RunnerState | None:
+    def _free_slots(self, now: float) -> list[_FreeRunner]:
+        """Return runners with free slots, the most preferred one last."""
+        free = (
+            _FreeRunner(ranked, self._pool.free(ranked.state, now))
+            for ranked in reversed(self._pool.order(now))
+        )
+        return [item for item in free if item.free]
+
+    def _choose(
+        self, free: list[_FreeRunner], entry: Entry[Demand], ahead: int, now: float
+    ) -> RunnerState | None:
         trial = self._pool.trial(now)
         if trial is not None and self._may_be_trial(entry, trial, now):
             return trial
-        for ranked in self._pool.order(now):
-            if self._pool.free(ranked.state, now):
-                if self._is_worth_it(ranked, entry, ahead):
-                    return ranked.state
-                return None
-        return None
+        if not free or not self._is_worth_it(free[-1].ranked, entry, ahead):
+            return None
+        best = free[-1]
+        best.free -= 1
+        if not best.free:
+            free.pop()
+        return best.ranked.state
 
     def _may_be_trial(self, entry: Entry[Demand], trial: RunnerState, now: float) -> bool:
         kind = self._service.kinds.get(entry.item.kind)
@@ -442,9 +477,6 @@
         slots = sum(self._pool.capacity(state) for state in self._pool)
         return max(1, min(quota, round(quota * slots / self._total_slots)))
 
-    def _has_free(self, now: float) -> bool:
-        return any(self._pool.free(ranked.state, now) for ranked in self._pool.order(now))
-
     def _expected_s(self, demand: Demand) -> float:
         return self._run_times.expected_s(demand.kind, demand.expected_s)
 
@@ -479,8 +511,8 @@
             name = runner.offer.runner
             self._run_times.observe(demand.kind, name, demand.expected_s, run_s, now)
             average_s = run_s / self._run_times.slowness(name, now)
-            gain = 0.02 if self._mean_s else 1.0
-            self._mean_s += gain * (average_s - self._mean_s)
+            self._finished += 1
+            self._mean_s += max(1 / self._finished, 0.01) * (average_s - self._mean_s)
             was_out = runner.health.is_out
             runner.health.succeeded(grant_id)
             if was_out != runner.health.is_out:
