--- a/kumquatlift/slot_client.py
+++ b/kumquatlift/slot_client.py
@@ -13,10 +13,10 @@
 from kumquatlift.membership import Members, owner_of
 from kumquatlift.scheduler import AttemptOutcome
 from kumquatlift.slot_messages import (
+    NO_LOAD,
     SlotDemands,
     SlotFinish,
     SlotGrants,
-    SlotLoad,
     SlotRequest,
 )
 from kumquatlift.slot_owner import OUTCOMES
@@ -133,7 +133,7 @@
         self._wishes: dict[str, _OpenWish] = {}
         self._held: dict[str, GrantedSlot] = {}
         self._changes: dict[Place, _Changes] = {}
-        self._loads: dict[Place, SlotLoad] = {}
+        self._loads: dict[Place, ZoneLoad] = {}
         self._interest: dict[str, float] = {}
         self._changed = threading.Event()
         self._closed = False
@@ -212,7 +212,7 @@
                     self._at((service, zone)).full = True
         self._changed.set()
 
-    def load(self, service: str) -> dict[str, SlotLoad]:
+    def load(self, service: str) -> dict[str, ZoneLoad]:
         """Return the last known load of a service by zone."""
         with self._lock:
             return {zone: load for (name, zone), load in self._loads.items() if name == service}
@@ -248,15 +248,12 @@
         load = self._loads.get((entry.service, zone))
         if load is not None:
             # Until the owner reports again, what was sent there counts as taken.
-            taken = min(load.free, count)
-            self._loads[(entry.service, zone)] = load._replace(
-                free=load.free - taken, queued=load.queued + count - taken
-            )
+            self._loads[(entry.service, zone)] = load.after(count)
 
     def _zone_load(self, service: str, zone: str) -> ZoneLoad:
-        load = self._loads.get((service, zone), SlotLoad())
+        load = self._loads.get((service, zone), NO_LOAD)
         delay = 0.0 if zone == self._members.me.zone else ZONE_DELAY_S
-        return ZoneLoad(load.free, load.queued, load.slots, load.expected_s, delay)
+        return load._replace(delay_s=delay)
 
     def _accept(self, demand_id: str, slot: GrantedSlot) -> SlotListener | None:
         entry = self._wishes.get(demand_id)
--- a/kumquatlift/slot_messages.py
+++ b/kumquatlift/slot_messages.py
@@ -6,8 +6,7 @@
 
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-
-MAX_FRAME_WORDS = 1 << 20
+from kumquatlift.zone_choice import FreeSlots, ZoneLoad
 
 
 class SlotRequest(NamedTuple):
@@ -130,13 +129,8 @@
     failure: Failure
 
 
-class SlotLoad(NamedTuple):
-    """Load of a service in a zone: slots in all, free slots, waiting requests, mean run time."""
-
-    slots: int = 0
-    free: int = 0
-    queued: int = 0
-    expected_s: float = 0.0
+NO_LOAD = ZoneLoad(free=0, queued=0, slots=0, expected_s=0.0, delay_s=0.0)
+"""Load of a zone that has not reported."""
 
 
 class SlotGrants(NamedTuple):
@@ -146,7 +140,7 @@
     zone: str
     grants: tuple[SlotGrant, ...] = ()
     refused: tuple[SlotRefusal, ...] = ()
-    load: SlotLoad = SlotLoad()
+    load: ZoneLoad = NO_LOAD
 
     def to_bytes(self) -> bytes:
         """Encode as a Cap'n Proto message."""
@@ -159,7 +153,10 @@
             row.retryAfterMs = refusal.failure.retry_after_ms
         load = msg.init("load")
         load.slots, load.free, load.queued = self.load.slots, self.load.free, self.load.queued
-        load.expectedMs = int(self.load.expected_s * 1000)
+        load.expectedMs = self.load.expected_s * 1000
+        groups = load.init("freeSlots", len(self.load.free_slots))
+        for row, group in zip(groups, self.load.free_slots, strict=True):
+            row.count, row.runMs = group.count, group.run_s * 1000
         return bytes(msg.to_bytes())
 
     @classmethod
@@ -177,8 +174,16 @@
                 SlotRefusal(row.demand, Failure(ResultCode(row.code), row.reason, row.retryAfterMs))
                 for row in msg.refused
             )
-            load = SlotLoad(
-                msg.load.slots, msg.load.free, msg.load.queued, msg.load.expectedMs / 1000
+            groups = tuple(
+                FreeSlots(group.count, group.runMs / 1000) for group in msg.load.freeSlots
+            )
+            load = ZoneLoad(
+                free=msg.load.free,
+                queued=msg.load.queued,
+                slots=msg.load.slots,
+                expected_s=msg.load.expectedMs / 1000,
+                delay_s=0.0,
+                free_slots=groups,
             )
             return cls(msg.service, msg.zone, grants, refused, load)
 
--- a/kumquatlift/slot_owner.py
+++ b/kumquatlift/slot_owner.py
@@ -13,14 +13,15 @@
 from kumquatlift.log import get_logger
 from kumquatlift.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
 from kumquatlift.slot_messages import (
+    NO_LOAD,
     SlotDemands,
     SlotFinish,
     SlotGrant,
     SlotGrants,
-    SlotLoad,
     SlotRefusal,
     SlotRequest,
 )
+from kumquatlift.zone_choice import ZoneLoad
 
 # An owner grants nothing for a runner whose announcements have not reached it for this long, so a
 # new owner that waits as long never grants beside the former one.
@@ -158,10 +159,9 @@
                 del self._heard[requester]
                 self._drop_demands(requester, set(), now)
 
-    def load(self, now: float) -> SlotLoad:
-        """Return slots in all, free slots, waiting requests and the mean run time."""
-        load = self._scheduler.load(now)
-        return SlotLoad(load.slots, load.free, load.queued, load.expected_s)
+    def load(self, now: float) -> ZoneLoad:
+        """Return what other zones need to know for their choice."""
+        return self._scheduler.zone_load(now)
 
     def snapshot(self, now: float) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -329,7 +329,7 @@
             slots = self._services.get(key)
             grants = {} if slots is None else slots.poll(now)
             requesters = {*grants, *refused, *([reply_to] if reply_to else [])}
-            load = slots.load(now) if slots is not None and requesters else SlotLoad()
+            load = slots.load(now) if slots is not None and requesters else NO_LOAD
         for requester in requesters:
             msg = SlotGrants(
                 *key, tuple(grants.get(requester, ())), tuple(refused.get(requester, ())), load
--- a/kumquatlift/slots.capnp
+++ b/kumquatlift/slots.capnp
@@ -53,6 +53,13 @@
     slots @0 :UInt32;
     free @1 :UInt32;
     queued @2 :UInt32;
-    expectedMs @3 :UInt32;
+    expectedMs @3 :Float32;
+    freeSlots @4 :List(FreeSlots);
+  }
+
+  # Free slots of one runner, fastest runner first.
+  struct FreeSlots {
+    count @0 :UInt16;
+    runMs @1 :Float32;
   }
 }
