--- a/kumquatlift/announcer.py
+++ b/kumquatlift/announcer.py
@@ -60,6 +60,8 @@
                 self.owner = str(answer.get("owner") or self.owner)
                 if answer.get("code") != ResultCode.RUNNER_ACCEPTED:
                     get_logger().warning("announcement_refused", answer=answer)
+                    # This entry process may be cut off from the owner; another one may not be.
+                    self._current = (self._current + 1) % len(self._entries)
                 return int(answer.get("renew_ms") or FIRST_RENEW_MS)
             self._drop_connection()
             self._current = (self._current + 1) % len(self._entries)
--- /dev/null
+++ b/kumquatlift/client.py
@@ -0,0 +1,173 @@
+"""A caller that submits jobs safely: it takes a ticket first and resubmits under the same id."""
+
+import http.client
+import json
+import secrets
+import time
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from kumquatlift.codes import Resubmit, ResultCode
+from kumquatlift.failure import Failure
+
+# Refusals about one entry process or one ledger rather than about load: another ticket helps.
+_ASK_ANOTHER = (ResultCode.LEAVING, ResultCode.LEDGER_CLOSED)
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 1.0
+_TICKET_TIMEOUT_S = 2.0
+
+
+class Submission(NamedTuple):
+    """How the submission of one job ended.
+
+    Args:
+        answer: Fields of the last answer, or the failure that ended the attempts.
+        sent: Times that the job was sent.
+        lost: Times that it got no answer.
+    """
+
+    answer: dict[str, Any] | Failure
+    sent: int
+    lost: int
+
+    @property
+    def code(self) -> ResultCode:
+        """Result code of the answer."""
+        if isinstance(self.answer, Failure):
+            return self.answer.code
+        return ResultCode(self.answer["code"])
+
+
+class Client:
+    """Submits jobs to several entry processes.
+
+    Args:
+        entries: Addresses for callers, each "ip:port".
+        answer_timeout_s: Silence after which an answer counts as lost.
+        give_up_s: Time after which a job without a final answer is given up.
+        retry_refused: Whether a job that was refused for load is submitted again under a new id.
+        first: Index of the entry process that is used first.
+        on_event: Called with one line of text on everything but a final answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: Sequence[str],
+        answer_timeout_s: float = 15.0,
+        give_up_s: float = 120.0,
+        retry_refused: bool = True,
+        first: int = 0,
+        on_event: Callable[[str], None] = lambda _line: None,
+    ) -> None:
+        self._entries = entries
+        self._answer_timeout_s = answer_timeout_s
+        self._give_up_s = give_up_s
+        self._retry_refused = retry_refused
+        self._current = first % len(entries)
+        self._on_event = on_event
+
+    def submit(self, job: dict[str, Any], *, key: str = "") -> Submission:
+        """Submit a job until it has a final answer or the time to give up has come.
+
+        Args:
+            job: Fields of the submission without an id.
+            key: The caller's part of the job id; random when empty.
+
+        Returns:
+            The submission; a job without a final answer has a ``TIMED_OUT`` failure, or a
+            ``NOT_DELIVERED`` failure when it was never sent.
+        """
+        give_up_at = time.monotonic() + self._give_up_s
+        pause_s = _FIRST_PAUSE_S
+        ledger = ""
+        sent = lost = 0
+        last = "no entry process gave a ticket"
+        while time.monotonic() < give_up_at:
+            ledger = ledger or self._ticket()
+            if ledger:
+                job_id = f"{ledger}.{key or secrets.token_hex(12)}"
+                key = job_id.rpartition(".")[2]
+                answer = self._post({**job, "id": job_id}, give_up_at)
+                sent += 1
+                if isinstance(answer, Failure):
+                    lost += answer.code is not ResultCode.NOT_DELIVERED
+                    last = str(answer)
+                elif self._is_final(answer):
+                    return Submission(answer, sent, lost)
+                else:
+                    last = f"{answer['code']} {answer.get('name')}: {answer.get('reason')}"
+                    if _resubmit(answer) is Resubmit.NEW_ID:
+                        ledger = ""
+                    pause_s = max(pause_s, answer.get("retry_after_ms", 0) / 1000)
+            self._on_event(f"{self._entries[self._current]}: {last}; next: another entry process")
+            self._current = (self._current + 1) % len(self._entries)
+            time.sleep(min(pause_s, max(0.0, give_up_at - time.monotonic())))
+            pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
+        reason = f"no final answer within {self._give_up_s:g} s; last: {last}"
+        code = ResultCode.TIMED_OUT if sent else ResultCode.NOT_DELIVERED
+        return Submission(Failure(code, reason), sent, lost)
+
+    def _is_final(self, answer: dict[str, Any]) -> bool:
+        match _resubmit(answer):
+            case Resubmit.SAME_ID:
+                return False
+            case Resubmit.NEW_ID:
+                return not self._retry_refused and answer["code"] not in _ASK_ANOTHER
+        return True
+
+    def _ticket(self) -> str:
+        entry = self._entries[self._current]
+        answer = call(entry, "POST", "/v1/tickets", payload={}, timeout_s=_TICKET_TIMEOUT_S)
+        return "" if isinstance(answer, Failure) else str(answer.get("ledger", ""))
+
+    def _post(self, job: dict[str, Any], give_up_at: float) -> dict[str, Any] | Failure:
+        timeout_s = max(0.1, min(self._answer_timeout_s, give_up_at - time.monotonic()))
+        entry = self._entries[self._current]
+        answer = call(entry, "POST", "/v1/jobs", payload=job, timeout_s=timeout_s)
+        if not isinstance(answer, Failure) and "code" not in answer:
+            return Failure(ResultCode.TIMED_OUT, f"an answer without a code: {str(answer)[:100]}")
+        return answer
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    *,
+    payload: Any = None,
+    timeout_s: float = 5.0,
+    token: str = "",
+) -> dict[str, Any] | Failure:
+    """Make one HTTP request with a JSON body on a new connection.
+
+    Returns:
+        The JSON object of the answer, whatever its status; a ``NOT_DELIVERED`` failure when no
+        connection was made; or a ``TIMED_OUT`` failure when the effect is unknown.
+    """
+    conn = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        try:
+            conn.connect()
+        except OSError as exc:
+            return Failure(ResultCode.NOT_DELIVERED, f"{address} cannot be reached: {exc}")
+        body = None if payload is None else json.dumps(payload).encode()
+        headers = {"Content-Type": "application/json"}
+        if token:
+            headers["Authorization"] = f"Bearer {token}"
+        conn.request(method, path, body, headers)
+        answer = json.loads(conn.getresponse().read())
+    except (OSError, http.client.HTTPException, ValueError) as exc:
+        return Failure(ResultCode.TIMED_OUT, f"{address} gave no answer: {exc!r}")
+    finally:
+        conn.close()
+    if not isinstance(answer, dict):
+        return Failure(ResultCode.TIMED_OUT, f"{address} did not answer with a JSON object")
+    return answer
+
+
+def _resubmit(answer: dict[str, Any]) -> Resubmit:
+    try:
+        return Resubmit(answer.get("resubmit"))
+    except ValueError:
+        return ResultCode(answer["code"]).resubmit
--- a/kumquatlift/runner_stand_in.py
+++ b/kumquatlift/runner_stand_in.py
@@ -288,7 +288,8 @@
             case "POST", "/run":
                 return self._run(req, self._open_connections(peer))
             case "GET", "/starts":
-                return ApiResponse.from_json(200, self.record.to_json())
+                own = {"slots": self._identity.slots, **self.mode.to_json()}
+                return ApiResponse.from_json(200, {**own, **self.record.to_json()})
             case "POST", "/mode":
                 return self._change_mode(req)
         return ApiResponse.from_failure(Failure(ResultCode.NOT_FOUND, f"no such path: {req.path}"))
