Bound retries by the service's budget

Cause: a refused or lost request was started again up to the attempt limit, so a service in trouble got up to three times its traffic. Change: a retry after a request that was sent takes a token from the service's budget, which completed requests fill; without a token the job fails, with a code that says whether it ran. Ruled out: charging requests that never left, because they cost the runners nothing. Conclusion: traffic under failure is at most the retry share above the completed requests.

--- a/kumquatlift/dispatcher.py
+++ b/kumquatlift/dispatcher.py
@@ -14,6 +14,7 @@
 from kumquatlift.job import JobAnswer, JobRequest
 from kumquatlift.job_run import Attempt, Batch, JobRun
 from kumquatlift.log import get_logger
+from kumquatlift.retry_budget import RetryBudget
 from kumquatlift.runner_client import AttemptEnd, AttemptResult, RunnerClient
 from kumquatlift.scheduler import AttemptOutcome
 from kumquatlift.slot_client import GrantedSlot, SlotSource
@@ -82,6 +83,7 @@
         self._section = section
         self._lock = threading.Lock()
         self._jobs: dict[str, _RunningJob] = {}
+        self._budgets: dict[str, RetryBudget] = {}
         self._attempts = ThreadPoolExecutor(
             max_workers=MAX_ATTEMPTS_IN_FLIGHT, thread_name_prefix="attempt"
         )
@@ -108,7 +110,13 @@
         if isinstance(kind, Failure):
             fut.set_result(JobAnswer.from_failure(kind))
             return fut
-        run = JobRun(job_id=job_id, req=req, kind=kind, deadline_at=deadline_at)
+        run = JobRun(
+            job_id=job_id,
+            req=req,
+            kind=kind,
+            deadline_at=deadline_at,
+            take_retry=lambda: self._take_retry(req.service),
+        )
         job = _RunningJob(dispatcher=self, run=run, fut=fut)
         with self._lock:
             if job_id in self._jobs:
@@ -147,6 +155,26 @@
             reason=answer.reason or None,
         )
 
+    def succeeded(self, service: str) -> None:
+        """Count a completed request towards the service's retry budget."""
+        with self._lock:
+            self._budget(service).succeeded()
+
+    def reconfigure(self) -> None:
+        """Start new retry budgets with the shares of the configuration in force."""
+        with self._lock:
+            self._budgets.clear()
+
+    def _take_retry(self, service: str) -> bool:
+        with self._lock:
+            return self._budget(service).take()
+
+    def _budget(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            cfg = self._document().services.get(service)
+            self._budgets[service] = RetryBudget(share=cfg.retry_budget if cfg else 0.0)
+        return self._budgets[service]
+
     def submit_attempt(self, function: Callable[..., None], *args: Any) -> None:
         """Run a function in an attempt thread."""
         self._attempts.submit(_logged, function, *args)
@@ -229,14 +257,21 @@
             return
         self._section.count("attempts_started")
         result = self._client.run(slot.address, attempt.req)
-        self._slots.finish(slot, _outcome(result), result.run_s)
+        outcome = _outcome(result)
+        run_s = result.run_s
+        if outcome is AttemptOutcome.REFUSED and result.failure is not None:
+            # The scheduler takes the runner's own wish for a pause in place of a run time.
+            run_s = result.failure.retry_after_ms / 1000
+        self._slots.finish(slot, outcome, run_s)
         self._end(attempt, slot, result)
 
     def _end(self, attempt: Attempt, slot: GrantedSlot, result: AttemptResult) -> None:
         now = self._clock.now()
         with self._lock:
             retry = self._run.end(attempt, result, now)
-        if result.end is not AttemptEnd.OK:
+        if result.end is AttemptEnd.OK:
+            self._dispatcher.succeeded(self._run.req.service)
+        else:
             self._section.count(f"attempts_{result.end.value}")
             get_logger().warning(
                 "attempt_failed",
--- a/kumquatlift/job_run.py
+++ b/kumquatlift/job_run.py
@@ -1,6 +1,7 @@
 """State of one running job: which requests wait, run and are done, and its one answer."""
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from kumquatlift.codes import ResultCode
@@ -50,14 +51,24 @@
         req: The job.
         kind: The request kind's configuration when the job was admitted.
         deadline_at: Monotonic seconds at which the job fails.
+        take_retry: Takes a token for one retry from the service's budget; False when it is empty.
     """
 
-    def __init__(self, *, job_id: str, req: JobRequest, kind: Kind, deadline_at: float) -> None:
+    def __init__(
+        self,
+        *,
+        job_id: str,
+        req: JobRequest,
+        kind: Kind,
+        deadline_at: float,
+        take_retry: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.job_id = job_id
         self.req = req
         self.kind = kind
         self.deadline_at = deadline_at
         self.answer: JobAnswer | None = None
+        self._take_retry = take_retry
         self._batches = split(req, kind)
         self._waiting = deque(self._batches)
         self._attempts = [0] * len(self._batches)
@@ -127,6 +138,10 @@
             assert result.failure is not None
             self.fail(result.failure)
             return None
+        # A request that never left costs the runners nothing, so it does not count as a retry.
+        if result.sent and not self._take_retry():
+            self.fail(self._without_retry(result))
+            return None
         return Retry(attempt.batch, not_before)
 
     def requeue(self, batch: Batch) -> bool:
@@ -161,6 +176,13 @@
         """Cancel the job."""
         return self.fail(Failure(ResultCode.CANCELLED_BEFORE_START, "cancelled by the caller"))
 
+    def _without_retry(self, result: AttemptResult) -> Failure:
+        assert result.failure is not None
+        if result.end is not AttemptEnd.NOT_RUN:
+            return result.failure
+        reason = f"no retry left in the budget of {self.req.service}: {result.failure.reason}"
+        return Failure(ResultCode.RETRY_BUDGET_EMPTY, reason, result.failure.retry_after_ms)
+
     def _retry_time(self, attempt: Attempt, result: AttemptResult, now: float) -> float | None:
         """Return when the batch may start again, or None when it may not."""
         if attempt.number >= self.kind.max_attempts:
--- a/tests/test_job_run.py
+++ b/tests/test_job_run.py
@@ -69,6 +69,13 @@
         assert run.end(begin(run, 0.2), ended(AttemptEnd.NOT_RUN), 0.3) is None
         assert run.answer is not None
 
+    def test_refused_attempt_is_not_repeated_with_an_empty_budget(self) -> None:
+        req = JobRequest("s", "k", "", 0, (Task("t", 1),))
+        run = JobRun(job_id="j", req=req, kind=Kind(), deadline_at=100.0, take_retry=lambda: False)
+        assert run.end(begin(run), ended(AttemptEnd.NOT_RUN), 0.1) is None
+        assert run.answer is not None
+        assert run.answer.code is ResultCode.RETRY_BUDGET_EMPTY
+
     def test_cancel_says_not_run_only_when_nothing_ran(self) -> None:
         untouched, refused, in_flight = make(), make(), make()
         refused.end(begin(refused), ended(AttemptEnd.NOT_RUN), 0.1)
