Add a demonstration of both example deployments

It ends by itself; processes are ended by id on every path.

The load report now counts starts beyond the first apart for kinds that are not repeatable, where they are faults, and for repeatable kinds, where they are further attempts.

--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 	touch $@
 
 format: setup
-	$(PY) -m ruff check --fix --quiet kumquatlift tests
-	$(PY) -m black --quiet kumquatlift tests
+	$(PY) -m ruff check --fix --quiet kumquatlift tests tools
+	$(PY) -m black --quiet kumquatlift tests tools
 
 check: setup
-	$(PY) -m black --check --quiet kumquatlift tests
-	$(PY) -m ruff check kumquatlift tests
+	$(PY) -m black --check --quiet kumquatlift tests tools
+	$(PY) -m ruff check kumquatlift tests tools
 	$(PY) -m mypy
 
 unit: setup
@@ -33,7 +33,7 @@
 test: check unit
 
 demo: setup
-	$(PY) tools/demo.py
+	$(PY) -m tools.demo
 
 bench: setup
 	$(PY) -m kumquatlift.bench
--- a/kumquatlift/commands.py
+++ b/kumquatlift/commands.py
@@ -22,13 +22,14 @@
     address: str = "127.0.0.1:0",
     slots: int = 8,
     connections: int = 64,
-    speed: float = 1.0,
+    copies: int = 1,
+    speeds: list[float] = [1.0],  # noqa: B006  defopt shows and copies the default
     delay_ms: int = 0,
     stall_ms: int = 0,
     late_ms: int = 0,
     fault: str = "none",
 ) -> None:
-    """Run a runner stand-in until SIGTERM; it prints its address and sleeps for run times.
+    """Run runner stand-ins until SIGTERM; they print their addresses and sleep for run times.
 
     Args:
         name: Name of the runner.
@@ -36,10 +37,11 @@
         zone: Availability zone.
         entries: Addresses of entry processes for announcements, each "ip:port".
         worker: Name of the machine.
-        address: Where to listen, "ip:port"; port 0 takes a free one.
+        address: Where to listen, "ip:port"; port 0 takes a free one, which copies need.
         slots: Requests run at a time.
         connections: Open connections allowed.
-        speed: Run times are divided by this factor.
+        copies: Runners in this process, each with its own port; they are called name-1, name-2...
+        speeds: Run times are divided by this factor; several factors are taken in turn by copies.
         delay_ms: Delay of each start.
         stall_ms: Time for which a started request holds its slot before it runs.
         late_ms: Delay of each answer after the run.
@@ -47,32 +49,38 @@
     """
     from kumquatlift.failure import Failure
     from kumquatlift.log import configure_logs
-    from kumquatlift.runner_stand_in import Mode, RunnerIdentity, RunnerStandIn
+    from kumquatlift.runner_mode import Mode
+    from kumquatlift.runner_stand_in import RunnerIdentity, RunnerStandIn, run_until_finished
 
-    mode = Mode().changed(
-        {"speed": speed, "delay_ms": delay_ms, "stall_ms": stall_ms, "late_ms": late_ms}
-        | {"fault": fault}
-    )
-    if isinstance(mode, Failure):
-        fail(f"runner: {mode.reason}", EXIT_USAGE)
+    fields = {"delay_ms": delay_ms, "stall_ms": stall_ms, "late_ms": late_ms, "fault": fault}
+    modes = [Mode().changed({**fields, "speed": speed}) for speed in speeds]
     host, port = parse_address(address)
     _check_addresses(entries)
+    if copies < 1 or not modes or (copies > 1 and port):
+        fail("runner: copies and speeds need at least 1, and several copies port 0", EXIT_USAGE)
     configure_logs(process=name)
-    try:
-        stand_in = RunnerStandIn(
-            identity=RunnerIdentity(name, service, zone, worker, slots, connections),
-            host=host,
-            port=port,
-            entries=tuple(entries),
-            mode=mode,
-        )
-    except OSError as exc:
-        fail(f"runner: cannot listen on {address}: {exc}")
+    stand_ins = []
+    for number in range(copies):
+        mode = modes[number % len(modes)]
+        if isinstance(mode, Failure):
+            fail(f"runner: {mode.reason}", EXIT_USAGE)
+        own = name if copies == 1 else f"{name}-{number + 1}"
+        try:
+            stand_in = RunnerStandIn(
+                identity=RunnerIdentity(own, service, zone, worker, slots, connections),
+                host=host,
+                port=port,
+                entries=tuple(entries),
+                mode=mode,
+            )
+        except OSError as exc:
+            fail(f"runner: cannot listen on {address}: {exc}")
+        stand_ins.append(stand_in)
     told_to_stop = _stop_flag()
-    stand_in.start()
-    print(f"listening on {stand_in.address}", flush=True)
-    stand_in.wait_until_finished(lambda: bool(told_to_stop))
-    stand_in.close()
+    for stand_in in stand_ins:
+        stand_in.start()
+        print(f"{stand_in.name} listening on {stand_in.address}", flush=True)
+    run_until_finished(stand_ins, lambda: bool(told_to_stop))
 
 
 def submit(
@@ -141,6 +149,7 @@
     kinds: list[str],
     entries: list[str],
     runners: list[str] = [],  # noqa: B006  defopt shows and copies the default
+    repeatable: list[str] = [],  # noqa: B006
     jobs: int = 100,
     rate: float = 10.0,
     min_tasks: int = 1,
@@ -159,6 +168,7 @@
         kinds: Request kinds, chosen at random.
         entries: Addresses of entry processes for callers, each "ip:port".
         runners: Addresses of runner stand-ins, to read speeds, messages and starts from.
+        repeatable: Request kinds whose tasks may start more than once.
         jobs: Number of jobs.
         rate: Jobs per second on average.
         min_tasks: Fewest tasks of a job.
@@ -173,21 +183,23 @@
     from rich.console import Console
     from rich.progress import Progress
 
-    from kumquatlift.load import Workload, run_load
+    from kumquatlift.load import RunnerReadings, Workload, run_load
 
     _check_addresses([*entries, *runners])
     if not (jobs > 0 < rate and 0 < min_tasks <= max_tasks and 0 < min_run_ms <= max_run_ms):
         fail("load: jobs, rate, task and run time ranges must be above 0 and in order", EXIT_USAGE)
     workload = Workload(
-        service, tuple(kinds), jobs, rate, (min_tasks, max_tasks), (min_run_ms, max_run_ms), seed
+        tuple(kinds), jobs, rate, (min_tasks, max_tasks), (min_run_ms, max_run_ms), seed
     )
     console = Console(stderr=True)
     with Progress(console=console, disable=not console.is_terminal) as progress:
         bar = progress.add_task("jobs answered", total=jobs)
         result = run_load(
-            workload,
+            workload.plan(),
+            service=service,
             entries=entries,
-            runners=runners,
+            readings=RunnerReadings(runners),
+            repeatable=repeatable,
             answer_timeout_s=answer_timeout_s,
             give_up_s=give_up_s,
             on_done=lambda _outcome: progress.advance(bar),
@@ -198,8 +210,11 @@
             report.write_text(json.dumps(result._asdict(), indent=1) + "\n", encoding="utf-8")
         except OSError as exc:
             fail(f"{report}: cannot be written: {exc}")
-    if result.unanswered or result.wrong_results:
-        fail(f"load: {result.unanswered} unanswered, {result.wrong_results} with wrong results")
+    if not result.is_sound:
+        fail(
+            f"load: {result.unanswered} jobs unanswered, {result.wrong_results} with wrong "
+            f"results, {result.doubled_starts} doubled starts"
+        )
 
 
 def dump(address: str, *, token_file: Path | None = None) -> None:
--- a/kumquatlift/load.py
+++ b/kumquatlift/load.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, NamedTuple
 
@@ -26,7 +26,6 @@
     """What a load run submits; equal workloads give equal jobs and arrivals.
 
     Args:
-        service: Service of every job.
         kinds: Request kinds, chosen at random.
         jobs: Number of jobs.
         rate: Jobs per second on average; arrivals are a Poisson process.
@@ -35,7 +34,6 @@
         seed: Seed of every random choice.
     """
 
-    service: str
     kinds: tuple[str, ...]
     jobs: int
     rate: float
@@ -101,9 +99,10 @@
         requests: Messages to runners in the run.
         completed_tasks: Tasks that runners completed in the run.
         messages_per_task: The quotient of the two; 0 without completed tasks.
-        doubled_starts: Starts of a task beyond its first one.
+        doubled_starts: Starts beyond the first of tasks that are not repeatable; a fault if not 0.
+        repeated_starts: Starts beyond the first of repeatable tasks.
         wrong_results: Complete jobs whose results are not those of their tasks.
-        unread_runners: Runners that could not be asked, whose messages are missing here.
+        unread_runners: Runners that could not be asked, whose last messages are missing here.
     """
 
     jobs: int
@@ -118,9 +117,15 @@
     completed_tasks: int
     messages_per_task: float
     doubled_starts: int
+    repeated_starts: int
     wrong_results: int
     unread_runners: int
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether every job got one right answer and no task started that must not."""
+        return not (self.unanswered or self.wrong_results or self.doubled_starts)
+
     def show(self, console: Console) -> None:
         """Print the report as a table."""
         table = Table("figure", "value", title="Load run")
@@ -136,7 +141,8 @@
             table.add_row(label, text or "not measured")
         table.add_row("tasks completed by runners", str(self.completed_tasks))
         table.add_row("messages to runners per completed task", f"{self.messages_per_task:.3f}")
-        table.add_row("doubled starts", str(self.doubled_starts))
+        table.add_row("doubled starts of tasks not repeatable", str(self.doubled_starts))
+        table.add_row("further starts of repeatable tasks", str(self.repeated_starts))
         table.add_row("wrong results", str(self.wrong_results))
         if self.unread_runners:
             table.add_row("runners that could not be read", str(self.unread_runners))
@@ -153,6 +159,7 @@
     def __init__(self, addresses: Sequence[str]) -> None:
         self._addresses = addresses
         self._before = {address: _read_starts(address) for address in addresses}
+        self._last: dict[str, dict[str, Any] | None] = {}
 
     @property
     def capacities(self) -> list[RunnerCapacity]:
@@ -163,42 +170,51 @@
             if reading is not None
         ]
 
-    def since_start(self) -> dict[str, int]:
-        """Return requests, completed tasks, doubled starts and unread runners of the run."""
+    def remember(self, address: str) -> None:
+        """Read a runner that is about to end; the reading stands for what cannot be read later."""
+        self._last[address] = _read_starts(address)
+
+    def since_start(self, repeatable: Collection[str]) -> dict[str, int]:
+        """Return requests, completed tasks, starts beyond the first, and unread runners."""
         totals: Counter[str] = Counter()
-        starts: Counter[tuple[str, str]] = Counter()
+        starts: Counter[tuple[str, str, str]] = Counter()
         for address, before in self._before.items():
             after = _read_starts(address)
+            totals["unread"] += before is None or after is None
+            after = after or self._last.get(address)
             if before is None or after is None:
-                totals["unread"] += 1
                 continue
             for name in ("requests", "completed"):
                 totals[name] += after[name] - before[name]
-            starts.update((start["job"], start["task"]) for start in after["starts"])
-        totals["doubled"] = sum(count - 1 for count in starts.values())
+            starts.update((row["kind"], row["job"], row["task"]) for row in after["starts"])
+        for (kind, _job, _task), count in starts.items():
+            totals["repeated" if kind in repeatable else "doubled"] += count - 1
         return dict(totals)
 
 
 def run_load(
-    workload: Workload,
+    plan: Sequence[PlannedJob],
     *,
+    service: str,
     entries: Sequence[str],
-    runners: Sequence[str],
+    readings: RunnerReadings,
+    repeatable: Collection[str] = (),
     answer_timeout_s: float = 15.0,
     give_up_s: float = 120.0,
     on_done: Callable[[JobOutcome], None] = lambda _outcome: None,
 ) -> LoadReport:
-    """Submit the jobs of a workload at their times and wait for every answer.
+    """Submit jobs at their planned times and wait for every answer.
 
     Args:
-        workload: What to submit.
+        plan: Jobs in the order of their arrival.
+        service: Service of every job.
         entries: Addresses of entry processes for callers; jobs take turns.
-        runners: Addresses of runner stand-ins to read speeds, messages and starts from.
+        readings: Runner stand-ins to read speeds, messages and starts from.
+        repeatable: Request kinds whose tasks may start more than once.
         answer_timeout_s: Silence after which a job is resubmitted elsewhere.
         give_up_s: Time after which a job is given up.
         on_done: Called in an executor thread after each job.
     """
-    readings = RunnerReadings(runners)
     started = time.monotonic()
 
     def submit(number: int, job: PlannedJob) -> JobOutcome:
@@ -209,18 +225,18 @@
             retry_refused=False,
             first=number,
         )
-        submission = client.submit(job.to_json(workload.service))
+        submission = client.submit(job.to_json(service))
         outcome = JobOutcome(job, submission, time.monotonic() - started - job.at_s)
         on_done(outcome)
         return outcome
 
     with ThreadPoolExecutor(max_workers=MAX_JOBS_IN_FLIGHT) as executor:
         futs = []
-        for number, job in enumerate(workload.plan()):
+        for number, job in enumerate(plan):
             time.sleep(max(0.0, started + job.at_s - time.monotonic()))
             futs.append(executor.submit(submit, number, job))
         outcomes = [fut.result() for fut in futs]
-    return make_report(outcomes, readings.capacities, readings.since_start())
+    return make_report(outcomes, readings.capacities, readings.since_start(repeatable))
 
 
 def make_report(
@@ -252,6 +268,7 @@
         completed_tasks=completed,
         messages_per_task=totals.get("requests", 0) / completed if completed else 0.0,
         doubled_starts=totals.get("doubled", 0),
+        repeated_starts=totals.get("repeated", 0),
         wrong_results=sum(not _has_own_results(outcome) for outcome in complete),
         unread_runners=totals.get("unread", 0),
     )
--- a/kumquatlift/runner_stand_in.py
+++ b/kumquatlift/runner_stand_in.py
@@ -1,10 +1,8 @@
 """A runner for tests, demos and load runs: it serves ``POST /run`` and spends time by sleeping."""
 
-import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from enum import Enum
 from typing import Any, NamedTuple
 
 import waitress
@@ -14,66 +12,15 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.identity import new_incarnation
+from kumquatlift.runner_mode import Fault, Mode
+from kumquatlift.start_record import LEAVING_GRACE_S, StartRecord
 from kumquatlift.wsgi import ApiRequest, ApiResponse
 
-MAX_RECORDED_STARTS = 1_000_000
-# Grants made before an owner knew that the runner leaves are used within 1 s and arrive by then.
-LEAVING_GRACE_S = 2.0
 # Threads beyond one per connection, so that /starts and /mode answer while every slot is busy.
 _SPARE_THREADS = 4
 _POLL_S = 0.02
 
 
-class Fault(Enum):
-    """How the stand-in treats every request while the fault is set."""
-
-    NONE = "none"
-    FAIL = "fail"
-    """Start each task and fail it at once."""
-    REFUSE = "refuse"
-    """Answer 503 before the start."""
-    CLOSE = "close"
-    """Run the tasks, then close the connection without an answer."""
-    TRUNCATE = "truncate"
-    """Run the tasks, then close the connection in the middle of the body."""
-
-
-class Mode(NamedTuple):
-    """How fast and how well the stand-in works.
-
-    Args:
-        speed: Run times are divided by this factor.
-        delay_ms: Time from the arrival of a request to its start; it takes no slot yet.
-        stall_ms: Time for which a started request holds its slot before it runs.
-        late_ms: Time from the end of the run to the answer; the slot is free by then.
-        fault: What goes wrong with every request.
-    """
-
-    speed: float = 1.0
-    delay_ms: int = 0
-    stall_ms: int = 0
-    late_ms: int = 0
-    fault: Fault = Fault.NONE
-
-    def changed(self, fields: dict[str, Any]) -> "Mode | Failure":
-        """Return the mode with some fields replaced, or a ``MALFORMED`` failure."""
-        unknown = sorted(set(fields) - set(self._fields))
-        if unknown:
-            return Failure(ResultCode.MALFORMED, f"unknown field of the mode: {unknown[0]}")
-        try:
-            mode = self._replace(**fields)
-            mode = mode._replace(fault=Fault(mode.fault), speed=float(mode.speed))
-            if mode.speed <= 0 or min(mode.delay_ms, mode.stall_ms, mode.late_ms) < 0:
-                raise ValueError("the speed must be above 0, and no time below 0")
-        except (TypeError, ValueError) as exc:
-            return Failure(ResultCode.MALFORMED, str(exc))
-        return mode
-
-    def to_json(self) -> dict[str, Any]:
-        """Return the mode as ``POST /mode`` takes it."""
-        return {**self._asdict(), "fault": self.fault.value}
-
-
 class RunnerIdentity(NamedTuple):
     """What a runner says of itself in its announcements."""
 
@@ -85,96 +32,6 @@
     connections: int = 64
 
 
-class Start(NamedTuple):
-    """One start of a task; ``at_s`` counts from the start of the runner."""
-
-    job: str
-    task: str
-    attempt: Any
-    at_s: float
-
-
-class StartRecord:
-    """Every start and the highest use of slots and connections; safe for several threads.
-
-    Args:
-        slots: Requests that may run at a time.
-    """
-
-    def __init__(self, *, slots: int) -> None:
-        self._slots = slots
-        self._lock = threading.Lock()
-        self._born = time.monotonic()
-        self._starts: list[Start] = []
-        self._counts = {"requests": 0, "refused": 0, "completed": 0, "failed": 0, "unrecorded": 0}
-        self._busy = 0
-        self._peak_slots = 0
-        self._peak_connections = 0
-        self._leaving_s: float | None = None
-        self._after_leaving = 0
-
-    @property
-    def busy(self) -> int:
-        """Slots in use."""
-        return self._busy
-
-    def request(self, connections: int) -> None:
-        """Count a request and the connections open when it arrived."""
-        with self._lock:
-            self._counts["requests"] += 1
-            self._peak_connections = max(self._peak_connections, connections)
-            left = self._leaving_s
-            self._after_leaving += left is not None and self._age() - left > LEAVING_GRACE_S
-
-    def leave(self) -> None:
-        """Note that the runner is leaving from now on."""
-        with self._lock:
-            self._leaving_s = self._age()
-
-    def take_slot(self) -> bool:
-        """Occupy a slot; False when all are in use."""
-        with self._lock:
-            if self._busy >= self._slots:
-                return False
-            self._busy += 1
-            self._peak_slots = max(self._peak_slots, self._busy)
-            return True
-
-    def free_slot(self) -> None:
-        """Give a slot back."""
-        with self._lock:
-            self._busy -= 1
-
-    def start(self, job: str, task: str, attempt: Any) -> None:
-        """Record the start of a task."""
-        with self._lock:
-            if len(self._starts) >= MAX_RECORDED_STARTS:
-                self._counts["unrecorded"] += 1
-                return
-            self._starts.append(Start(job, task, attempt, round(self._age(), 3)))
-
-    def count(self, name: str, amount: int = 1) -> None:
-        """Add to one of the counters."""
-        with self._lock:
-            self._counts[name] += amount
-
-    def to_json(self) -> dict[str, Any]:
-        """Return what ``GET /starts`` answers."""
-        with self._lock:
-            return {
-                **self._counts,
-                "busy": self._busy,
-                "peak_slots": self._peak_slots,
-                "peak_connections": self._peak_connections,
-                "leaving_at_s": self._leaving_s,
-                "requests_after_leaving": self._after_leaving,
-                "starts": [start._asdict() for start in self._starts],
-            }
-
-    def _age(self) -> float:
-        return time.monotonic() - self._born
-
-
 class RunnerStandIn:
     """One runner: an HTTP server, its record and its announcements.
 
@@ -214,6 +71,11 @@
         self._announcer = Announcer(entries=entries, announcement=self._announcement)
         self._executor = ThreadPoolExecutor(max_workers=2, thread_name_prefix="runner")
 
+    @property
+    def name(self) -> str:
+        """Name of the runner."""
+        return self._identity.runner
+
     def start(self) -> None:
         """Serve and announce in the background."""
         self._executor.submit(self._server.run)
@@ -231,13 +93,6 @@
         """Whether the runner is leaving, runs nothing and can get nothing more."""
         return self._is_past_grace() and not self.record.busy and not self._has_unsent_answers()
 
-    def wait_until_finished(self, should_stop: Callable[[], bool]) -> None:
-        """Block until ``should_stop`` asks the runner to leave and it has finished its work."""
-        while not self.is_finished:
-            if should_stop():
-                self.leave()
-            time.sleep(_POLL_S)
-
     def close(self) -> None:
         """Close the server with its connections and stop announcing."""
         self._announcer.stop()
@@ -347,7 +202,7 @@
         for task_id, body in order.tasks:
             if time.monotonic() >= lease_end:
                 return self._failed(order, "stopped at the end of the lease")
-            self.record.start(order.job, task_id, order.attempt)
+            self.record.start(order.job, order.kind, task_id, order.attempt)
             if mode.fault is Fault.FAIL:
                 return self._failed(order, "told to fail")
             ends = time.monotonic() + (stall_ms + _run_ms(body) / mode.speed) / 1000
@@ -365,8 +220,21 @@
         return ApiResponse.from_json(500, {**fields, "reason": reason})
 
 
+def run_until_finished(stand_ins: Sequence[RunnerStandIn], should_stop: Callable[[], bool]) -> None:
+    """Wait until ``should_stop`` asks the runners to leave, and then until they have finished."""
+    while not should_stop():
+        time.sleep(_POLL_S)
+    for stand_in in stand_ins:
+        stand_in.leave()
+    while not all(stand_in.is_finished for stand_in in stand_ins):
+        time.sleep(_POLL_S)
+    for stand_in in stand_ins:
+        stand_in.close()
+
+
 class _Order(NamedTuple):
     job: str
+    kind: str
     attempt: Any
     lease_ms: int
     tasks: list[tuple[str, Any]]
@@ -378,7 +246,9 @@
         return obj
     try:
         tasks = [(str(task["id"]), task.get("body")) for task in obj["tasks"]]
-        return _Order(str(obj["job"]), obj["attempt"], int(obj["lease_ms"]), tasks)
+        return _Order(
+            str(obj["job"]), str(obj["kind"]), obj["attempt"], int(obj["lease_ms"]), tasks
+        )
     except (AttributeError, KeyError, TypeError, ValueError) as exc:
         return Failure(ResultCode.MALFORMED, f"not a run request: {exc!r}")
 
--- /dev/null
+++ b/kumquatlift/start_record.py
@@ -0,0 +1,100 @@
+"""What a runner stand-in records: every start, and its use of slots and connections."""
+
+import threading
+import time
+from typing import Any, NamedTuple
+
+MAX_RECORDED_STARTS = 1_000_000
+# Grants made before an owner knew that the runner leaves are used within 1 s and arrive by then.
+LEAVING_GRACE_S = 2.0
+
+
+class Start(NamedTuple):
+    """One start of a task; ``at_s`` counts from the start of the runner."""
+
+    job: str
+    kind: str
+    task: str
+    attempt: Any
+    at_s: float
+
+
+class StartRecord:
+    """Every start and the highest use of slots and connections; safe for several threads.
+
+    Args:
+        slots: Requests that may run at a time.
+    """
+
+    def __init__(self, *, slots: int) -> None:
+        self._slots = slots
+        self._lock = threading.Lock()
+        self._born = time.monotonic()
+        self._starts: list[Start] = []
+        self._counts = {"requests": 0, "refused": 0, "completed": 0, "failed": 0, "unrecorded": 0}
+        self._busy = 0
+        self._peak_slots = 0
+        self._peak_connections = 0
+        self._leaving_s: float | None = None
+        self._after_leaving = 0
+
+    @property
+    def busy(self) -> int:
+        """Slots in use."""
+        return self._busy
+
+    def request(self, connections: int) -> None:
+        """Count a request and the connections open when it arrived."""
+        with self._lock:
+            self._counts["requests"] += 1
+            self._peak_connections = max(self._peak_connections, connections)
+            left = self._leaving_s
+            self._after_leaving += left is not None and self._age() - left > LEAVING_GRACE_S
+
+    def leave(self) -> None:
+        """Note that the runner is leaving from now on."""
+        with self._lock:
+            self._leaving_s = self._age()
+
+    def take_slot(self) -> bool:
+        """Occupy a slot; False when all are in use."""
+        with self._lock:
+            if self._busy >= self._slots:
+                return False
+            self._busy += 1
+            self._peak_slots = max(self._peak_slots, self._busy)
+            return True
+
+    def free_slot(self) -> None:
+        """Give a slot back."""
+        with self._lock:
+            self._busy -= 1
+
+    def start(self, job: str, kind: str, task: str, attempt: Any) -> None:
+        """Record the start of a task."""
+        with self._lock:
+            if len(self._starts) >= MAX_RECORDED_STARTS:
+                self._counts["unrecorded"] += 1
+                return
+            self._starts.append(Start(job, kind, task, attempt, round(self._age(), 3)))
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to one of the counters."""
+        with self._lock:
+            self._counts[name] += amount
+
+    def to_json(self) -> dict[str, Any]:
+        """Return what ``GET /starts`` answers."""
+        with self._lock:
+            return {
+                **self._counts,
+                "busy": self._busy,
+                "peak_slots": self._peak_slots,
+                "peak_connections": self._peak_connections,
+                "leaving_at_s": self._leaving_s,
+                "requests_after_leaving": self._after_leaving,
+                "starts": [start._asdict() for start in self._starts],
+            }
+
+    def _age(self) -> float:
+        return time.monotonic() - self._born
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -6,7 +6,7 @@
 from kumquatlift.ideal import RunnerCapacity
 from kumquatlift.load import JobOutcome, PlannedJob, Workload, make_report
 
-WORKLOAD = Workload("s", ("k", "l"), 200, 20.0, (1, 60), (50, 1000), seed=7)
+WORKLOAD = Workload(("k", "l"), 200, 20.0, (1, 60), (50, 1000), seed=7)
 
 
 class TestWorkload:
@@ -36,10 +36,11 @@
             JobOutcome(job, Submission(wrong, 3, 1), 2.0),
             JobOutcome(job, Submission(lost, 2, 2), 9.0),
         ]
-        totals = {"requests": 5, "completed": 2, "doubled": 1, "unread": 1}
+        totals = {"requests": 5, "completed": 2, "doubled": 1, "repeated": 3, "unread": 1}
         report = make_report(outcomes, [RunnerCapacity(2.0, 8)], totals)
         assert report.answers == {"1000 complete": 2, "5003 timed-out": 1}
         assert (report.complete, report.unanswered, report.wrong_results) == (2, 1, 1)
         assert (report.resubmissions, report.lost_answers) == (3, 3)
         assert report.ideal_ratio == {"median": 2.0, "p99": 4.0, "worst": 4.0}
         assert (report.messages_per_task, report.doubled_starts) == (2.5, 1)
+        assert not report.is_sound
--- a/tests/test_runner_stand_in.py
+++ b/tests/test_runner_stand_in.py
@@ -10,7 +10,8 @@
 import pytest
 
 from kumquatlift.announcer import Announcer
-from kumquatlift.runner_stand_in import Fault, Mode, RunnerIdentity, RunnerStandIn
+from kumquatlift.runner_mode import Fault, Mode
+from kumquatlift.runner_stand_in import RunnerIdentity, RunnerStandIn
 
 
 def wait_for(condition: Callable[[], bool], bound_s: float = 5) -> None:
--- /dev/null
+++ b/tools/cluster.py
@@ -0,0 +1,215 @@
+"""Starts and ends entry processes and runner stand-ins on loopback ports that are free."""
+
+import hashlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import tomli_w
+
+from kumquatlift.client import call
+from kumquatlift.failure import Failure
+
+ROOT = Path(__file__).resolve().parent.parent
+TOKEN = "local-operator-token"
+# Below the range from which systems take the ports of outgoing connections.
+_PORTS = range(20_000, 32_000)
+_START_BOUND_S = 30.0
+_STOP_BOUND_S = 20.0
+_POLL_S = 0.02
+
+
+class ConditionError(Exception):
+    """A condition did not come true within its bound."""
+
+
+def wait_for(condition: Callable[[], bool], what: str, *, bound_s: float = _START_BOUND_S) -> None:
+    """Poll a condition until it is true.
+
+    Raises:
+        ConditionError: It was false for ``bound_s`` seconds.
+    """
+    until = time.monotonic() + bound_s
+    while not condition():
+        if time.monotonic() > until:
+            raise ConditionError(f"not within {bound_s:g} s: {what}")
+        time.sleep(_POLL_S)
+
+
+class EntryPlace(NamedTuple):
+    """Name, zone and addresses of one entry process."""
+
+    name: str
+    zone: str
+    callers: str
+    runners: str
+    operators: str
+    peers: str
+
+
+class Cluster:
+    """Entry processes and runners of one deployment; a context manager that ends them all.
+
+    Args:
+        folder: Folder for settings, data and logs.
+        document: Configuration document.
+        zones: Availability zone of each entry process; names are made of them.
+        command: How to run the executable.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        document: Path,
+        zones: Sequence[str],
+        voters: Sequence[str] = (),
+        command: Sequence[str] = (sys.executable, "-m", "kumquatlift"),
+    ) -> None:
+        self._folder = folder
+        self._command = tuple(command)
+        self._processes: dict[str, subprocess.Popen[str]] = {}
+        self.runners: dict[str, str] = {}
+        ports = iter(_free_ports(4 * len(zones)))
+        self.entries: dict[str, EntryPlace] = {}
+        for number, zone in enumerate(zones):
+            name = f"{zone}-{1 + list(zones[:number]).count(zone)}"
+            self.entries[name] = EntryPlace(
+                name, zone, *(f"127.0.0.1:{next(ports)}" for _ in range(4))
+            )
+        for place in self.entries.values():
+            self._write_settings(place, document, has_disk=place.name in voters)
+
+    def __enter__(self) -> "Cluster":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    @property
+    def callers(self) -> list[str]:
+        """Addresses for callers of all entry processes."""
+        return [place.callers for place in self.entries.values()]
+
+    def start_entries(self, *names: str) -> None:
+        """Start entry processes, all of them without names, and wait until they serve callers."""
+        chosen = [self.entries[name] for name in names or self.entries]
+        for place in chosen:
+            self._start(place.name, "entry", str(self._folder / f"{place.name}.toml"))
+        for place in chosen:
+            wait_for(lambda place=place: self._serves(place), f"{place.name} serves")  # type: ignore[misc]
+
+    def start_runners(
+        self, name: str, *, service: str, zone: str, copies: int = 1, speeds: Sequence[float] = (1,)
+    ) -> None:
+        """Start a process with runners; several are called name-1, name-2 and so on."""
+        entries = [place.runners for place in self.entries.values()]
+        # Each process begins with another entry process, as behind a load balancer.
+        first = len(self._processes) % len(entries)
+        arguments = [name, "--service", service, "--zone", zone, "--copies", str(copies)]
+        arguments += ["--worker", f"worker-{name}", "--entries", *entries[first:], *entries[:first]]
+        arguments += ["--speeds", *(str(speed) for speed in speeds)]
+        process = self._start(name, "runner", *arguments)
+        assert process.stdout is not None
+        for _ in range(copies):
+            words = process.stdout.readline().split()
+            if not words:
+                raise ConditionError(f"{name} ended at its start: {self.log(name)}")
+            self.runners[words[0]] = words[-1]
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self._processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End one process at once and wait for its end."""
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def is_running(self, name: str) -> bool:
+        """Whether a process has not ended."""
+        return self._processes[name].poll() is None
+
+    def exit_code(self, name: str) -> int | None:
+        """Exit code of a process; None while it runs."""
+        return self._processes[name].poll()
+
+    def log(self, name: str) -> str:
+        """What a process has written to its log, the last part of it."""
+        return (self._folder / f"{name}.log").read_text(encoding="utf-8")[-4000:]
+
+    def close(self) -> None:
+        """End every process by its id, gently at first."""
+        running = [process for process in self._processes.values() if process.poll() is None]
+        for process in running:
+            # A stopped process gets SIGTERM only after SIGCONT.
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        until = time.monotonic() + _STOP_BOUND_S
+        for process in running:
+            try:
+                process.wait(max(0.1, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        for process in self._processes.values():
+            if process.stdout is not None:
+                process.stdout.close()
+
+    def _start(self, name: str, *arguments: str) -> subprocess.Popen[str]:
+        with (self._folder / f"{name}.log").open("a", encoding="utf-8") as log:
+            self._processes[name] = subprocess.Popen(
+                [*self._command, *arguments],
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+            )
+        return self._processes[name]
+
+    def _serves(self, place: EntryPlace) -> bool:
+        if not self.is_running(place.name):
+            raise ConditionError(f"{place.name} ended at its start: {self.log(place.name)}")
+        answer = call(place.callers, "POST", "/v1/tickets", payload={}, timeout_s=1)
+        return not isinstance(answer, Failure)
+
+    def _write_settings(self, place: EntryPlace, document: Path, *, has_disk: bool) -> None:
+        peers = [other.peers for other in self.entries.values()]
+        fields = {
+            **place._asdict(),
+            "seeds": peers,
+            "first_document": str(document),
+            "data_folder": str(self._folder / f"{place.name}.data") if has_disk else "",
+            "operator_tokens": [
+                {"name": "operator", "sha256": hashlib.sha256(TOKEN.encode()).hexdigest()}
+            ],
+        }
+        path = self._folder / f"{place.name}.toml"
+        path.write_text(tomli_w.dumps(fields), encoding="utf-8")
+
+
+def _free_ports(count: int) -> list[int]:
+    """Return ports that are free for both TCP and UDP on loopback."""
+    found: list[int] = []
+    candidates = iter(random.sample(_PORTS, len(_PORTS)))
+    while len(found) < count:
+        port = next(candidates)
+        if _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
