--- /dev/null
+++ b/tools/measure_capacity.py
@@ -0,0 +1,191 @@
+"""Measure how the costs of each role grow with its size, for docs/CAPACITY.md.
+
+Run with ``make capacity``; it takes less than five minutes and writes ``build/capacity``.
+"""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+
+from kumquatlift.document import Document
+from kumquatlift.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
+from kumquatlift.slot_messages import (
+    SlotDemands,
+    SlotFinish,
+    SlotGrant,
+    SlotGrants,
+    SlotRequest,
+)
+from tools.slopes import Slope, measure, write
+
+FOLDER = Path("build/capacity")
+TASKS_PER_JOB = 8
+
+
+def _document() -> Document:
+    doc = Document.from_mapping(
+        {
+            "system": {"voters": ["a"]},
+            "services": {"s": {"kinds": {"k": {}}, "max_queued": 1_000_000}},
+            "teams": {f"team-{number}": {} for number in range(88)},
+        }
+    )
+    assert isinstance(doc, Document)
+    return doc
+
+
+DOC = _document()
+
+
+def heap_bytes(build: Callable[[], object]) -> float:
+    """Return the bytes that an object keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def cpu_us(work: Callable[[], None], count: int) -> float:
+    """Return the processor time of one of ``count`` steps of work, in microseconds."""
+    start = time.process_time()
+    work()
+    return (time.process_time() - start) / count * 1e6
+
+
+def _offer(number: int) -> RunnerOffer:
+    return RunnerOffer(f"runner-{number}", "1", "127.0.0.1:80", "worker", 8, 64)
+
+
+def _demand(number: int, count: int) -> Demand:
+    team = f"team-{number % 88}"
+    return Demand(f"job-{number}", "entry", "s", "k", team, count, 1, 1e9, 0.3)
+
+
+def _scheduler(runners: int) -> Scheduler:
+    scheduler = Scheduler(service=DOC.services["s"], teams=DOC.teams)
+    for number in range(runners):
+        scheduler.offer(_offer(number), 0.0)
+    return scheduler
+
+
+def _queued(demands: int) -> Scheduler:
+    scheduler = _scheduler(0)
+    for number in range(demands):
+        scheduler.enqueue(_demand(number, 4), 0.0)
+    return scheduler
+
+
+def _grant_cost_us(runners: int) -> float:
+    """Return the cost of a grant and its return with half of the slots in use."""
+    scheduler = _scheduler(runners)
+    now, running, done, number = 1.0, [], 0, 0
+    start = time.process_time()
+    while done < 4000:
+        number += 1
+        scheduler.enqueue(_demand(number, TASKS_PER_JOB), now)
+        for grant in scheduler.poll(now):
+            scheduler.started(grant.id, now)
+            running.append(grant.id)
+        now += 0.001
+        while len(running) > runners * 4:
+            scheduler.finish(running.pop(0), AttemptOutcome.OK, 0.3, now)
+            done += 1
+        if number % 500 == 0:
+            for index in range(runners):
+                scheduler.offer(_offer(index), now)
+    return (time.process_time() - start) / done * 1e6
+
+
+def _announce_cost_us(runners: int) -> float:
+    scheduler = _scheduler(runners)
+
+    def work() -> None:
+        for step in range(10):
+            for number in range(runners):
+                scheduler.offer(_offer(number), 0.5 * step)
+
+    return cpu_us(work, 10)
+
+
+def _demands(count: int) -> SlotDemands:
+    demands = tuple(
+        SlotRequest(f"job-{n}/1", "k", "team-1", TASKS_PER_JOB, 1, 30.0, 0.3) for n in range(count)
+    )
+    finished = tuple(SlotFinish(f"owner/s@z/{n}", 0, 0.3) for n in range(TASKS_PER_JOB * count))
+    return SlotDemands("s", "z", demands, (), finished)
+
+
+def _grants(count: int) -> SlotGrants:
+    grants = tuple(
+        SlotGrant(f"owner/s@z/{n}", f"job-{n}/1", "runner-1", "127.0.0.1:8000")
+        for n in range(TASKS_PER_JOB * count)
+    )
+    return SlotGrants("s", "z", grants)
+
+
+def _coding_cost_us(jobs: int) -> float:
+    """Return the cost of coding demand, grants and returns of some jobs at both ends."""
+
+    def work() -> None:
+        for _ in range(50):
+            SlotDemands.from_bytes(_demands(jobs).to_bytes())
+            SlotGrants.from_bytes(_grants(jobs).to_bytes())
+
+    return cpu_us(work, 50)
+
+
+def scheduler_slopes() -> list[Slope]:
+    """Measure the owner of slots."""
+    return [
+        measure(
+            "scheduler: memory, by runners",
+            "bytes/runner",
+            [50, 200, 800],
+            lambda size: heap_bytes(lambda: _scheduler(size)),
+        ),
+        measure(
+            "scheduler: memory, by waiting demands",
+            "bytes/demand",
+            [500, 2000, 8000],
+            lambda size: heap_bytes(lambda: _queued(size)),
+        ),
+        measure(
+            "scheduler: processor time a grant, by runners",
+            "us/grant per runner",
+            [24, 96, 384],
+            _grant_cost_us,
+        ),
+        measure(
+            "scheduler: processor time of a round of announcements",
+            "us/runner",
+            [24, 96, 384],
+            _announce_cost_us,
+        ),
+        measure(
+            "slots: message bytes, by jobs of 8 tasks",
+            "bytes/job",
+            [1, 8, 64],
+            lambda size: float(len(_demands(size).to_bytes()) + len(_grants(size).to_bytes())),
+        ),
+        measure(
+            "slots: processor time of coding, by jobs of 8 tasks",
+            "us/job",
+            [1, 8, 64],
+            _coding_cost_us,
+        ),
+    ]
+
+
+def main() -> None:
+    """Run all measurements."""
+    write(scheduler_slopes(), FOLDER)
+
+
+if __name__ == "__main__":
+    main()
