Shorten the pause of slots when their owner leaves in an orderly way

Cause: a new owner waited 2 s for the lease of the former one, also when that one had stopped granting. Change: an announcement that the former owner itself forwards counts as its release, and only grants on their way are waited for, 1 s. Ruled out: granting at once, because a requester may still use a grant of the former owner. Measured: in the test on a manual clock, 1 s in place of 2 s without slots.

--- a/kumquatlift/announcements.py
+++ b/kumquatlift/announcements.py
@@ -58,9 +58,12 @@
             return Failure(ResultCode.RUNNER_REFUSED, f"owner {owner}: {reply.reason}", 500)
         return AnnouncementAnswer.from_bytes(reply)
 
-    def _handle_forwarded(self, _sender: str, body: bytes) -> bytes | None:
+    def _handle_forwarded(self, sender: str, body: bytes) -> bytes | None:
         ann = Announcement.from_bytes(body)
         if isinstance(ann, Failure):
             return None
-        result = self._owner.announce(ann)
+        # A process stops granting before it forwards an announcement, so one that comes from the
+        # owner that the runner echoes needs no wait for that owner's lease.
+        is_released = ann.owner.rpartition("-")[0] == sender
+        result = self._owner.announce(ann, is_released=is_released)
         return None if isinstance(result, Failure) else result.to_bytes()
--- a/kumquatlift/slot_owner.py
+++ b/kumquatlift/slot_owner.py
@@ -26,6 +26,8 @@
 # An owner grants nothing for a runner whose announcements have not reached it for this long, so a
 # new owner that waits as long never grants beside the former one.
 OWNER_LEASE_S = 2.0
+# After a release only the grants that are on their way to requesters have to be waited for.
+RELEASED_WAIT_S = 1.0
 # Requesters send their whole state every second; a silent one is gone or cut off.
 REQUESTER_TIMEOUT_S = 5.0
 # A grant younger than this may cross the requester's state message on the way.
@@ -82,17 +84,25 @@
         """Apply a new configuration."""
         self._scheduler.reconfigure(doc.services[self._service], doc.teams)
 
-    def announce(self, ann: Announcement, now: float) -> AnnouncementAnswer:
+    def announce(
+        self, ann: Announcement, now: float, *, is_released: bool = False
+    ) -> AnnouncementAnswer:
         """Take a runner's announcement and offer its slots once this process may grant them.
 
         The runner echoes the owner named in the last answer. Slots are granted only while the
         echo names this process, so that a runner has one granting owner at a time.
+
+        Args:
+            ann: The announcement.
+            now: Monotonic seconds.
+            is_released: Whether the former owner has stopped granting.
         """
         known = self._runners.get(ann.runner)
         is_new_run = known is None or known.announcement.incarnation != ann.incarnation
         if known is None or is_new_run:
             foreign = ann.owner not in ("", self._owner)
-            grants_from = now + (OWNER_LEASE_S if foreign else 0.0)
+            wait_s = RELEASED_WAIT_S if is_released else OWNER_LEASE_S
+            grants_from = now + (wait_s if foreign else 0.0)
             get_logger().info(
                 "runner_announced", runner=ann.runner, service=ann.service, zone=ann.zone
             )
@@ -254,15 +264,22 @@
         self._services: dict[tuple[str, str], ServiceSlots] = {}
         section.publish("services", self._snapshot)
 
-    def announce(self, ann: Announcement) -> AnnouncementAnswer | Failure:
-        """Take an announcement of a runner that this process owns."""
+    def announce(
+        self, ann: Announcement, *, is_released: bool = False
+    ) -> AnnouncementAnswer | Failure:
+        """Take an announcement of a runner that this process owns.
+
+        Args:
+            ann: The announcement.
+            is_released: Whether the former owner, which the runner echoes, has stopped granting.
+        """
         key = (ann.service, ann.zone)
         now = self._clock.now()
         with self._lock:
             slots = self._get(key)
             if slots is None:
                 return Failure(ResultCode.UNKNOWN_SERVICE, f"{ann.service} is not configured")
-            answer = slots.announce(ann, now)
+            answer = slots.announce(ann, now, is_released=is_released)
         self._pump(key)
         return answer
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -15,7 +15,7 @@
 from kumquatlift.scheduler import AttemptOutcome
 from kumquatlift.slot_client import GrantedSlot, SlotClient, slot_owner_of
 from kumquatlift.slot_messages import SlotDemands, SlotGrants, SlotRequest
-from kumquatlift.slot_owner import OWNER_LEASE_S, SlotOwner
+from kumquatlift.slot_owner import OWNER_LEASE_S, RELEASED_WAIT_S, SlotOwner
 from tests.fakes import FakeMembers, FakeNetwork, member
 
 DOC = Document.from_mapping(
@@ -142,6 +142,19 @@
         process.owner.announce(announcement(process.owner._token))
         assert len(listener.slots) == 4
 
+    def test_new_owner_waits_only_for_grants_on_their_way_after_a_release(self) -> None:
+        clock = ManualClock()
+        process, _ = pair(FakeNetwork(), clock)
+        listener = Listener()
+        process.client.request("s", wish("w", 4), listener)
+        process.client.flush()
+        process.owner.announce(announcement("other-9"), is_released=True)
+        process.owner.announce(announcement(process.owner._token))
+        assert not listener.slots
+        clock.advance(RELEASED_WAIT_S)
+        process.owner.announce(announcement(process.owner._token))
+        assert len(listener.slots) == 4
+
     def test_new_owner_leaves_slots_alone_that_are_busy_for_the_former_one(self) -> None:
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
