Add the state machines of the configuration register and their fuzz test

The configuration needs agreement that survives lost disks and racing operators. One replicated register with compare-and-set on the version is used; a replicated log was ruled out because only the last value matters.

Acceptor, Proposer and Formation are state machines without I/O. Decisions that the design leaves open: - a ballot is (number, process name and incarnation), so a restarted proposer never reuses one; - every round ends with an accept phase, also for a resend or a conflict, so that no answer rests on a value that only a minority has accepted; - a register has an id, the checksum of the nonces that its voters showed while all their disks were empty; messages carry it, so late messages of a former register have no effect; - a nonce serves one formation; a second one with the same nonce voids both; - promises before the first accepted value stay in memory, so a power loss during the first formation cannot block the next one.

The fuzz found one fault: after the loss of every disk the new register repeated version numbers, and a value of the former register that was still in a process's memory replaced accepted changes (world). A value now names its register, and a round renumbers its value above a version that the former register had used.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The stamp carries the checksum of the lock file, so that a changed lock file is installed anew.
 STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock 2>/dev/null | cut -c1-16)
 
-.PHONY: setup test format check unit features demo build bench lock clean
+.PHONY: setup test format check unit features demo build bench lock clean fuzz
 
 setup: $(STAMP)
 
@@ -32,6 +32,11 @@
 # pytest runs last, so that its closing line is the verdict of the run.
 test: check unit
 
+# 200,000 steps take about half a minute; SEED=2 runs another schedule.
+SEED ?= 1
+fuzz: setup
+	$(PY) -m tools.fuzz_register --steps 200000 --seed $(SEED)
+
 demo: setup
 	$(PY) tools/demo.py
 
--- /dev/null
+++ b/kumquatlift/proposer.py
@@ -0,0 +1,151 @@
+"""The proposing side of the configuration register: state machines without I/O.
+
+Each machine returns messages as pairs of voter and message, takes the answers one by one in any
+order, and ignores repeated ones.
+"""
+
+from collections.abc import Callable, Iterable
+
+from kumquatlift.acceptor import (
+    Accept,
+    Accepted,
+    Evidence,
+    Prepare,
+    Promise,
+    Refusal,
+    VoterStatus,
+    register_id,
+)
+from kumquatlift.config_value import Ballot, Value
+
+Decide = Callable[[Value | None], Value | None]
+"""Takes the value found by the round; returns the value to propose, or None to give up."""
+
+
+def majority(voters: Iterable[str]) -> int:
+    """Return the number of voters that make a majority."""
+    return len(tuple(voters)) // 2 + 1
+
+
+class Proposer:
+    """One round: prepare, choose the value of the highest ballot, change it, accept.
+
+    Every round ends with an accept phase, also when it leaves the value as it is. Without that, an
+    answer could be taken from a value that only a minority has accepted and that is lost later.
+
+    Args:
+        register: Register that the voters are expected to vote in.
+        ballot: Ballot of the round; a proposer uses each ballot for one round only.
+        voters: Voters to ask; a recovery leaves out the voter that recovers.
+        quorum: Votes needed in each phase: a majority of all voters.
+        decide: Makes the new value from the one that was found.
+    """
+
+    def __init__(
+        self, *, register: str, ballot: Ballot, voters: Iterable[str], quorum: int, decide: Decide
+    ) -> None:
+        self._register = register
+        self._ballot = ballot
+        self._voters = tuple(voters)
+        self._quorum = quorum
+        self._decide = decide
+        self._promises: dict[str, Promise] = {}
+        self._accepted: set[str] = set()
+        self._refused: set[str] = set()
+        self._value: Value | None = None
+        self._given_up = False
+        self.chosen: Value | None = None
+        self.highest = ballot
+        self.other_register = ""
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether a value was proposed, so that it may be accepted sooner or later."""
+        return self._value is not None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the value is chosen or this round can no longer choose one."""
+        lost = len(self._voters) - len(self._refused) < self._quorum
+        return self.chosen is not None or self._given_up or lost
+
+    @property
+    def answered(self) -> int:
+        """Number of voters that answered."""
+        return len({*self._promises, *self._accepted, *self._refused})
+
+    def start(self) -> list[tuple[str, Prepare]]:
+        """Return the first messages."""
+        return [(voter, Prepare(self._register, self._ballot)) for voter in self._voters]
+
+    def receive(self, voter: str, reply: Promise | Accepted | Refusal) -> list[tuple[str, Accept]]:
+        """Take an answer and return the messages that follow from it."""
+        if isinstance(reply, Refusal):
+            self._refused.add(voter)
+            self.highest = max(self.highest, reply.promised)
+            if reply.register not in ("", self._register):
+                self.other_register = reply.register
+        elif reply.ballot != self._ballot:
+            return []
+        elif isinstance(reply, Accepted):
+            self._accepted.add(voter)
+            if len(self._accepted) >= self._quorum:
+                self.chosen = self._value
+        elif self._value is None and not self._given_up:
+            self._promises[voter] = reply
+            if len(self._promises) >= self._quorum:
+                return self._propose()
+        return []
+
+    def _propose(self) -> list[tuple[str, Accept]]:
+        found = max(self._promises.values(), key=lambda promise: promise.accepted)
+        value = self._decide(found.value)
+        if value is None:
+            self._given_up = True
+            return []
+        self._value = value._replace(register=self._register)
+        accept = Accept(self._register, self._ballot, self._value)
+        return [(voter, accept) for voter in self._voters]
+
+
+class Formation:
+    """Finds out whether every voter has an empty disk at one time.
+
+    Nonces are collected from every voter and then shown to every voter. A voter confirms only
+    while its nonce is the same, so all voters were empty at the end of the collection.
+
+    Args:
+        voters: All voters.
+    """
+
+    def __init__(self, *, voters: Iterable[str]) -> None:
+        self._voters = tuple(sorted(voters))
+        self._nonces: dict[str, str] = {}
+        self._confirmed: set[str] = set()
+        self._evidence: Evidence = ()
+        self.is_refused = False
+        self.register = ""
+
+    @property
+    def register_formed(self) -> str:
+        """Identity of the new register; empty until every voter has confirmed."""
+        complete = bool(self._evidence) and len(self._confirmed) == len(self._voters)
+        return register_id(self._evidence) if complete else ""
+
+    def start(self) -> list[tuple[str, Evidence]]:
+        """Return the first messages, which ask for the status of each voter."""
+        return [(voter, ()) for voter in self._voters]
+
+    def receive(self, voter: str, status: VoterStatus) -> list[tuple[str, Evidence]]:
+        """Take a status and return the messages that follow from it."""
+        if not status.nonce:
+            self.is_refused = True
+            self.register = status.register
+        elif not self._evidence:
+            self._nonces[voter] = status.nonce
+            if len(self._nonces) == len(self._voters):
+                self._evidence = tuple(sorted(self._nonces.items()))
+                return [(other, self._evidence) for other in self._voters]
+        elif status.confirmed == register_id(self._evidence):
+            self._confirmed.add(voter)
+        return []
--- /dev/null
+++ b/tests/test_acceptor.py
@@ -0,0 +1,134 @@
+"""Voters of the configuration register: joining, recovering and refusing."""
+
+from itertools import count
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatlift.acceptor import (
+    Accept,
+    Accepted,
+    Acceptor,
+    Evidence,
+    Prepare,
+    Promise,
+    Refusal,
+    VoterState,
+    register_id,
+)
+from kumquatlift.codes import ResultCode
+from kumquatlift.config_value import MAX_CHANGES, Ballot, Change, Proposal, Value
+from kumquatlift.failure import Failure
+from kumquatlift.proposer import Formation, Proposer
+from tools.fuzz_register import run
+
+_ONE, _TWO = Ballot(1, "p~1"), Ballot(2, "p~1")
+_VALUE = Value(1, "{}")
+
+
+def _acceptor(state: VoterState | None = None) -> tuple[Acceptor, list[VoterState]]:
+    stored: list[VoterState] = []
+    nonces = count(1)
+    voter = Acceptor(
+        name="a", state=state, store=stored.append, new_nonce=lambda: f"n{next(nonces)}"
+    )
+    return voter, stored
+
+
+def _evidence(voter: Acceptor, other: str = "m1") -> Evidence:
+    return (("a", voter.status.nonce), ("b", other))
+
+
+class TestAcceptor:
+    """Guards against votes that contradict what was promised or forgotten."""
+
+    def test_empty_voter_refuses_until_it_has_confirmed(self) -> None:
+        voter, stored = _acceptor()
+        register = register_id(_evidence(voter))
+        assert isinstance(voter.prepare(Prepare(register, _ONE)), Refusal)
+        assert isinstance(voter.prepare(Prepare("", _ONE)), Refusal)
+        voter.confirm(_evidence(voter))
+        assert voter.prepare(Prepare(register, _ONE)) == Promise(_ONE, Ballot(), None)
+        assert voter.accept(Accept(register, _ONE, _VALUE)) == Accepted(_ONE)
+        assert stored == [VoterState(register, _ONE, _ONE, _VALUE)]
+
+    def test_second_evidence_for_a_nonce_voids_both(self) -> None:
+        # Otherwise two registers formed at the same time could both count this vote.
+        voter, _ = _acceptor()
+        first, second = _evidence(voter), _evidence(voter, "m2")
+        voter.confirm(first)
+        voter.prepare(Prepare(register_id(first), _ONE))
+        voter.confirm(second)
+        voter.confirm(first)
+        for evidence in (first, second):
+            assert isinstance(voter.prepare(Prepare(register_id(evidence), _TWO)), Refusal)
+
+    def test_lower_ballot_and_other_register_are_refused(self) -> None:
+        voter, _ = _acceptor(VoterState("r", _TWO, _ONE, _VALUE))
+        assert voter.accept(Accept("r", _ONE, _VALUE)) == Refusal("r", _TWO)
+        assert voter.prepare(Prepare("s", Ballot(9, "p~1"))) == Refusal("r", _TWO)
+
+    def test_recovery_never_replaces_an_accepted_value(self) -> None:
+        voter, stored = _acceptor(VoterState("r", _TWO, _TWO, _VALUE))
+        voter.recover("r", _ONE, Value(7, "{}"))
+        assert not stored and voter.state.value == _VALUE
+
+
+class TestProposer:
+    """Guards against a value that is taken for accepted too early."""
+
+    def test_repeated_votes_of_one_voter_make_no_majority(self) -> None:
+        task = Proposer(
+            register="r", ballot=_ONE, voters="abc", quorum=2, decide=lambda found: _VALUE
+        )
+        promise = Promise(_ONE, Ballot(), None)
+        assert task.receive("a", promise) == task.receive("a", promise) == []
+        assert [voter for voter, _ in task.receive("b", promise)] == ["a", "b", "c"]
+        task.receive("a", Accepted(_ONE))
+        task.receive("a", Accepted(_ONE))
+        assert task.chosen is None
+        task.receive("c", Accepted(_ONE))
+        assert task.chosen == _VALUE._replace(register="r")
+
+    def test_one_voter_with_a_value_stops_a_formation(self) -> None:
+        empty, _ = _acceptor()
+        full, _ = _acceptor(VoterState("r", _ONE, _ONE, _VALUE))
+        task = Formation(voters="ab")
+        task.receive("a", empty.status)
+        task.receive("b", full.status)
+        assert task.is_refused and task.register == "r" and not task.register_formed
+
+
+class TestProposal:
+    """Guards against a change that takes effect twice or on another version."""
+
+    def test_resend_stale_version_and_reused_id(self) -> None:
+        first = Proposal("c1", 1, "one")
+        value = first.apply(_VALUE)
+        assert (value.version, value.document) == (2, "one")
+        assert first.apply(value) is value
+        told = first.outcome(value)
+        assert isinstance(told, Change) and told.version == 2
+        stale = Proposal("c2", 1, "two")
+        assert stale.apply(value) is value
+        conflict, reused = stale.outcome(value), Proposal("c1", 1, "two").outcome(value)
+        assert isinstance(conflict, Failure) and conflict.code is ResultCode.VERSION_CONFLICT
+        assert isinstance(reused, Failure) and reused.code is ResultCode.CHANGE_ID_REUSED
+
+    @given(st.integers(1, 2 * MAX_CHANGES + 5))
+    def test_records_stay_bounded_and_a_forgotten_change_stays_without_effect(
+        self, changes: int
+    ) -> None:
+        value = _VALUE
+        for number in range(changes):
+            value = Proposal(f"c{number}", value.version, "x").apply(value)
+        assert len(value.changes) == min(changes, MAX_CHANGES)
+        assert Proposal("c0", 1, "x").apply(value) is value
+
+
+class TestFuzz:
+    """Guards the invariants of the register under random faults; ``make fuzz`` runs more."""
+
+    def test_invariants_hold(self) -> None:
+        counts = run(seed=7, steps=12_000)
+        assert counts["chosen rounds"] > 100 and counts["recovered"] > 0
--- /dev/null
+++ b/tools/fuzz_register.py
@@ -0,0 +1,447 @@
+"""Random schedules of faults against the state machines of the configuration register.
+
+One step delivers, loses or repeats a message, crashes or isolates a voter, loses a disk, or lets
+an operator propose or resend. After every vote the invariants of ``History`` are checked; at the
+end of each world the faults stop and a majority must still hold every accepted version.
+
+    python -m tools.fuzz_register --steps 100000 --seed 1
+"""
+
+import argparse
+import random
+import sys
+import time
+from collections import Counter
+from typing import Any, NamedTuple
+
+from kumquatlift.acceptor import Accept, Accepted, Acceptor, Prepare, VoterState
+from kumquatlift.codes import ResultCode
+from kumquatlift.config_codec import decode, encode
+from kumquatlift.config_value import Ballot, Change, Proposal, Value
+from kumquatlift.data_file import DataFile, FakeDisk
+from kumquatlift.proposer import Formation, Proposer, majority
+
+STEPS_PER_WORLD = 1500
+WEIGHTS = {
+    "deliver": 250.0,
+    "lose": 4.0,
+    "repeat": 4.0,
+    "propose": 10.0,
+    "resend": 5.0,
+    "repair": 8.0,
+    "crash": 1.0,
+    "wipe": 1.0,
+    "cut": 0.5,
+}
+# Every disk is lost again and again, so that several voters form a register at the same time.
+STORM = {**WEIGHTS, "repair": 30.0, "propose": 2.0, "resend": 2.0, "crash": 3.0, "wipe": 5.0}
+MAX_IN_FLIGHT = 60
+
+
+class PowerLossError(Exception):
+    """The process loses power in the middle of a sync."""
+
+
+class Envelope(NamedTuple):
+    """One message in flight; ``task`` is the proposer's or formation's key."""
+
+    sender: str
+    receiver: str
+    task: int
+    body: Any
+
+
+class History:
+    """What has been accepted by majorities, and what operators were told.
+
+    Args:
+        voters: Names of the voters.
+    """
+
+    def __init__(self, *, voters: list[str]) -> None:
+        self._voters = voters
+        self._votes: dict[tuple[str, Ballot], set[str]] = {}
+        self._dead: set[str] = set()
+        self.register = ""
+        self.latest: Value | None = None
+        self.latest_step = -1
+        self.empty_step = 0
+        self.bases: dict[str, int] = {}
+        self.answers: dict[str, int] = {}
+        self.chosen = 0
+
+    def vote(self, voter: str, msg: Accept, step: int) -> None:
+        """Record that a voter accepted a value, and check what follows."""
+        if msg.register not in (self.register, *self._dead):
+            assert self.latest_step < self.empty_step, "a second register beside a living one"
+            self._forget(msg.register)
+        votes = self._votes.setdefault((msg.register, msg.ballot), set())
+        votes.add(voter)
+        if len(votes) == majority(self._voters):
+            assert msg.register not in self._dead, "a value was chosen in a former register"
+            self._choose(msg.value, step)
+
+    def check_chosen(self, register: str, ballot: Ballot) -> None:
+        """Check that a majority accepted the value of a round that a proposer calls chosen."""
+        votes = self._votes.get((register, ballot), set())
+        assert len(votes) >= majority(self._voters), "a value without a majority counts as chosen"
+
+    def answer(self, change_id: str, version: int) -> None:
+        """Record what an operator was told: a version, or 0 for a conflict."""
+        first = self.answers.setdefault(change_id, version)
+        assert first == version, f"{change_id}: first told {first}, now {version}"
+
+    def _forget(self, register: str) -> None:
+        self._dead.add(self.register)
+        self.register, self.latest = register, None
+        self.answers = {}
+
+    def _choose(self, value: Value, step: int) -> None:
+        self.chosen += 1
+        if self.latest is not None:
+            assert value.version >= self.latest.version, "an accepted version was lost"
+            known = self.latest.changes
+            assert value.changes[: len(known)] == known, "an accepted version was replaced"
+        self.latest, self.latest_step = value, step
+        versions = [change.version for change in value.changes]
+        assert len(set(versions)) == len(versions), "two changes in one version"
+        ids = [change.id for change in value.changes]
+        assert len(set(ids)) == len(ids), "a change took effect twice"
+        for change in value.changes:
+            base = self.bases.get(change.id, change.version - 1)
+            assert base + 1 == change.version, f"{change.id}: took effect on another version"
+            told = self.answers.get(change.id, change.version)
+            assert told == change.version, f"{change.id}: told {told}, took effect"
+
+
+class Process:
+    """A voter with its disk, and the proposers that run beside it."""
+
+    def __init__(self, *, world: "World", name: str) -> None:
+        self.world = world
+        self.name = name
+        self.disk = FakeDisk()
+        self.disk.before_sync = self._before_sync
+        self.is_isolated = False
+        self.in_force: Value | None = None
+        self.restart()
+
+    def restart(self) -> None:
+        """Lose everything but the disk's durable bytes."""
+        self.disk.crash(keep_names=self.world.rng.random() < 0.5)
+        file = DataFile(disk=self.disk, name="voter")
+        stored = file.read()
+        self.acceptor = Acceptor(
+            name=self.name,
+            state=None if stored is None else decode(stored, VoterState),
+            store=lambda state: file.write(encode(state)),
+            new_nonce=self.world.new_nonce,
+        )
+        self.tasks: dict[int, Any] = {}
+        self.register = ""
+        self.incarnation = self.world.new_nonce()
+        self.number = 0
+        self.in_force = None
+
+    def handle(self, msg: Any) -> Any:
+        """Answer a request as the controller does."""
+        try:
+            if isinstance(msg, Prepare):
+                return self.acceptor.prepare(msg)
+            if isinstance(msg, Accept):
+                reply = self.acceptor.accept(msg)
+                if isinstance(reply, Accepted):
+                    self.world.history.vote(self.name, msg, self.world.step)
+                return reply
+            self.acceptor.confirm(msg)
+            return self.acceptor.status
+        except OSError:
+            return None
+
+    def install(self, value: Value) -> None:
+        """Put an accepted value in force unless it is older."""
+        is_known = value.register == self.register or not self.register
+        if is_known and (self.in_force is None or value.version > self.in_force.version):
+            self.in_force = value
+
+    def _before_sync(self) -> None:
+        chance = self.world.rng.random() if self.world.is_faulty else 1.0
+        if chance < 0.005:
+            raise PowerLossError
+        if chance < 0.01:
+            raise OSError("sync failed")
+
+
+class World:
+    """Voters, a network and operators under one seeded schedule."""
+
+    def __init__(self, *, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.step = 0
+        self.is_faulty = True
+        self._counter = 0
+        self._is_storm = self.rng.random() < 0.25
+        self._weights = STORM if self._is_storm else WEIGHTS
+        names = [f"v{i}" for i in range(self.rng.choice([1, 3, 3, 3, 3, 5, 5, 5]))]
+        self.history = History(voters=names)
+        self.flight: list[Envelope] = []
+        self.proposals: list[Proposal] = []
+        self.counts: Counter[str] = Counter()
+        self.processes = {name: Process(world=self, name=name) for name in names}
+
+    def new_nonce(self) -> str:
+        """Return a text that was never returned before."""
+        self._counter += 1
+        return f"n{self._counter}"
+
+    def run(self, steps: int) -> None:
+        """Run a schedule with faults, then heal and check."""
+        if self.rng.random() < 0.7:
+            self._settle()
+        for self.step in range(steps):
+            self._act()
+            self._check_empty()
+        self._settle()
+        self._check_healed()
+
+    def _act(self) -> None:
+        action = self.rng.choices(list(self._weights), list(self._weights.values()))[0]
+        self.counts[action] += 1
+        process = self.rng.choice(list(self.processes.values()))
+        getattr(self, f"_{action}")(process)
+
+    def _deliver(self, _process: Process) -> None:
+        if self.flight:
+            at = self.rng.randrange(len(self.flight)) if self.rng.random() < 0.5 else 0
+            self._receive(self.flight.pop(at))
+
+    def _lose(self, _process: Process) -> None:
+        if self.flight:
+            self.flight.pop(self.rng.randrange(len(self.flight)))
+
+    def _repeat(self, _process: Process) -> None:
+        if self.flight:
+            self.flight.append(self.rng.choice(self.flight))
+
+    def _crash(self, process: Process) -> None:
+        process.restart()
+
+    def _wipe(self, process: Process) -> None:
+        empty = sum(other.acceptor.is_empty for other in self.processes.values())
+        spare = len(self.processes) - majority(self.processes)
+        # The loss of more disks than a majority can spare blocks the register until an operator
+        # acts, so it is rare here, and then every disk is lost.
+        if empty < spare or process.acceptor.is_empty:
+            lost = [process]
+        elif self._is_storm or self.rng.random() < 0.1:
+            lost = list(self.processes.values())
+        else:
+            return
+        for each in lost:
+            each.disk.wipe()
+            each.restart()
+
+    def _cut(self, process: Process) -> None:
+        for other in self.processes.values():
+            other.is_isolated = other is process and not process.is_isolated
+
+    def _propose(self, process: Process) -> None:
+        version = process.in_force.version if process.in_force else 0
+        change_id = f"c{len(self.proposals)}"
+        proposal = Proposal(change_id, version, f"document of {change_id}")
+        self.proposals.append(proposal)
+        self.history.bases[change_id] = version
+        self._start_round(process, proposal)
+
+    def _resend(self, process: Process) -> None:
+        if self.proposals:
+            self._start_round(process, self.rng.choice(self.proposals[-6:]))
+
+    def _repair(self, process: Process) -> None:
+        """Let an empty voter try to recover, or to form a register."""
+        if not process.acceptor.is_empty:
+            self._start_round(process, None)
+        elif self.rng.random() < 0.5:
+            self._start_formation(process)
+        else:
+            self._start_recovery(process)
+
+    def _start_formation(self, process: Process) -> None:
+        task = Formation(voters=self.processes)
+        self._add_task(process, (task, None), task.start())
+
+    def _start_recovery(self, process: Process) -> None:
+        others = [name for name in self.processes if name != process.name]
+        self._start_round(process, None, voters=others)
+
+    def _start_round(
+        self,
+        process: Process,
+        proposal: Proposal | None,
+        *,
+        voters: list[str] | None = None,
+        register: str = "",
+    ) -> None:
+        process.number += 1
+        register = register or self.history.register
+        started_at = self.history.latest if register == self.history.register else None
+
+        def decide(found: Value | None) -> Value | None:
+            first = process.in_force or Value(1, "first document")
+            base = first if found is None else found.above(process.in_force)
+            return proposal.apply(base) if proposal else base
+
+        task = Proposer(
+            register=register,
+            ballot=Ballot(process.number, f"{process.name}~{process.incarnation}"),
+            voters=list(self.processes) if voters is None else voters,
+            quorum=majority(self.processes),
+            decide=decide,
+        )
+        self._add_task(process, (task, (proposal, voters, started_at)), task.start())
+
+    def _add_task(self, process: Process, task: Any, messages: list[Any]) -> None:
+        self._counter += 1
+        process.tasks[self._counter] = task
+        self._send(process.name, self._counter, messages)
+
+    def _send(self, sender: str, task: int, messages: list[Any]) -> None:
+        for voter, body in messages:
+            self.flight.append(Envelope(sender, voter, task, ("ask", body)))
+        if self.is_faulty and len(self.flight) > MAX_IN_FLIGHT:
+            self.flight = self.flight[-MAX_IN_FLIGHT:]
+
+    def _receive(self, mail: Envelope) -> None:
+        sender, receiver = self.processes[mail.sender], self.processes[mail.receiver]
+        if sender is not receiver and (sender.is_isolated or receiver.is_isolated):
+            return
+        kind, body = mail.body
+        try:
+            if kind == "ask":
+                reply = receiver.handle(body)
+                if reply is not None:
+                    back = Envelope(mail.receiver, mail.sender, mail.task, ("reply", reply))
+                    self.flight.append(back)
+            elif kind == "push":
+                receiver.install(body)
+            elif mail.task in receiver.tasks:
+                self._advance(receiver, mail.task, mail.sender, body)
+        except PowerLossError:
+            receiver.restart()
+        except OSError:
+            self.counts["failed recovery"] += 1
+
+    def _advance(self, process: Process, key: int, voter: str, reply: Any) -> None:
+        task, context = process.tasks[key]
+        self._send(process.name, key, task.receive(voter, reply))
+        if isinstance(task, Formation):
+            if task.register_formed:
+                del process.tasks[key]
+                self._start_round(process, None, register=task.register_formed)
+            return
+        process.number = max(process.number, task.highest.number)
+        if task.is_over:
+            del process.tasks[key]
+            if task.chosen is not None:
+                self._finish(process, task, *context)
+
+    def _finish(
+        self,
+        process: Process,
+        task: Proposer,
+        proposal: Proposal | None,
+        voters: list[str] | None,
+        started_at: Value | None,
+    ) -> None:
+        value, register, ballot = task.chosen, task._register, task._ballot
+        assert value is not None
+        self.history.check_chosen(register, ballot)
+        if voters is not None:
+            empty = process.acceptor.is_empty
+            process.acceptor.recover(register, ballot, value)
+            self.counts["recovered"] += empty
+        if register != self.history.register:
+            return
+        if started_at is not None:
+            assert value.version >= started_at.version, "a round returned an older version"
+        process.register = register
+        process.install(value)
+        for name in self.processes:
+            self.flight.append(Envelope(process.name, name, 0, ("push", value)))
+        if proposal is not None:
+            outcome = proposal.outcome(value)
+            told = outcome.version if isinstance(outcome, Change) else 0
+            if isinstance(outcome, Change) or outcome.code is ResultCode.VERSION_CONFLICT:
+                self.history.answer(proposal.id, told)
+
+    def _check_empty(self) -> None:
+        if all(process.acceptor.is_empty for process in self.processes.values()):
+            self.history.empty_step = self.step
+            self.counts["all empty"] += 1
+
+    def _settle(self) -> None:
+        """Let everything be delivered without faults, and empty voters form or recover."""
+        self.is_faulty = False
+        for process in self.processes.values():
+            process.is_isolated = False
+        self.flight.clear()
+        for _ in range(12):
+            for process in self.processes.values():
+                self._repair(process)
+                while self.flight:
+                    self._receive(self.flight.pop(0))
+        self.is_faulty = True
+
+    def _check_healed(self) -> None:
+        """Check that a majority still holds the last accepted version."""
+        last, register = self.history.latest, self.history.register
+        held = [process.acceptor for process in self.processes.values()]
+        full = [acceptor.state for acceptor in held if acceptor.state.register == register]
+        self.counts["blocked worlds"] += len(full) < majority(held) and last is not None
+        if last is not None and len(full) >= majority(held):
+            newest = max(full, key=lambda state: state.accepted).value
+            assert newest is not None and newest.version >= last.version, "lost after healing"
+            assert newest.changes[: len(last.changes)] == last.changes, "replaced after healing"
+
+
+def run(*, seed: int, steps: int) -> Counter[str]:
+    """Run worlds until the number of steps is reached.
+
+    Returns:
+        How often each kind of event happened.
+
+    Raises:
+        AssertionError: An invariant failed; the message names the seed of the world.
+    """
+    counts: Counter[str] = Counter()
+    for first in range(0, steps, STEPS_PER_WORLD):
+        world_seed = seed * 1_000_000 + first
+        world = World(seed=world_seed)
+        try:
+            world.run(min(STEPS_PER_WORLD, steps - first))
+        except AssertionError as exc:
+            raise AssertionError(f"world seed {world_seed}, step {world.step}: {exc}") from exc
+        counts += world.counts
+        counts["chosen rounds"] += world.history.chosen
+        counts["worlds"] += 1
+    return counts
+
+
+def main() -> None:
+    """Run from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--steps", type=int, default=100_000)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    started = time.monotonic()
+    print(f"seed {args.seed}, {args.steps} steps")
+    try:
+        counts = run(seed=args.seed, steps=args.steps)
+    except AssertionError as exc:
+        sys.exit(f"failed: {exc}")
+    shown = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
+    print(f"passed in {time.monotonic() - started:.1f} s: {shown}")
+
+
+if __name__ == "__main__":
+    main()
