Run the configuration register between processes

The state machines need a controller: rounds over the channel, answers to peers, catching up, recovery and formation.

Rounds run in the register's own executor and wait there; channel handlers only vote, answer or install, so none waits for another network call. A process asks a live peer with a higher version every 250 ms and the voters every second, which also gives the age of the last contact with a majority. A voter that sees an accepted value which nobody put in force completes the round after two polls.

Decisions that the design leaves open: - a proposal without an answer of a majority within 5 s is always 'change unknown', never 'no majority, not run': the process that takes a resend cannot know whether an earlier attempt was accepted somewhere; - the value in force is also kept in a file of its own on every process with a data folder, so that an isolated process starts with it; - a value of a former register is refused once a majority was asked.

--- a/kumquatlift/document.py
+++ b/kumquatlift/document.py
@@ -158,9 +158,7 @@
 
     def to_mapping(self) -> dict[str, Any]:
         """Return plain dicts and lists, every default written out."""
-        plain = _adapter().dump_python(self, mode="json")
-        assert isinstance(plain, dict)
-        return plain
+        return {name: _plain(value) for name, value in self._asdict().items()}
 
     def to_toml(self) -> str:
         """Return the document as TOML, every default written out."""
@@ -204,3 +202,13 @@
     if isinstance(value, list):
         return tuple(_lists_to_tuples(item) for item in value)
     return value
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    if hasattr(value, "_asdict"):
+        return {key: _plain(item) for key, item in value._asdict().items()}
+    return [_plain(item) for item in value] if isinstance(value, tuple) else value
--- /dev/null
+++ b/kumquatlift/in_force.py
@@ -0,0 +1,127 @@
+"""The configuration in force in one process; its version never goes down."""
+
+import json
+import threading
+from collections.abc import Callable
+
+from kumquatlift.config_codec import CodecError, decode, encode
+from kumquatlift.config_value import Value
+from kumquatlift.data_file import DataFile, Disk
+from kumquatlift.document import Document
+from kumquatlift.log import get_logger
+
+FILE_NAME = "in-force"
+
+Listener = Callable[[int, Document], None]
+"""Takes the version and the document; it must be quick and must not change the register."""
+
+
+class InForce:
+    """Holds the newest accepted value that this process knows, also across restarts.
+
+    Args:
+        disk: Folder for the copy that outlasts a restart; None for a process without one.
+    """
+
+    def __init__(self, *, disk: Disk | None) -> None:
+        self._lock = threading.RLock()
+        self._file = None if disk is None else DataFile(disk=disk, name=FILE_NAME)
+        self._listeners: list[Listener] = []
+        self._value: Value | None = None
+        self._document: Document | None = None
+        self._unreadable = 0
+        # Set once a majority of the voters was asked; values of other registers are then stale.
+        self.register = ""
+        self._load()
+
+    @property
+    def value(self) -> Value | None:
+        """The value in force; None before the first one is known."""
+        return self._value
+
+    @property
+    def document(self) -> Document | None:
+        """The document in force; None before the first one is known."""
+        return self._document
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first one is known."""
+        return 0 if self._value is None else self._value.version
+
+    def listen(self, listener: Listener) -> None:
+        """Call a function for the document in force, if any, and for each later one."""
+        with self._lock:
+            self._listeners.append(listener)
+            if self._document is not None:
+                listener(self.version, self._document)
+
+    def install(self, value: Value) -> bool:
+        """Put an accepted value in force unless it is older or stems from a former register.
+
+        Returns:
+            Whether it came into force.
+        """
+        with self._lock:
+            is_stale = self.register and value.register != self.register
+            if value.version <= self.version or is_stale or not self._set(value):
+                return False
+            self._save(value)
+            get_logger().info("configuration_in_force", version=value.version)
+            for listener in self._listeners:
+                self._tell(listener)
+            return True
+
+    def _set(self, value: Value) -> bool:
+        doc = read_document(value.document)
+        if isinstance(doc, str):
+            if value.version != self._unreadable:
+                get_logger().error("configuration_unreadable", version=value.version, problem=doc)
+            self._unreadable = value.version
+            return False
+        self._value, self._document = value, doc
+        return True
+
+    def _tell(self, listener: Listener) -> None:
+        assert self._document is not None
+        try:
+            listener(self.version, self._document)
+        except Exception as exc:
+            # One part of the process must not keep the others from the new document.
+            get_logger().error("configuration_listener_failed", error=repr(exc), exc_info=True)
+
+    def _save(self, value: Value) -> None:
+        if self._file is None:
+            return
+        try:
+            self._file.write(encode(value))
+        except OSError as exc:
+            get_logger().error("configuration_not_saved", error=str(exc))
+
+    def _load(self) -> None:
+        data = None if self._file is None else self._file.read()
+        if data is None:
+            return
+        try:
+            self._set(decode(data, Value))
+        except CodecError as exc:
+            get_logger().error("configuration_file_lost", error=str(exc))
+
+
+def read_document(text: str) -> Document | str:
+    """Read a document from JSON.
+
+    Returns:
+        The document, or the problems as one line.
+    """
+    try:
+        source = json.loads(text)
+    except (ValueError, RecursionError) as exc:
+        return f"not JSON: {exc}"
+    doc = Document.from_mapping(source)
+    return "; ".join(map(str, doc)) if isinstance(doc, list) else doc
+
+
+def write_document(doc: Document) -> str:
+    """Return a document as JSON; equal documents give equal texts."""
+    return json.dumps(doc.to_mapping(), sort_keys=True, separators=(",", ":"))
--- a/kumquatlift/proposer.py
+++ b/kumquatlift/proposer.py
@@ -58,6 +58,11 @@
         self.highest = ballot
         self.other_register = ""
 
+    @property
+    def ballot(self) -> Ballot:
+        """Ballot of the round."""
+        return self._ballot
+
     @property
     def is_accepting(self) -> bool:
         """Whether a value was proposed, so that it may be accepted sooner or later."""
@@ -132,6 +137,11 @@
         complete = bool(self._evidence) and len(self._confirmed) == len(self._voters)
         return register_id(self._evidence) if complete else ""
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the register is formed or a voter turned out to hold a value."""
+        return self.is_refused or self.register_formed != ""
+
     def start(self) -> list[tuple[str, Evidence]]:
         """Return the first messages, which ask for the status of each voter."""
         return [(voter, ()) for voter in self._voters]
--- /dev/null
+++ b/kumquatlift/register.py
@@ -0,0 +1,250 @@
+"""Controller of the configuration register: changes, and the answers to other processes."""
+
+import random
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any, TypeVar
+
+from kumquatlift.acceptor import Accept, Prepare
+from kumquatlift.blackboard import Section
+from kumquatlift.channel import Channel, Topic
+from kumquatlift.clock import Clock
+from kumquatlift.codes import ResultCode
+from kumquatlift.config_codec import CodecError, Read, decode, encode
+from kumquatlift.config_value import Change, Proposal, Value
+from kumquatlift.data_file import Disk
+from kumquatlift.document import Document
+from kumquatlift.failure import Failure
+from kumquatlift.in_force import InForce, Listener, read_document
+from kumquatlift.log import get_logger
+from kumquatlift.membership import Members
+from kumquatlift.proposer import majority
+from kumquatlift.register_rounds import RegisterRounds
+from kumquatlift.register_upkeep import RegisterUpkeep
+from kumquatlift.voter import Voter
+
+TICK_S = 0.25
+# A voter is asked by every process once a second, so that a change reaches a process whose push
+# was lost well within 5 s.
+TICKS_PER_POLL = 4
+CHANGE_TIMEOUT_S = 5.0
+MAX_WAITING_CHANGES = 16
+# Proposers that outbid each other wait a random time of this order before they try again.
+BACKOFF_S = 0.05
+
+T = TypeVar("T")
+
+
+class Register:
+    """The configuration of the whole system, as one process sees and changes it.
+
+    Args:
+        members: Membership view.
+        channel: Messages to other entry processes.
+        disk: Data folder of this process; None for a process without one, which never votes.
+        first_document: Document to form the register with, when there is none anywhere.
+        clock: Source of time.
+        section: Section of the blackboard.
+
+    Raises:
+        OSError: The data folder cannot be read.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        channel: Channel,
+        disk: Disk | None,
+        first_document: Document | None,
+        clock: Clock,
+        section: Section,
+    ) -> None:
+        self._clock = clock
+        self._voter = None if disk is None else Voter(name=members.me.name, disk=disk)
+        self._in_force = InForce(disk=disk)
+        self._rounds = RegisterRounds(
+            members=members,
+            channel=channel,
+            voter=self._voter,
+            in_force=self._in_force,
+            first_document=first_document,
+            clock=clock,
+        )
+        self.upkeep = RegisterUpkeep(
+            members=members, rounds=self._rounds, voter=self._voter, in_force=self._in_force
+        )
+        self._executor = ThreadPoolExecutor(max_workers=4, thread_name_prefix="register")
+        self._waiting = threading.BoundedSemaphore(MAX_WAITING_CHANGES)
+        self._stopped = threading.Event()
+        channel.handle(Topic.CONFIG_PREPARE, self._handle_prepare)
+        channel.handle(Topic.CONFIG_ACCEPT, self._handle_accept)
+        channel.handle(Topic.CONFIG_READ, self._handle_read)
+        channel.handle(Topic.CONFIG_VALUE, self._handle_value)
+        section.publish("state", self.state)
+
+    @property
+    def value(self) -> Value | None:
+        """The value in force here."""
+        return self._in_force.value
+
+    @property
+    def document(self) -> Document | None:
+        """The document in force here."""
+        return self._in_force.document
+
+    @property
+    def version(self) -> int:
+        """The version in force here; 0 when none is known."""
+        return self._in_force.version
+
+    @property
+    def contact_age_s(self) -> float | None:
+        """Seconds since a majority of the voters last answered; None when it never did."""
+        return self._rounds.contact_age_s
+
+    def on_change(self, listener: Listener) -> None:
+        """Call a function for the document in force and for each later one, in order."""
+        self._in_force.listen(listener)
+
+    def start(self) -> None:
+        """Begin to catch up, recover and form in the background."""
+        self._executor.submit(self._run)
+
+    def stop(self) -> None:
+        """End the background work; a change under way may stay unknown."""
+        self._stopped.set()
+        self._executor.shutdown(wait=False)
+        self._rounds.close()
+
+    def propose(self, proposal: Proposal) -> "Future[Change | Failure]":
+        """Make a change.
+
+        Returns:
+            A future of the record of the change, also when it is a resend; or of a failure:
+            ``VERSION_CONFLICT`` (the value in force is then up to date here),
+            ``CHANGE_ID_REUSED``, ``INVALID_DOCUMENT``, ``OVERLOADED``, or ``CHANGE_UNKNOWN``
+            when no majority answered in time and the change may take effect later.
+        """
+        doc = read_document(proposal.document)
+        if isinstance(doc, str):
+            return _done(Failure(ResultCode.INVALID_DOCUMENT, doc))
+        voters = self._rounds.voters
+        if voters and set(doc.system.voters) != set(voters):
+            return _done(
+                Failure(
+                    ResultCode.INVALID_DOCUMENT,
+                    f"system.voters: cannot be changed; the voters are {', '.join(voters)}",
+                )
+            )
+        return self._submit(lambda: self._change(proposal))
+
+    def find_change(self, change_id: str) -> "Future[Change | Failure]":
+        """Look up what became of a change, asking a majority when it is not known here."""
+        known = None if self.value is None else self.value.change(change_id)
+        return _done(known) if known else self._submit(lambda: self._find(change_id))
+
+    def state(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        age_s = self.contact_age_s
+        return {
+            "version": self.version,
+            "register": self._in_force.register,
+            "voters": list(self._rounds.voters),
+            "is_voter": self.upkeep.is_voter,
+            "is_recovering": self._voter is not None and self._voter.is_empty,
+            "majority_contact_age_s": None if age_s is None else round(age_s, 3),
+        }
+
+    def _run(self) -> None:
+        ticks = 0
+        while not self._stopped.is_set():
+            try:
+                self.upkeep.poll() if ticks % TICKS_PER_POLL == 0 else self.upkeep.tick()
+            except Exception as exc:
+                get_logger().error("register_tick_failed", error=repr(exc), exc_info=True)
+            ticks += 1
+            self._stopped.wait(TICK_S)
+
+    def _submit(self, function: Callable[[], Change | Failure]) -> "Future[Change | Failure]":
+        if not self._waiting.acquire(blocking=False):
+            return _done(Failure(ResultCode.OVERLOADED, "too many changes are waiting", 1000))
+        fut = self._executor.submit(function)
+        fut.add_done_callback(lambda _: self._waiting.release())
+        return fut
+
+    def _change(self, proposal: Proposal) -> Change | Failure:
+        chosen = self._decide(lambda found: proposal.apply(self._rounds.base(found)))
+        if isinstance(chosen, Failure):
+            return chosen
+        outcome = proposal.outcome(chosen)
+        name = "change_refused" if isinstance(outcome, Failure) else "change_accepted"
+        get_logger().info(name, change=proposal.id, by=proposal.operator, version=chosen.version)
+        return outcome
+
+    def _find(self, change_id: str) -> Change | Failure:
+        chosen = self._decide(self._rounds.base)
+        if isinstance(chosen, Failure):
+            return chosen
+        reason = (
+            f"change {change_id!r} is not among the last changes up to version {chosen.version}; "
+            "resend it with the same id to get a final answer"
+        )
+        return chosen.change(change_id) or Failure(ResultCode.CHANGE_UNKNOWN, reason)
+
+    def _decide(self, decide: Callable[[Value | None], Value]) -> Value | Failure:
+        """Run rounds until one chooses a value or the time is over."""
+        deadline = self._clock.now() + CHANGE_TIMEOUT_S
+        answered = 0
+        while self._clock.now() < deadline and not self._stopped.is_set():
+            voters = self._rounds.voters
+            if not voters:
+                break
+            task = self._rounds.propose(voters=voters, quorum=majority(voters), decide=decide)
+            answered = max(answered, task.answered)
+            if task.chosen is not None:
+                return task.chosen
+            if not task.other_register:
+                self._stopped.wait(BACKOFF_S * (1 + 3 * random.random()))
+        return Failure(
+            ResultCode.CHANGE_UNKNOWN,
+            f"{answered} of {len(self._rounds.voters)} voters answered, which made no majority in "
+            f"{CHANGE_TIMEOUT_S:g} s; ask again with the same change id",
+            1000,
+        )
+
+    def _handle_prepare(self, _sender: str, body: bytes) -> bytes | None:
+        return self._vote(body, Prepare)
+
+    def _handle_accept(self, _sender: str, body: bytes) -> bytes | None:
+        return self._vote(body, Accept)
+
+    def _vote(self, body: bytes, kind: type[Prepare] | type[Accept]) -> bytes | None:
+        msg = _decoded(body, kind)
+        reply = None if msg is None or self._voter is None else self._voter.vote(msg)
+        return None if reply is None else encode(reply)
+
+    def _handle_read(self, _sender: str, body: bytes) -> bytes | None:
+        msg = _decoded(body, Read)
+        return None if msg is None else encode(self._rounds.answer(msg))
+
+    def _handle_value(self, _sender: str, body: bytes) -> bytes | None:
+        value = _decoded(body, Value)
+        if value is not None:
+            self._in_force.install(value)
+        return None
+
+
+def _decoded(body: bytes, kind: type[T]) -> T | None:
+    try:
+        return decode(body, kind)
+    except CodecError as exc:
+        get_logger().warning("config_message_malformed", error=str(exc))
+        return None
+
+
+def _done(result: Change | Failure) -> "Future[Change | Failure]":
+    fut: Future[Change | Failure] = Future()
+    fut.set_result(result)
+    return fut
--- /dev/null
+++ b/kumquatlift/register_rounds.py
@@ -0,0 +1,203 @@
+"""Runs rounds of the configuration register over the channel, in the caller's thread."""
+
+import threading
+from collections.abc import Callable, Iterable
+from concurrent.futures import FIRST_COMPLETED, Future, ThreadPoolExecutor, wait
+from typing import Any
+
+from kumquatlift.acceptor import Accept, Evidence, Prepare, VoterStatus
+from kumquatlift.channel import Channel, Topic
+from kumquatlift.clock import Clock
+from kumquatlift.config_codec import CodecError, Read, ReadAnswer, decode, decode_vote, encode
+from kumquatlift.config_value import Ballot, Value
+from kumquatlift.document import Document
+from kumquatlift.failure import Failure
+from kumquatlift.in_force import InForce, write_document
+from kumquatlift.log import get_logger
+from kumquatlift.membership import Members
+from kumquatlift.proposer import Decide, Formation, Proposer
+from kumquatlift.voter import Voter
+
+CALL_TIMEOUT_S = 1.0
+
+Ask = Callable[[str, Any], "Future[Any]"]
+
+
+class RegisterRounds:
+    """Asks voters, this process's own one included, and feeds the answers to a state machine.
+
+    Args:
+        members: Membership view.
+        channel: Messages to the others.
+        voter: Voter of this process; None without a disk.
+        in_force: Configuration in force here.
+        first_document: Document to form the register with, when there is none anywhere.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        channel: Channel,
+        voter: Voter | None,
+        in_force: InForce,
+        first_document: Document | None,
+        clock: Clock,
+    ) -> None:
+        self._members = members
+        self._name = members.me.name
+        self._proposer = f"{members.me.name}~{members.me.incarnation}"
+        self._channel = channel
+        self._voter = voter
+        self._in_force = in_force
+        self._first = first_document
+        self._clock = clock
+        self._contact_at: float | None = None
+        self._lock = threading.Lock()
+        self._number = 0
+        # The own voter syncs in another thread, so that it works while the others do.
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="voter")
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Names of the voters; empty as long as no document is known."""
+        doc = self._in_force.document or self._first
+        return () if doc is None else doc.system.voters
+
+    @property
+    def contact_age_s(self) -> float | None:
+        """Seconds since a majority of the voters last answered; None when it never did."""
+        return None if self._contact_at is None else self._clock.now() - self._contact_at
+
+    def note_contact(self) -> None:
+        """Record that a majority of the voters answered."""
+        self._contact_at = self._clock.now()
+
+    def base(self, found: Value | None) -> Value:
+        """Return the value to keep or to change: the found one, or the first of a register."""
+        if found is not None:
+            return found.above(self._in_force.value)
+        if self._in_force.value is not None:
+            return self._in_force.value
+        assert self._first is not None  # Voters are known, so there is a document.
+        return Value(1, write_document(self._first))
+
+    def propose(self, *, voters: Iterable[str], quorum: int, decide: Decide) -> Proposer:
+        """Run one round; a chosen value comes into force here and is sent to all live peers."""
+        task = Proposer(
+            register=self._in_force.register,
+            ballot=self._next_ballot(),
+            voters=voters,
+            quorum=quorum,
+            decide=decide,
+        )
+        self._drive(task, self._vote, decode_vote)
+        with self._lock:
+            self._number = max(self._number, task.highest.number)
+        if task.other_register:
+            self._in_force.register = task.other_register
+        if task.chosen is not None:
+            self.note_contact()
+            if self._in_force.install(task.chosen):
+                self._push(task.chosen)
+        return task
+
+    def form(self, voters: Iterable[str]) -> Formation:
+        """Find out whether every voter has an empty disk."""
+        task = Formation(voters=voters)
+        self._drive(task, self._confirm, _decode_status)
+        return task
+
+    def read(self, peers: Iterable[str]) -> dict[str, ReadAnswer]:
+        """Ask processes for their status; a newer configuration that they send is installed."""
+        answers: dict[str, ReadAnswer] = {}
+        futs = {self._read(peer, ()): peer for peer in peers}
+        done, _ = wait(futs, timeout=CALL_TIMEOUT_S)
+        for fut in done:
+            answer = _decoded(fut, lambda data: decode(data, ReadAnswer))
+            if isinstance(answer, ReadAnswer):
+                answers[futs[fut]] = answer
+                if answer.value is not None:
+                    self._in_force.install(answer.value)
+        return answers
+
+    def close(self) -> None:
+        """End the voter's thread."""
+        self._executor.shutdown(wait=False)
+
+    def _push(self, value: Value) -> None:
+        body = encode(value)
+        for member in self._members.live():
+            if member.name != self._name:
+                self._channel.send(member.name, Topic.CONFIG_VALUE, body)
+
+    def _next_ballot(self) -> Ballot:
+        with self._lock:
+            self._number += 1
+            return Ballot(self._number, self._proposer)
+
+    def _drive(self, task: Proposer | Formation, ask: Ask, read: Callable[[bytes], Any]) -> None:
+        waiting = {ask(voter, msg): voter for voter, msg in task.start()}
+        # Two phases, each with one timeout of a call.
+        deadline = self._clock.now() + 2 * CALL_TIMEOUT_S
+        while waiting and not task.is_over:
+            left_s = deadline - self._clock.now()
+            done, _ = wait(waiting, timeout=max(left_s, 0), return_when=FIRST_COMPLETED)
+            if not done:
+                return
+            for fut in done:
+                voter = waiting.pop(fut)
+                reply = _decoded(fut, read)
+                messages = [] if reply is None else task.receive(voter, reply)
+                waiting.update({ask(other, msg): other for other, msg in messages})
+
+    def _vote(self, voter: str, msg: Prepare | Accept) -> "Future[Any]":
+        if voter == self._name:
+            return self._executor.submit(self._vote_here, msg)
+        topic = Topic.CONFIG_PREPARE if isinstance(msg, Prepare) else Topic.CONFIG_ACCEPT
+        return self._channel.call(voter, topic, encode(msg), timeout_s=CALL_TIMEOUT_S)
+
+    def _vote_here(self, msg: Prepare | Accept) -> Any:
+        return None if self._voter is None else self._voter.vote(msg)
+
+    def _confirm(self, voter: str, evidence: Evidence) -> "Future[Any]":
+        fut: Future[Any] = Future()
+        if voter != self._name:
+            return self._read(voter, evidence)
+        answer = self.answer(Read(self._in_force.version, evidence))
+        fut.set_result(answer.status)
+        return fut
+
+    def _read(self, peer: str, evidence: Evidence) -> "Future[Any]":
+        msg = Read(self._in_force.version, evidence)
+        if peer == self._name:
+            fut: Future[Any] = Future()
+            fut.set_result(self.answer(msg))
+            return fut
+        return self._channel.call(peer, Topic.CONFIG_READ, encode(msg), timeout_s=CALL_TIMEOUT_S)
+
+    def answer(self, msg: Read) -> ReadAnswer:
+        """Answer ``Read`` for this process."""
+        value = self._in_force.value
+        if self._voter is not None:
+            return self._voter.read(msg, value)
+        is_newer = value is not None and value.version > msg.newer_than
+        return ReadAnswer(None, value if is_newer else None)
+
+
+def _decode_status(data: bytes) -> VoterStatus | None:
+    return decode(data, ReadAnswer).status
+
+
+def _decoded(fut: "Future[Any]", read: Callable[[bytes], Any]) -> Any:
+    reply = fut.result()
+    if isinstance(reply, Failure) or reply == b"":
+        return None
+    if not isinstance(reply, bytes):
+        return reply
+    try:
+        return read(reply)
+    except CodecError as exc:
+        get_logger().warning("config_answer_malformed", error=str(exc))
+        return None
--- /dev/null
+++ b/kumquatlift/register_upkeep.py
@@ -0,0 +1,122 @@
+"""Background work of the register in one process: catching up, formation and recovery."""
+
+import random
+from collections import Counter
+
+from kumquatlift.acceptor import VoterStatus
+from kumquatlift.in_force import InForce
+from kumquatlift.log import get_logger
+from kumquatlift.membership import Members
+from kumquatlift.proposer import majority
+from kumquatlift.register_rounds import RegisterRounds
+from kumquatlift.voter import Voter
+
+
+class RegisterUpkeep:
+    """Keeps this process up to date and its voter voting; its calls wait for the network.
+
+    Args:
+        members: Membership view.
+        rounds: Rounds of the register.
+        voter: Voter of this process; None without a disk.
+        in_force: Configuration in force here.
+    """
+
+    def __init__(
+        self, *, members: Members, rounds: RegisterRounds, voter: Voter | None, in_force: InForce
+    ) -> None:
+        self._members = members
+        self._name = members.me.name
+        self._rounds = rounds
+        self._voter = voter
+        self._in_force = in_force
+        self._polls_empty = 0
+        self._polls_behind = 0
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether the configuration names this process as a voter and it has a disk."""
+        return self._voter is not None and self._name in self._rounds.voters
+
+    def tick(self) -> None:
+        """Ask a live peer with a newer version for it."""
+        version = self._in_force.version
+        ahead = [peer.name for peer in self._members.live() if peer.config_version > version]
+        if ahead:
+            self._rounds.read([random.choice(ahead)])
+
+    def poll(self) -> None:
+        """Ask the voters for what they hold; recover, form or finish a round when needed."""
+        voters = self._rounds.voters
+        peers = voters or tuple(member.name for member in self._members.live())
+        answers = self._rounds.read(peers)
+        held = {name: answer.status for name, answer in answers.items() if name in voters}
+        statuses = {name: status for name, status in held.items() if status is not None}
+        if not voters or len(statuses) < majority(voters):
+            return
+        self._rounds.note_contact()
+        self._learn_register(voters, statuses)
+        if self._is_superseded(statuses):
+            # The round gives the register's value a version above the one in force here.
+            self._rounds.propose(voters=voters, quorum=majority(voters), decide=self._rounds.base)
+        elif self.is_voter and self._voter is not None:
+            if self._voter.is_empty:
+                self._repair_voter(voters, statuses)
+            else:
+                self._finish_round(voters, statuses)
+
+    def _learn_register(self, voters: tuple[str, ...], statuses: dict[str, VoterStatus]) -> None:
+        registers = Counter(status.register for status in statuses.values() if status.register)
+        for register, count in registers.items():
+            if count >= majority(voters):
+                self._in_force.register = register
+
+    def _is_superseded(self, statuses: dict[str, VoterStatus]) -> bool:
+        """Whether the value in force stems from a register that was lost with every disk."""
+        value, register = self._in_force.value, self._in_force.register
+        if value is None or not register or value.register == register:
+            return False
+        newest = max(status.version for status in statuses.values())
+        return 0 < newest <= value.version
+
+    def _finish_round(self, voters: tuple[str, ...], statuses: dict[str, VoterStatus]) -> None:
+        """Complete a change whose proposer was lost before anybody knew that it was accepted."""
+        newest = max(statuses.values(), key=lambda status: status.accepted)
+        self._polls_behind = (
+            self._polls_behind + 1 if newest.version > self._in_force.version else 0
+        )
+        # A proposer that is alive is done after one poll.
+        if self._polls_behind > 1 and random.random() < 0.5:
+            self._rounds.propose(voters=voters, quorum=majority(voters), decide=self._rounds.base)
+
+    def _repair_voter(self, voters: tuple[str, ...], statuses: dict[str, VoterStatus]) -> None:
+        self._polls_empty += 1
+        others = tuple(name for name in voters if name != self._name)
+        full = [name for name in others if name in statuses and statuses[name].register]
+        if full and len(others) >= majority(voters):
+            self._recover(others, majority(voters))
+            return
+        # One voter goes first, so that the others do not outbid it.
+        is_first = self._name == min(voters) or self._polls_empty > 2
+        if not full and len(statuses) == len(voters) and is_first:
+            self._form(voters)
+
+    def _recover(self, others: tuple[str, ...], quorum: int) -> None:
+        assert self._voter is not None
+        task = self._rounds.propose(voters=others, quorum=quorum, decide=self._rounds.base)
+        if task.chosen is not None:
+            self._voter.recover(task.chosen.register, task.ballot, task.chosen)
+            get_logger().info("voter_recovered", version=task.chosen.version)
+
+    def _form(self, voters: tuple[str, ...]) -> None:
+        # The start value is the highest version in the memory of any process that is reached.
+        self._rounds.read([member.name for member in self._members.live()])
+        register = self._rounds.form(voters).register_formed
+        if not register:
+            return
+        self._in_force.register = register
+        task = self._rounds.propose(
+            voters=voters, quorum=majority(voters), decide=self._rounds.base
+        )
+        if task.chosen is not None:
+            get_logger().info("register_formed", register=register, version=task.chosen.version)
--- /dev/null
+++ b/kumquatlift/voter.py
@@ -0,0 +1,80 @@
+"""The voter of one process: an acceptor with its file, and the answers to its peers."""
+
+import threading
+
+from kumquatlift.acceptor import Accept, Accepted, Acceptor, Prepare, Promise, Refusal, VoterState
+from kumquatlift.config_codec import CodecError, Read, ReadAnswer, decode, encode
+from kumquatlift.config_value import Ballot, Value
+from kumquatlift.data_file import DataFile, Disk
+from kumquatlift.identity import new_incarnation
+from kumquatlift.log import get_logger
+
+FILE_NAME = "voter"
+
+
+class Voter:
+    """Votes for one process; calls are serialised, and each may wait for a sync.
+
+    Args:
+        name: Name of the process.
+        disk: Folder of the voter's file.
+
+    Raises:
+        OSError: The disk cannot be read. Going on would take its state for lost.
+    """
+
+    def __init__(self, *, name: str, disk: Disk) -> None:
+        self._lock = threading.Lock()
+        self._file = DataFile(disk=disk, name=FILE_NAME)
+        self._acceptor = Acceptor(
+            name=name,
+            state=self._load(),
+            store=lambda state: self._file.write(encode(state)),
+            new_nonce=new_incarnation,
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the voter has accepted nothing and so has to recover or to join."""
+        return self._acceptor.is_empty
+
+    def vote(self, msg: Prepare | Accept) -> Promise | Accepted | Refusal | None:
+        """Vote, or return None when the disk failed, so that no vote is given."""
+        with self._lock:
+            try:
+                if isinstance(msg, Prepare):
+                    return self._acceptor.prepare(msg)
+                return self._acceptor.accept(msg)
+            except OSError as exc:
+                get_logger().error("voter_disk_failed", error=str(exc))
+                return None
+
+    def read(self, msg: Read, in_force: Value | None) -> ReadAnswer:
+        """Confirm the evidence and return the status, with a value that the asker needs."""
+        with self._lock:
+            if msg.evidence:
+                self._acceptor.confirm(msg.evidence)
+            return ReadAnswer(self._acceptor.status, newer(in_force, msg.newer_than))
+
+    def recover(self, register: str, ballot: Ballot, value: Value) -> None:
+        """Vote again after the loss of the disk; see ``Acceptor.recover``."""
+        with self._lock:
+            try:
+                self._acceptor.recover(register, ballot, value)
+            except OSError as exc:
+                get_logger().error("voter_disk_failed", error=str(exc))
+
+    def _load(self) -> VoterState | None:
+        data = self._file.read()
+        if data is None:
+            return None
+        try:
+            return decode(data, VoterState)
+        except CodecError as exc:
+            get_logger().error("voter_state_lost", error=str(exc))
+            return None
+
+
+def newer(value: Value | None, version: int) -> Value | None:
+    """Return the value when its version is higher, else None."""
+    return value if value is not None and value.version > version else None
--- a/tools/fuzz_register.py
+++ b/tools/fuzz_register.py
@@ -353,8 +353,9 @@
         voters: list[str] | None,
         started_at: Value | None,
     ) -> None:
-        value, register, ballot = task.chosen, task._register, task._ballot
+        value = task.chosen
         assert value is not None
+        register, ballot = value.register, task.ballot
         self.history.check_chosen(register, ballot)
         if voters is not None:
             empty = process.acceptor.is_empty
