Use every runner when the queue is long

Cause: a poll looked at 32 waiting requests only, so a long queue of requests that each preferred a faster runner left slow runners idle.

Change: up to 32 demands are passed over; the next one is judged as if it were the last of the queue.

--- a/kumquatlift/scheduler.py
+++ b/kumquatlift/scheduler.py
@@ -38,7 +38,8 @@
 TRIAL_OF_LAST_RESORT_S = 5.0
 """A trial overdue by this time may use a request that is not repeatable."""
 _MAX_HELD = 32
-"""Demands examined in one poll after one that rather waits for a faster runner."""
+"""Demands passed over in one poll because they rather wait for a faster runner; the next one is
+judged as if it were the last of the queue, so that a long queue uses every runner."""
 _MAX_VOIDED = 1024
 """Void grants that are remembered, for the case that they were started after all."""
 _RECHECK_S = 0.05
@@ -230,15 +231,18 @@
         if not self._queue.queued:
             return grants
         free = self._free_slots(now)
-        ahead = 0
+        ahead = held = 0
         while entry := self._queue.peek(self._is_under_quota, now):
+            if held == _MAX_HELD:
+                ahead = self._queue.queued - entry.left
             runner = self._choose(free, entry, ahead, now)
             if runner is not None:
                 grants.append(self._grant(entry, runner, now))
                 continue
-            ahead += entry.left
-            if not free or ahead >= _MAX_HELD:
+            if not free or held == _MAX_HELD:
                 break
+            ahead += entry.left
+            held += 1
             self._queue.hold(entry)
         self._queue.release()
         return grants
