Count the majority over process names in the fuzz tool

Cause: the type checker now reads the tools, and this call passed voters where names are expected. Change: the names are passed; the count is the same. Ruled out: excluding the tools from the type checker. Measured: make test passes. Conclusion: no change of what the fuzz test checks.

--- a/tools/fuzz_register.py
+++ b/tools/fuzz_register.py
@@ -398,8 +398,8 @@
         last, register = self.history.latest, self.history.register
         held = [process.acceptor for process in self.processes.values()]
         full = [acceptor.state for acceptor in held if acceptor.state.register == register]
-        self.counts["blocked worlds"] += len(full) < majority(held) and last is not None
-        if last is not None and len(full) >= majority(held):
+        self.counts["blocked worlds"] += len(full) < majority(self.processes) and last is not None
+        if last is not None and len(full) >= majority(self.processes):
             newest = max(full, key=lambda state: state.accepted).value
             assert newest is not None and newest.version >= last.version, "lost after healing"
             assert newest.changes[: len(last.changes)] == last.changes, "replaced after healing"
