Add calls between entry processes over TCP

Cause: entry processes need calls to each other whose failures say whether the request can have had an effect.

Ruled out: writing requests as soon as the TCP connection is open. The kernel accepts connections for a stopped process, so each request would count as unknown. A request is now written only after the peer's hello. One executor for all topics was ruled out, because a few handlers that wait would take all its threads.

Change: a selector loop in one executor thread writes waiting frames together; each topic has its own queue and threads; futures are completed outside the loop. A heartbeat without an answer for 1 s replaces the connection; written calls stay on the old one until answer or deadline.

Not measured yet: round trips per second and CPU time of separate processes.

--- /dev/null
+++ b/kumquatlift/_channel_loop.py
@@ -0,0 +1,378 @@
+"""Selector loop that does all reading and writing of a channel."""
+
+import selectors
+import socket
+import threading
+import time
+from collections.abc import Callable
+from functools import partial
+
+from kumquatlift._calls import OpenCalls
+from kumquatlift._connection import Connection, Frame, Outbox, Phase
+from kumquatlift._envelope import (
+    HEARTBEAT,
+    MAX_FRAME_BYTES,
+    Envelope,
+    FrameError,
+    Kind,
+    decode,
+    encode,
+    result_of,
+)
+from kumquatlift._lanes import Answer, Lanes
+from kumquatlift._link import MAX_PEERS, Link, Links
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.log import get_logger
+from kumquatlift.peer_diagnosis import ConnectOutcome
+from kumquatlift.settings import Address
+
+MAX_CONNECTIONS = 512
+# Time for the TCP connection and for the peer's hello on it.
+CONNECT_TIMEOUT_S = 1.0
+# While calls wait, a quiet connection is probed this often.
+BUSY_PING_S = 0.25
+# On an idle connection a heartbeat with headers and acknowledgements takes about 200 bytes.
+IDLE_PING_S = 5.0
+# A connection with a heartbeat unanswered for this long is replaced.
+SILENCE_S = 1.0
+# The side that accepted a connection closes it after three missed idle heartbeats.
+IDLE_DEADLINE_S = 3 * IDLE_PING_S
+_BUSY_TICK_S = 0.05
+_IDLE_TICK_S = 0.25
+_BACKLOG = 128
+_READ = selectors.EVENT_READ
+_READ_WRITE = selectors.EVENT_READ | selectors.EVENT_WRITE
+_ANSWERS = (Kind.ANSWER, Kind.REFUSED, Kind.FAILED)
+_CLOSING = "this process closes the channel"
+
+
+class ChannelLoop:
+    """Sockets of a channel; ``wake`` and ``stop`` may be called by any thread.
+
+    Args:
+        name: Name of this process.
+        address: Where to listen.
+        locate: Returns the address of a peer, or None.
+        calls: Open calls of this process.
+        links: Queues and connections to peers.
+        lanes: Handlers of requests and notices.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: Address,
+        locate: Callable[[str], Address | None],
+        calls: OpenCalls,
+        links: Links,
+        lanes: Lanes,
+    ) -> None:
+        self._name = name
+        self._locate = locate
+        self._calls = calls
+        self._links = links
+        self._lanes = lanes
+        self.late_answers = 0
+        self._connections: set[Connection] = set()
+        self._lock = threading.Lock()
+        self._dirty: set[Link | Connection] = set()
+        self._is_woken = False
+        self._is_stopped = False
+        self._listener = _listen(address)
+        host, port = self._listener.getsockname()[:2]
+        self.address = Address(host, port)
+        self._wake_in, self._wake_out = socket.socketpair()
+        self._wake_in.setblocking(False)
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._listener, _READ)
+        self._selector.register(self._wake_in, _READ)
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    def wake(self, target: Link | Connection | None = None) -> None:
+        """Let the loop write what waits for a peer or on a connection."""
+        with self._lock:
+            if target is not None:
+                self._dirty.add(target)
+            if self._is_woken or self._is_stopped:
+                return
+            self._is_woken = True
+            self._wake_out.send(b"\0")
+
+    def stop(self) -> None:
+        """Let ``run`` end."""
+        self.wake()
+        self._is_stopped = True
+
+    def run(self) -> None:
+        """Serve all sockets until ``stop`` is called."""
+        ticked_at = 0.0
+        while not self._is_stopped:
+            tick_s = _BUSY_TICK_S if self._calls else _IDLE_TICK_S
+            events = self._selector.select(tick_s)
+            now = time.monotonic()
+            for key, mask in events:
+                if key.fileobj is self._listener:
+                    self._accept(now)
+                elif key.data is not None:
+                    self._guard(key.data, partial(self._on_event, key.data, mask, now), now)
+            self._write_dirty(now)
+            if now - ticked_at >= tick_s:
+                ticked_at = now
+                self._tick(now)
+            self._calls.flush()
+        self._shut(time.monotonic())
+
+    def _guard(self, conn: Connection, action: Callable[[], None], now: float) -> None:
+        """Run an action on a connection; drop the connection when the action fails."""
+        if conn not in self._connections:
+            return
+        try:
+            action()
+        except (OSError, FrameError) as exc:
+            self._drop(conn, exc, now)
+        except Exception as exc:
+            # The loop serves all peers, so a fault met with one of them must not end it.
+            get_logger().error("channel-fault", peer=conn.peer, error=repr(exc))
+            self._drop(conn, exc, now)
+
+    def _write_dirty(self, now: float) -> None:
+        with self._lock:
+            dirty, self._dirty = self._dirty, set()
+            if self._is_woken:
+                self._is_woken = False
+                self._wake_in.recv(64)
+        for target in dirty:
+            if isinstance(target, Link):
+                self._serve(target, now)
+            else:
+                self._guard(target, partial(self._write, target), now)
+
+    def _serve(self, link: Link, now: float) -> None:
+        """Write what waits for a peer; connect first when there is no connection."""
+        conn = link.conn
+        if conn is not None:
+            if conn.phase is Phase.READY:
+                self._guard(conn, partial(self._write, conn), now)
+        elif link.outbox:
+            if link.may_connect(now):
+                self._connect(link, now)
+            else:
+                self._refuse_waiting(link)
+
+    def _connect(self, link: Link, now: float) -> None:
+        address = self._locate(link.peer)
+        if address is None:
+            link.note_failed(ConnectOutcome.NONE, "no address is known", now)
+            self._refuse_waiting(link)
+            return
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        conn = Connection(sock=sock, peer=link.peer, is_ours=True, now=now)
+        conn.outbox.put(Frame(encode(Kind.HELLO, 0, self._name, b"")))
+        link.conn = conn
+        self._add(conn, _READ_WRITE)
+        self._guard(conn, partial(_start_connect, sock, address), now)
+
+    def _accept(self, now: float) -> None:
+        try:
+            sock, _ = self._listener.accept()
+        except OSError:
+            return
+        if len(self._connections) >= MAX_CONNECTIONS:
+            sock.close()
+            return
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._add(Connection(sock=sock, peer="", is_ours=False, now=now), _READ)
+
+    def _add(self, conn: Connection, events: int) -> None:
+        self._connections.add(conn)
+        self._selector.register(conn.sock, events, conn)
+
+    def _on_event(self, conn: Connection, mask: int, now: float) -> None:
+        if conn.phase is Phase.CONNECTING:
+            error = conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                raise OSError(error, "connection failed")
+            conn.phase = Phase.GREETING
+        if mask & selectors.EVENT_READ:
+            frames = conn.read(now)
+            for data in frames:
+                self._on_frame(conn, data)
+            self._note_heard(conn, len(frames), now)
+        if mask & selectors.EVENT_WRITE or conn.wants_write:
+            self._write(conn)
+
+    def _note_heard(self, conn: Connection, frames: int, now: float) -> None:
+        link = self._links.find(conn.peer)
+        if link is not None:
+            link.received += frames
+            link.bytes_received += conn.bytes_in
+            link.heard_at = now
+            conn.bytes_in = 0
+
+    def _write(self, conn: Connection) -> None:
+        written = conn.write()
+        link = self._links.find(conn.peer)
+        if link is not None:
+            link.bytes_sent += written
+            link.sent += conn.frames_out
+            conn.frames_out = 0
+        events = _READ_WRITE if conn.wants_write else _READ
+        if self._selector.get_key(conn.sock).events != events:
+            self._selector.modify(conn.sock, events, conn)
+
+    def _on_frame(self, conn: Connection, data: bytes) -> None:
+        if not data:
+            if not conn.is_ours:
+                conn.outbox.put_back([Frame(HEARTBEAT)])
+            return
+        envelope = decode(data)
+        if conn.phase is Phase.GREETING:
+            self._on_hello(conn, envelope)
+        elif conn.is_ours and envelope.kind in _ANSWERS:
+            self._on_answer(conn, envelope)
+        elif not conn.is_ours and envelope.kind in (Kind.REQUEST, Kind.NOTICE):
+            self._lanes.deliver(conn.peer, envelope, self._answer_on(conn, envelope.id))
+        else:
+            raise FrameError(f"unexpected {envelope.kind.name.lower()}")
+
+    def _on_hello(self, conn: Connection, envelope: Envelope) -> None:
+        if envelope.kind is not Kind.HELLO:
+            raise FrameError(f"{envelope.kind.name.lower()} before the hello")
+        if conn.is_ours and envelope.topic != conn.peer:
+            raise FrameError(f"the process there is {envelope.topic[:40]!r}")
+        link = self._links.get(envelope.topic)
+        if link is None:
+            raise FrameError(f"{MAX_PEERS} peers are known")
+        conn.phase = Phase.READY
+        if conn.is_ours:
+            link.note_answered()
+            conn.outbox = link.outbox
+        else:
+            conn.peer = envelope.topic
+            conn.outbox.put(Frame(encode(Kind.HELLO, 0, self._name, b"")))
+
+    def _on_answer(self, conn: Connection, envelope: Envelope) -> None:
+        call = conn.calls.pop(envelope.id, None)
+        if call is None or not call.is_open:
+            self.late_answers += 1
+            return
+        self._calls.finish(call, result_of(envelope.kind, envelope.body))
+
+    def _answer_on(self, conn: Connection, call_id: int) -> Answer:
+        def answer(kind: Kind, reply: bytes) -> None:
+            if call_id == 0:
+                return
+            frame = Frame(encode(kind, call_id, "", reply))
+            if len(frame.data) > MAX_FRAME_BYTES:
+                frame = Frame(encode(Kind.FAILED, call_id, "", b"the answer is too large"))
+            if conn.outbox.put(frame):
+                self.wake(conn)
+
+        return answer
+
+    def _refuse_waiting(self, link: Link) -> None:
+        """End everything that waits for a peer that cannot be reached."""
+        reason = f"{link.peer} cannot be reached: {link.outcome.value}, {link.error}"
+        while batch := link.outbox.take(max_bytes=1 << 30, max_frames=1000):
+            for frame in batch:
+                if frame.call is not None:
+                    self._calls.finish(frame.call, Failure(ResultCode.NOT_DELIVERED, reason))
+
+    def _drop(self, conn: Connection, error: Exception, now: float) -> None:
+        """Close a connection and end the calls that were written on it."""
+        self._connections.discard(conn)
+        self._selector.unregister(conn.sock)
+        conn.sock.close()
+        reason = str(error) or type(error).__name__
+        for call in conn.calls.values():
+            self._calls.fail(call, f"connection to {conn.peer} lost: {reason}")
+        link = self._links.find(conn.peer)
+        if link is None or link.conn is not conn:
+            return
+        link.conn = None
+        link.error = reason
+        if self._is_stopped:
+            return
+        if conn.phase is Phase.READY:
+            self._serve(link, now)
+        else:
+            link.note_failed(_outcome(conn, error), reason, now)
+            self._refuse_waiting(link)
+
+    def _retire(self, conn: Connection, now: float) -> None:
+        """Replace a silent connection; its calls may still be answered on it."""
+        get_logger().warning("connection-silent", peer=conn.peer, calls=len(conn.calls))
+        conn.phase = Phase.RETIRED
+        conn.outbox = Outbox()
+        link = self._links.find(conn.peer)
+        if link is not None and link.conn is conn:
+            link.conn = None
+            self._connect(link, now)
+
+    def _tick(self, now: float) -> None:
+        for call in self._calls.expired(now):
+            link = self._links.find(call.peer)
+            if link is not None and call.is_written:
+                link.call_timed_out_at = now
+            self._calls.fail(call, f"no answer from {call.peer} in time")
+        for conn in list(self._connections):
+            self._guard(conn, partial(self._check, conn, now), now)
+
+    def _check(self, conn: Connection, now: float) -> None:
+        """Probe a connection, replace it or close it, as its age and silence require."""
+        conn.calls = {call_id: call for call_id, call in conn.calls.items() if call.is_open}
+        if conn.phase in (Phase.CONNECTING, Phase.GREETING):
+            if now - conn.opened_at > CONNECT_TIMEOUT_S:
+                raise TimeoutError(f"no hello within {CONNECT_TIMEOUT_S} s")
+        elif conn.phase is Phase.RETIRED:
+            if not conn.calls:
+                raise TimeoutError("replaced")
+        elif not conn.is_ours:
+            if now - conn.heard_at > IDLE_DEADLINE_S:
+                raise TimeoutError(f"silent for {IDLE_DEADLINE_S} s")
+        elif conn.silent_s(now) > SILENCE_S:
+            self._retire(conn, now)
+        elif now - max(conn.heard_at, conn.pinged_at) >= (
+            BUSY_PING_S if conn.calls else IDLE_PING_S
+        ):
+            conn.ping(now)
+            self._write(conn)
+
+    def _shut(self, now: float) -> None:
+        for conn in list(self._connections):
+            self._drop(conn, ConnectionAbortedError(_CLOSING), now)
+        self._calls.close(_CLOSING)
+        self._selector.close()
+        with self._lock:
+            for sock in (self._listener, self._wake_in, self._wake_out):
+                sock.close()
+
+
+def _listen(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.create_server((address.host, address.port), family=family, backlog=_BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+def _start_connect(sock: socket.socket, address: Address) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        sock.connect((address.host, address.port))
+    except BlockingIOError:
+        return
+
+
+def _outcome(conn: Connection, error: Exception) -> ConnectOutcome:
+    if not isinstance(error, TimeoutError):
+        return ConnectOutcome.REFUSED
+    return ConnectOutcome.NO_ANSWER if conn.phase is Phase.GREETING else ConnectOutcome.TIMED_OUT
--- /dev/null
+++ b/kumquatlift/_connection.py
@@ -0,0 +1,182 @@
+"""One TCP connection between two entry processes, with its queue of frames to write."""
+
+import socket
+import threading
+from collections import deque
+from collections.abc import Iterable
+from enum import Enum, auto
+from typing import NamedTuple
+
+from kumquatlift._calls import Call
+from kumquatlift._envelope import HEARTBEAT, MAX_FRAME_BYTES, FrameReader
+
+MAX_QUEUE_FRAMES = 10_000
+MAX_QUEUE_BYTES = 2 * MAX_FRAME_BYTES
+_READ_BYTES = 256 * 1024
+# Frames are written together up to both bounds; the second is well under the system's IOV_MAX.
+_WRITE_BYTES = 256 * 1024
+_WRITE_FRAMES = 256
+
+
+class Frame(NamedTuple):
+    """Bytes to write, and the call that they carry, if any."""
+
+    data: bytes
+    call: Call | None = None
+
+
+class Outbox:
+    """Bounded queue of frames; filled by any thread, emptied by the selector loop."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._frames: deque[Frame] = deque()
+        self._bytes = 0
+
+    def __bool__(self) -> bool:
+        return bool(self._frames)
+
+    def put(self, frame: Frame) -> bool:
+        """Append a frame; return False when the queue is full."""
+        with self._lock:
+            if len(self._frames) >= MAX_QUEUE_FRAMES or self._bytes > MAX_QUEUE_BYTES:
+                return False
+            self._frames.append(frame)
+            self._bytes += len(frame.data)
+            return True
+
+    def put_back(self, frames: list[Frame]) -> None:
+        """Put frames in front of the others, without regard to the bound."""
+        with self._lock:
+            self._frames.extendleft(reversed(frames))
+            self._bytes += sum(len(frame.data) for frame in frames)
+
+    def take(self, *, max_bytes: int, max_frames: int) -> list[Frame]:
+        """Remove and return the first frames, without those whose call has ended."""
+        batch: list[Frame] = []
+        with self._lock:
+            while self._frames and max_bytes > 0 and len(batch) < max_frames:
+                frame = self._frames.popleft()
+                self._bytes -= len(frame.data)
+                # The caller of an ended call was told that it was never delivered.
+                if frame.call is None or frame.call.is_open:
+                    batch.append(frame)
+                    max_bytes -= len(frame.data)
+        return batch
+
+
+class Phase(Enum):
+    """Life of a connection."""
+
+    CONNECTING = auto()
+    GREETING = auto()
+    """The connection is open; the peer's hello is awaited."""
+    READY = auto()
+    RETIRED = auto()
+    """Replaced by a newer connection; only answers to earlier calls are read."""
+
+
+class Connection:
+    """A socket with the state of reading and writing; used by the selector loop only.
+
+    Args:
+        sock: Non-blocking socket.
+        peer: Name of the peer; empty until its hello on a connection that the peer opened.
+        is_ours: Whether this process opened the connection.
+        now: Monotonic seconds.
+    """
+
+    def __init__(self, *, sock: socket.socket, peer: str, is_ours: bool, now: float) -> None:
+        self.sock = sock
+        self.peer = peer
+        self.is_ours = is_ours
+        self.phase = Phase.CONNECTING if is_ours else Phase.GREETING
+        self.outbox = Outbox()
+        self.calls: dict[int, Call] = {}
+        self.opened_at = now
+        self.heard_at = now
+        self.pinged_at = now
+        self.unanswered_ping_at: float | None = None
+        self.bytes_in = 0
+        self.frames_out = 0
+        self._reader = FrameReader()
+        self._rest = memoryview(b"")
+
+    def read(self, now: float) -> list[bytes]:
+        """Return the frames that have arrived, without their length; a heartbeat is empty.
+
+        Raises:
+            OSError: The connection is lost.
+            FrameError: The bytes are not frames.
+        """
+        try:
+            data = self.sock.recv(_READ_BYTES)
+        except BlockingIOError:
+            return []
+        if not data:
+            raise ConnectionResetError("closed by the peer")
+        self.heard_at = now
+        self.unanswered_ping_at = None
+        self.bytes_in += len(data)
+        return self._reader.feed(data)
+
+    def write(self) -> int:
+        """Write what the socket takes of the waiting frames.
+
+        Returns:
+            The number of bytes written.
+
+        Raises:
+            OSError: The connection is lost.
+        """
+        total = 0
+        while self.wants_write:
+            batch = self.outbox.take(max_bytes=_WRITE_BYTES, max_frames=_WRITE_FRAMES)
+            sent = self._send([self._rest, *(frame.data for frame in batch)])
+            total += sent
+            if not self._account(batch, sent):
+                break
+        return total
+
+    @property
+    def wants_write(self) -> bool:
+        """Whether bytes wait for the socket."""
+        return bool(self._rest or self.outbox)
+
+    def ping(self, now: float) -> None:
+        """Queue a heartbeat that the peer answers."""
+        self.outbox.put_back([Frame(HEARTBEAT)])
+        self.pinged_at = now
+        if self.unanswered_ping_at is None:
+            self.unanswered_ping_at = now
+
+    def silent_s(self, now: float) -> float:
+        """Return for how long a heartbeat has had no answer, in seconds."""
+        return 0.0 if self.unanswered_ping_at is None else now - self.unanswered_ping_at
+
+    def _send(self, buffers: Iterable[memoryview | bytes]) -> int:
+        try:
+            return self.sock.sendmsg(buffers)
+        except BlockingIOError:
+            return 0
+
+    def _account(self, batch: list[Frame], sent: int) -> bool:
+        """Keep what was not written; return whether everything was."""
+        used = min(sent, len(self._rest))
+        self._rest = self._rest[used:]
+        sent -= used
+        for index, frame in enumerate(batch):
+            if sent == 0:
+                self.outbox.put_back(batch[index:])
+                return False
+            self.frames_out += 1
+            if frame.call is not None:
+                frame.call.is_written = True
+                self.calls[frame.call.id] = frame.call
+            used = min(sent, len(frame.data))
+            sent -= used
+            if used < len(frame.data):
+                self._rest = memoryview(frame.data)[used:]
+                self.outbox.put_back(batch[index + 1 :])
+                return False
+        return not self._rest
--- /dev/null
+++ b/kumquatlift/_lanes.py
@@ -0,0 +1,102 @@
+"""Handlers of messages: each topic has its own queue and threads."""
+
+import threading
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from kumquatlift._envelope import Envelope, Kind
+from kumquatlift.channel import Handler
+from kumquatlift.log import get_logger
+
+MAX_QUEUE = 2000
+Answer = Callable[[Kind, bytes], None]
+"""Takes the kind and the body of the answer to a request."""
+
+
+class Lanes:
+    """Hands requests and notices to the threads of their topics.
+
+    Args:
+        workers: Handlers of one topic that run at a time, unless its registration says otherwise.
+    """
+
+    def __init__(self, *, workers: int) -> None:
+        self._workers = workers
+        self._lanes: dict[str, Lane] = {}
+
+    def register(self, topic: str, handler: Handler, workers: int | None) -> None:
+        """Set the handler of a topic."""
+        self._lanes[topic] = Lane(topic=topic, handler=handler, workers=workers or self._workers)
+
+    def deliver(self, sender: str, envelope: Envelope, answer: Answer) -> None:
+        """Queue a request or a notice for its handler, or refuse it."""
+        lane = self._lanes.get(envelope.topic)
+        if lane is None:
+            answer(Kind.REFUSED, f"no handler for {envelope.topic[:40]!r}".encode())
+        elif not lane.put(sender, envelope.body, answer):
+            answer(Kind.REFUSED, b"the queue of the topic is full")
+
+    def close(self) -> None:
+        """Drop what waits; handlers that run are not interrupted."""
+        for lane in self._lanes.values():
+            lane.close()
+
+
+class Lane:
+    """Queue and threads of one topic.
+
+    A topic has threads of its own, so that a handler that waits for a disk or for a job delays only
+    messages of its topic. Threads start when messages come.
+
+    Args:
+        topic: Name of the topic.
+        handler: Handler of the topic's messages.
+        workers: Handlers that run at a time.
+    """
+
+    def __init__(self, *, topic: str, handler: Handler, workers: int) -> None:
+        self._topic = topic
+        self._handler = handler
+        self._workers = workers
+        self._executor = ThreadPoolExecutor(max_workers=workers, thread_name_prefix=f"on-{topic}")
+        self._lock = threading.Lock()
+        self._waiting: deque[tuple[str, bytes, Answer]] = deque()
+        self._active = 0
+
+    def put(self, sender: str, body: bytes, answer: Answer) -> bool:
+        """Queue a message; return False when the queue is full."""
+        with self._lock:
+            if len(self._waiting) >= MAX_QUEUE:
+                return False
+            self._waiting.append((sender, body, answer))
+            if self._active >= self._workers:
+                return True
+            self._active += 1
+        # One executor task drains many messages: a submit costs more than a short handler.
+        self._executor.submit(self._drain)
+        return True
+
+    def close(self) -> None:
+        """Drop what waits."""
+        with self._lock:
+            self._waiting.clear()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def _drain(self) -> None:
+        while True:
+            with self._lock:
+                if not self._waiting:
+                    self._active -= 1
+                    return
+                sender, body, answer = self._waiting.popleft()
+            self._run(sender, body, answer)
+
+    def _run(self, sender: str, body: bytes, answer: Answer) -> None:
+        try:
+            reply = self._handler(sender, body)
+        except Exception as exc:
+            get_logger().error("handler-failed", topic=self._topic, peer=sender, error=repr(exc))
+            answer(Kind.FAILED, repr(exc)[:200].encode())
+        else:
+            answer(Kind.ANSWER, reply or b"")
--- /dev/null
+++ b/kumquatlift/tcp_channel.py
@@ -0,0 +1,136 @@
+"""Calls between entry processes over TCP connections that stay open."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+from kumquatlift._calls import Call, OpenCalls
+from kumquatlift._channel_loop import ChannelLoop
+from kumquatlift._connection import Frame
+from kumquatlift._envelope import MAX_FRAME_BYTES, Envelope, Kind, encode, result_of
+from kumquatlift._lanes import Lanes
+from kumquatlift._link import MAX_PEERS, Links
+from kumquatlift.channel import Handler
+from kumquatlift.failure import Failure
+from kumquatlift.settings import Address
+
+
+class TcpChannel:
+    """A ``Channel`` over TCP.
+
+    One thread runs a selector loop that does all reading and writing. Every topic has its own queue
+    and handler threads, so a slow handler delays only its topic. Futures are completed in one
+    further thread: their callbacks must not block or wait for other calls.
+
+    Each process opens one connection to every peer that it calls; answers return on it. A request
+    is written only after the peer has said hello on the connection, so a call to a process that is
+    stopped or gone ends as ``NOT_DELIVERED``. When a heartbeat has no answer, a new connection is
+    tried; calls already written stay on the old one until their answer or their deadline.
+
+    Args:
+        name: Name of this process.
+        address: Where to listen; the port is open when the constructor returns.
+        locate: Returns the address of a peer, or None; called in the loop, so it must not block.
+        workers: Handlers of one topic that run at a time.
+    """
+
+    def __init__(
+        self, *, name: str, address: Address, locate: Callable[[str], Address | None], workers: int
+    ) -> None:
+        self._name = name
+        self._calls = OpenCalls()
+        self._links = Links()
+        self._lanes = Lanes(workers=workers)
+        self._loop = ChannelLoop(
+            name=name,
+            address=address,
+            locate=locate,
+            calls=self._calls,
+            links=self._links,
+            lanes=self._lanes,
+        )
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="channel")
+        self._running = self._executor.submit(self._loop.run)
+
+    @property
+    def address(self) -> Address:
+        """Where this process listens."""
+        return self._loop.address
+
+    def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
+        """Register the handler of a topic.
+
+        Args:
+            topic: Name of the topic.
+            handler: Runs in a thread of the topic; its exception ends the call as ``TIMED_OUT``,
+                and None as an answer becomes an empty body.
+            workers: Handlers that run at a time, when not the channel's default.
+        """
+        self._lanes.register(topic, handler, workers)
+
+    def call(
+        self, peer: str, topic: str, body: bytes, *, timeout_s: float
+    ) -> Future[bytes | Failure]:
+        """Send a request; see ``Channel.call``.
+
+        A request that the peer refused before its handler started is ``NOT_DELIVERED``, too.
+        """
+        call, refusal = self._calls.open(peer, timeout_s)
+        refusal = refusal or self._submit(call, topic, body)
+        if refusal:
+            self._calls.refuse(call, refusal)
+        return call.fut
+
+    def send(self, peer: str, topic: str, body: bytes) -> None:
+        """Send a one-way message; it is dropped when the queue to the peer is full."""
+        if peer == self._name:
+            self._lanes.deliver(peer, Envelope(Kind.NOTICE, 0, topic, body), _ignore)
+            return
+        link = self._links.get(peer)
+        frame = Frame(encode(Kind.NOTICE, 0, topic, body))
+        if link and len(frame.data) <= MAX_FRAME_BYTES and link.outbox.put(frame):
+            self._loop.wake(link)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return counters for the state dump, in total and for each peer."""
+        return {
+            "open_calls": len(self._calls),
+            "connections": self._loop.connections,
+            "late_answers": self._loop.late_answers,
+            "peers": self._links.snapshot(time.monotonic()),
+        }
+
+    def close(self) -> None:
+        """End all calls and close all connections; handlers that run are not interrupted."""
+        self._loop.stop()
+        self._running.result()
+        self._executor.shutdown()
+        self._lanes.close()
+
+    def _submit(self, call: Call, topic: str, body: bytes) -> str:
+        """Queue a request; return why it was refused, or nothing."""
+        if call.peer == self._name:
+            return self._submit_here(call, topic, body)
+        frame = Frame(encode(Kind.REQUEST, call.id, topic, body), call)
+        if len(frame.data) > MAX_FRAME_BYTES:
+            return f"request of {len(frame.data)} bytes, at most {MAX_FRAME_BYTES} are allowed"
+        link = self._links.get(call.peer)
+        if link is None:
+            return f"{MAX_PEERS} peers are known"
+        if not link.outbox.put(frame):
+            return f"the queue to {call.peer} is full"
+        self._loop.wake(link)
+        return ""
+
+    def _submit_here(self, call: Call, topic: str, body: bytes) -> str:
+        def answer(kind: Kind, reply: bytes) -> None:
+            self._calls.complete(call, result_of(kind, reply))
+
+        call.is_written = True
+        self._lanes.deliver(call.peer, Envelope(Kind.REQUEST, call.id, topic, body), answer)
+        return ""
+
+
+def _ignore(_kind: Kind, _reply: bytes) -> None:
+    return
