Tell every error of a document in its own words

Bad documents were answered with the validator's messages, a list was taken for a table by position, and conditions on several fields were not checked.

field_table reads type, unit, range, default and help of each field from the type hints. document_check walks the source by that table, refuses lists where tables are needed, runs the validator on the rest, translates its errors, and checks six conditions on several fields (lease against deadline, expected run times of one request against its lease, and so on) in documents that have other errors too. The reference page docs/configuration.md comes from the same table (make docs); a test checks that it is current.

Replacing the validator by own code was ruled out: it does the scalar checks well, and only its messages are of no use to operators.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The stamp carries the checksum of the lock file, so that a changed lock file is installed anew.
 STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock 2>/dev/null | cut -c1-16)
 
-.PHONY: setup test format check unit features demo build bench lock clean fuzz
+.PHONY: setup test format check unit features demo build bench lock clean fuzz docs
 
 setup: $(STAMP)
 
@@ -37,6 +37,9 @@
 fuzz: setup
 	$(PY) -m tools.fuzz_register --steps 200000 --seed $(SEED)
 
+docs: setup
+	$(PY) -m tools.configuration_page > docs/configuration.md
+
 demo: setup
 	$(PY) -m tools.demo
 
--- a/kumquatlift/document.py
+++ b/kumquatlift/document.py
@@ -9,7 +9,7 @@
 from functools import cache
 from typing import TYPE_CHECKING, Annotated, Any, NamedTuple
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import ConfigDict, Field, TypeAdapter
 
 from kumquatlift.identity import NAME_PATTERN
 
@@ -148,13 +148,12 @@
         """Validate a document in plain dicts and lists.
 
         Returns:
-            The document, or every problem found in it.
+            The document, or every problem found in it, ordered by path.
         """
-        try:
-            doc = _adapter().validate_python(_lists_to_tuples(source))
-        except ValidationError as exc:
-            return [Problem.from_error(error) for error in exc.errors()]
-        return doc
+        # The check reads the classes of this module.
+        from kumquatlift.document_check import check
+
+        return check(source)
 
     def to_mapping(self) -> dict[str, Any]:
         """Return plain dicts and lists, every default written out."""
@@ -191,19 +190,11 @@
 
 
 @cache
-def _adapter() -> TypeAdapter[Document]:
+def adapter() -> TypeAdapter[Document]:
+    """Return the validator of documents; lists in the source have to be tuples."""
     return TypeAdapter(Document, config=ConfigDict(strict=True))
 
 
-def _lists_to_tuples(value: Any) -> Any:
-    """Turn lists into tuples, which strict validation asks for in immutable fields."""
-    if isinstance(value, dict):
-        return {key: _lists_to_tuples(item) for key, item in value.items()}
-    if isinstance(value, list):
-        return tuple(_lists_to_tuples(item) for item in value)
-    return value
-
-
 def _plain(value: Any) -> Any:
     if isinstance(value, Enum):
         return value.value
--- /dev/null
+++ b/kumquatlift/document_check.py
@@ -0,0 +1,235 @@
+"""Finds every error of a configuration document and says it in the document's own words."""
+
+import json
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+from pydantic import ValidationError
+
+from kumquatlift.document import Document, Kind, Problem, Service, System, adapter
+from kumquatlift.field_table import NAME_TEXT, FieldRow, Shape, row, rows
+
+MAX_GIVEN_CHARS = 80
+
+Path = tuple[str, ...]
+
+
+class Table(NamedTuple):
+    """One table of a document: where it is, its class and its entries."""
+
+    path: Path
+    kind: Any
+    entries: Mapping[str, Any]
+
+
+class Rule(NamedTuple):
+    """A condition on several fields of one table.
+
+    Args:
+        table: Class of the table.
+        fields: Fields compared; a problem is reported at the first one.
+        holds: Takes the values of the fields.
+        text: What is allowed.
+    """
+
+    table: Any
+    fields: tuple[str, ...]
+    holds: Callable[..., bool]
+    text: str
+
+
+RULES = (
+    Rule(
+        Kind,
+        ("lease_ms", "deadline_ms"),
+        lambda lease, deadline: lease <= deadline,
+        "at most deadline_ms is allowed",
+    ),
+    Rule(
+        Kind,
+        ("expected_ms", "tasks_per_request", "lease_ms"),
+        lambda expected, tasks, lease: expected * tasks <= lease,
+        "expected_ms times tasks_per_request may be at most lease_ms",
+    ),
+    Rule(
+        Kind,
+        ("tasks_per_request", "max_tasks"),
+        lambda tasks, most: tasks <= most,
+        "at most max_tasks is allowed",
+    ),
+    Rule(
+        Service,
+        ("connections", "slots"),
+        lambda connections, slots: connections >= slots,
+        "at least slots is needed, since every running request holds a connection",
+    ),
+    Rule(
+        System,
+        ("ledger_rotation_s", "retention_s"),
+        lambda rotation, retention: rotation <= retention,
+        "at most retention_s is allowed",
+    ),
+    Rule(
+        System,
+        ("voters",),
+        lambda voters: len(set(voters)) == len(voters),
+        "a name may be listed once",
+    ),
+)
+
+
+def check(source: Mapping[str, Any]) -> Document | list[Problem]:
+    """Validate a document in plain dicts and lists.
+
+    Returns:
+        The document, or every problem found in it, ordered by path.
+    """
+    if not isinstance(source, Mapping):
+        return [_problem((), "a table is needed", source)]
+    try:
+        return _check(source)
+    except RecursionError:
+        return [Problem("", "tables and lists may not be nested that deep", "")]
+
+
+def _check(source: Mapping[str, Any]) -> Document | list[Problem]:
+    found: dict[Path, Problem] = {}
+    tables = list(_walk(Table((), Document, source), found))
+    try:
+        doc = adapter().validate_python(_lists_to_tuples(_without(source, (), found)))
+    except ValidationError as exc:
+        doc = None
+        for error in exc.errors():
+            path = tuple(str(part) for part in error["loc"])
+            # The validator counts the entries of a list without the wrong ones.
+            if not _is_below(path, found) and not _has_below(path, found):
+                found.setdefault(*_from_validator(path, error))
+    for table in tables:
+        _apply_rules(table, found)
+    if doc is not None and not found:
+        return doc
+    return [found[path] for path in sorted(found)]
+
+
+def _walk(table: Table, found: dict[Path, Problem]) -> Iterator[Table]:
+    """Yield all tables; a list or plain value in the place of a table becomes a problem."""
+    yield table
+    for field in rows(table.kind):
+        if field.table is None or field.name not in table.entries:
+            continue
+        path = (*table.path, field.name)
+        inner = table.entries[field.name]
+        if not isinstance(inner, Mapping):
+            found[path] = _problem(path, f"{field.allowed} is needed", inner)
+        elif field.shape is Shape.TABLE:
+            yield from _walk(Table(path, field.table, inner), found)
+        else:
+            yield from _walk_tables(path, field, inner, found)
+
+
+def _walk_tables(
+    path: Path, field: FieldRow, inner: Mapping[str, Any], found: dict[Path, Problem]
+) -> Iterator[Table]:
+    for name, entries in inner.items():
+        at = (*path, str(name))
+        if isinstance(entries, Mapping):
+            yield from _walk(Table(at, field.table, entries), found)
+        else:
+            found[at] = _problem(at, "a table is needed", entries)
+
+
+def _from_validator(path: Path, error: Any) -> tuple[Path, Problem]:
+    """Translate an error of the validator."""
+    if path and path[-1] == "[key]":
+        path = path[:-1]
+        return path, _problem(path, f"a name of {NAME_TEXT} is needed", path[-1])
+    kind, field = _find(path)
+    if error["type"] == "extra_forbidden":
+        names = ", ".join(each.name for each in rows(kind))
+        return path, _problem(
+            path, f"there is no such field; the fields are {names}", error["input"]
+        )
+    if field is None:
+        return path, _problem(path, "another value is needed", error["input"])
+    if field.shape is Shape.NAMES and path[-1] != field.name:
+        return path, _problem(path, f"a name of {NAME_TEXT} is needed", error["input"])
+    if error["type"] == "missing":
+        text = f"is needed: {field.help}, {field.allowed}"
+        return path, Problem(".".join(path), text, "nothing")
+    return path, _problem(path, f"{field.allowed} is needed", error["input"])
+
+
+def _find(path: Path) -> tuple[Any, FieldRow | None]:
+    """Return the table class and the field that a path leads to."""
+    kind: Any = Document
+    field: FieldRow | None = None
+    parts = iter(path)
+    for part in parts:
+        field = row(kind, part)
+        if field is None or field.table is None:
+            return kind, field
+        if field.shape is Shape.TABLES and next(parts, None) is None:
+            return kind, field
+        kind = field.table
+    return kind, field
+
+
+def _apply_rules(table: Table, found: dict[Path, Problem]) -> None:
+    for rule in RULES:
+        if rule.table is not table.kind:
+            continue
+        paths = [(*table.path, name) for name in rule.fields]
+        values = [_value(table, name) for name in rule.fields]
+        if any(value is None for value in values):
+            continue
+        if any(_is_below(path, found) or _has_below(path, found) for path in paths):
+            continue
+        if not rule.holds(*values):
+            given = ", ".join(
+                f"{name} = {_given(value)}" for name, value in zip(rule.fields, values, strict=True)
+            )
+            found[paths[0]] = Problem(".".join(paths[0]), rule.text, given)
+
+
+def _value(table: Table, name: str) -> Any:
+    field = row(table.kind, name)
+    default = None if field is None else field.default
+    return table.entries.get(name, default)
+
+
+def _is_below(path: Path, found: Mapping[Path, Problem]) -> bool:
+    return any(path[:length] in found for length in range(len(path) + 1))
+
+
+def _has_below(path: Path, found: Mapping[Path, Problem]) -> bool:
+    return any(other[: len(path)] == path for other in found)
+
+
+def _without(value: Any, path: Path, found: Mapping[Path, Problem]) -> Any:
+    """Return the source with an empty table wherever the shape is wrong already."""
+    if path in found:
+        return {}
+    if isinstance(value, Mapping):
+        return {key: _without(item, (*path, str(key)), found) for key, item in value.items()}
+    return value
+
+
+def _lists_to_tuples(value: Any) -> Any:
+    """Turn lists into tuples, which strict validation asks for in immutable fields."""
+    if isinstance(value, dict):
+        return {key: _lists_to_tuples(item) for key, item in value.items()}
+    if isinstance(value, list):
+        return tuple(_lists_to_tuples(item) for item in value)
+    return value
+
+
+def _problem(path: Path, message: str, given: Any) -> Problem:
+    return Problem(".".join(path), message, _given(given))
+
+
+def _given(value: Any) -> str:
+    try:
+        text = json.dumps(value, ensure_ascii=False)
+    except (TypeError, ValueError, RecursionError):
+        text = str(value)
+    return text if len(text) <= MAX_GIVEN_CHARS else text[: MAX_GIVEN_CHARS - 3] + "..."
--- /dev/null
+++ b/kumquatlift/field_table.py
@@ -0,0 +1,138 @@
+"""The fields of the configuration document, read from its type hints."""
+
+from enum import Enum
+from functools import cache
+from typing import Annotated, Any, NamedTuple, get_args, get_origin, get_type_hints
+
+from pydantic.fields import FieldInfo
+
+NAME_TEXT = "1 to 40 of a-z, 0-9 and hyphen, starting with a letter or digit"
+
+
+class Shape(Enum):
+    """What a field holds."""
+
+    WHOLE = "whole number"
+    NUMBER = "number"
+    FLAG = "true or false"
+    CHOICE = "choice"
+    NAMES = "list of names"
+    TABLE = "table"
+    TABLES = "tables by name"
+
+
+class FieldRow(NamedTuple):
+    """One field of one table of the document.
+
+    Args:
+        name: Name of the field.
+        shape: What it holds.
+        unit: Unit of a number; empty otherwise.
+        low: Smallest number, or smallest count of entries; None when there is no bound.
+        high: Largest number, or largest count of entries; None when there is no bound.
+        choices: Allowed values of a choice.
+        is_needed: Whether the field has no default.
+        default: Value when the field is left out.
+        help: One line for a person.
+        table: Class of the inner table or tables; None for a plain value.
+    """
+
+    name: str
+    shape: Shape
+    unit: str
+    low: float | None
+    high: float | None
+    choices: tuple[str, ...]
+    is_needed: bool
+    default: Any
+    help: str
+    table: Any
+
+    @property
+    def allowed(self) -> str:
+        """What may be given, in words."""
+        if self.shape is Shape.CHOICE:
+            return "one of " + ", ".join(self.choices)
+        if self.shape is Shape.FLAG:
+            return "true or false"
+        if self.shape is Shape.TABLE:
+            return "a table"
+        span = self.span
+        if self.shape is Shape.NAMES:
+            return f"a list of {span} different names, each {NAME_TEXT}"
+        if self.shape is Shape.TABLES:
+            return f"a table with {span} entries by name"
+        return f"a {self.shape.value} from {span}{f' ({self.unit})' if self.unit else ''}"
+
+    @property
+    def span(self) -> str:
+        """The range of a number or of a count of entries, in words."""
+        if self.high is None:
+            return "any"
+        high = _short(self.high)
+        return f"at most {high}" if self.low is None else f"{_short(self.low)} to {high}"
+
+    @property
+    def default_text(self) -> str:
+        """The default as the document writes it; "needed" when there is none."""
+        if self.is_needed:
+            return "needed"
+        if isinstance(self.default, Enum):
+            return str(self.default.value)
+        if isinstance(self.default, bool):
+            return str(self.default).lower()
+        return "none" if self.default == {} else str(self.default)
+
+
+@cache
+def rows(table: Any) -> tuple[FieldRow, ...]:
+    """Return the fields of a table class of the document, in their order."""
+    hints = get_type_hints(table, include_extras=True)
+    return tuple(_row(table, name, hint) for name, hint in hints.items())
+
+
+def row(table: Any, name: str) -> FieldRow | None:
+    """Return one field of a table class, or None when there is no such field."""
+    return next((each for each in rows(table) if each.name == name), None)
+
+
+def _row(table: Any, name: str, hint: Any) -> FieldRow:
+    plain, *extras = get_args(hint) if get_origin(hint) is Annotated else (hint,)
+    info = next(extra for extra in extras if isinstance(extra, FieldInfo))
+    shape, choices, inner = _shape(plain)
+    bounds = {type(bound).__name__: bound for bound in info.metadata}
+    low = getattr(bounds.get("Ge"), "ge", getattr(bounds.get("MinLen"), "min_length", None))
+    high = getattr(bounds.get("Le"), "le", getattr(bounds.get("MaxLen"), "max_length", None))
+    unit = (
+        info.json_schema_extra.get("unit", "") if isinstance(info.json_schema_extra, dict) else ""
+    )
+    defaults = table._field_defaults
+    return FieldRow(
+        name=name,
+        shape=shape,
+        unit=str(unit),
+        low=low,
+        high=high,
+        choices=choices,
+        is_needed=name not in defaults,
+        default=defaults.get(name),
+        help=info.description or "",
+        table=inner,
+    )
+
+
+def _shape(plain: Any) -> tuple[Shape, tuple[str, ...], Any]:
+    simple = {int: Shape.WHOLE, float: Shape.NUMBER, bool: Shape.FLAG}
+    if plain in simple:
+        return simple[plain], (), None
+    if get_origin(plain) is tuple:
+        return Shape.NAMES, (), None
+    if get_origin(plain) is dict:
+        return Shape.TABLES, (), get_args(plain)[1]
+    if issubclass(plain, Enum):
+        return Shape.CHOICE, tuple(member.value for member in plain), None
+    return Shape.TABLE, (), plain
+
+
+def _short(bound: float) -> str:
+    return f"{bound:,}" if isinstance(bound, int) else f"{bound:g}"
--- /dev/null
+++ b/tests/test_document.py
@@ -0,0 +1,117 @@
+"""Validation of configuration documents, and the page that describes them."""
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatlift.document import Document, Kind, Problem, Service, System, Team
+from kumquatlift.field_table import Shape, rows
+from tools.configuration_page import render
+
+PAGE = Path(__file__).parent.parent / "docs" / "configuration.md"
+
+
+def _source(**service: Any) -> dict[str, Any]:
+    return {
+        "system": {"voters": ["a", "b"]},
+        "services": {"s": {"kinds": {"k": {}}, **service}},
+        "teams": {"t": {}},
+    }
+
+
+def _problems(source: Any) -> dict[str, Problem]:
+    result = Document.from_mapping(source)
+    assert isinstance(result, list)
+    return {problem.path: problem for problem in result}
+
+
+class TestDocument:
+    """Guards against a bad document that is accepted, or refused without saying why."""
+
+    def test_round_trips_as_mapping_and_toml(self) -> None:
+        doc = Document.from_mapping(_source(retry_budget=1))
+        assert isinstance(doc, Document)
+        assert Document.from_mapping(doc.to_mapping()) == doc
+        assert Document.from_toml(doc.to_toml()) == doc
+
+    def test_every_problem_is_told_at_once_with_its_path(self) -> None:
+        source = _source(slots=True, kinds={"k": {"urgency": "soon", "lease_ms": 1}, "l": [1]})
+        source["system"] = {"voters": ["a", "B!"], "retention": 5}
+        source["teams"] = [1]
+        assert sorted(_problems(source)) == [
+            "services.s.kinds.k.lease_ms",
+            "services.s.kinds.k.urgency",
+            "services.s.kinds.l",
+            "services.s.slots",
+            "system.retention",
+            "system.voters.1",
+            "teams",
+        ]
+
+    def test_problem_says_what_was_given_and_what_is_allowed(self) -> None:
+        found = _problems(_source(slots=2000, kinds={"k": {"urgency": "soon"}}, speed=1))
+        assert str(found["services.s.slots"]) == (
+            "services.s.slots: a whole number from 1 to 1,024 (tasks) is needed (given: 2000)"
+        )
+        urgency = found["services.s.kinds.k.urgency"]
+        assert urgency.message == "one of critical, urgent, normal, batch is needed"
+        assert "the fields are kinds, slots" in found["services.s.speed"].message
+        assert _problems({})["services"].given == "nothing"
+
+    @pytest.mark.parametrize(
+        ("kind", "path"),
+        [
+            ({"lease_ms": 20, "deadline_ms": 10, "expected_ms": 1}, "lease_ms"),
+            ({"expected_ms": 300, "tasks_per_request": 40}, "expected_ms"),
+            ({"tasks_per_request": 10, "max_tasks": 9}, "tasks_per_request"),
+        ],
+    )
+    def test_conditions_on_several_fields(self, kind: dict[str, int], path: str) -> None:
+        # The other problem shows that conditions are checked in a document with further errors.
+        found = _problems(_source(kinds={"k": kind}, slots=0))
+        assert sorted(found) == [f"services.s.kinds.k.{path}", "services.s.slots"]
+
+    def test_voters_differ(self) -> None:
+        source = _source()
+        source["system"]["voters"] = ["a", "a"]
+        assert list(_problems(source)) == ["system.voters"]
+
+    @pytest.mark.parametrize("source", [[1], 5, None, "text"])
+    def test_other_values_are_no_document(self, source: Any) -> None:
+        assert list(_problems(source)) == [""]
+
+    def test_deep_nesting_is_a_problem_and_no_crash(self) -> None:
+        deep: Any = []
+        for _ in range(5000):
+            deep = [deep]
+        assert _problems(_source(slots=deep))
+
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+            lambda inner: st.lists(inner, max_size=3)
+            | st.dictionaries(st.sampled_from(["k", "s", "kinds", "slots"]), inner, max_size=3),
+        )
+    )
+    def test_any_value_is_accepted_or_refused_with_problems(self, value: Any) -> None:
+        for source in (value, _source(kinds=value), {"system": value, "services": value}):
+            result = Document.from_mapping(source)
+            assert isinstance(result, Document) or all(problem.message for problem in result)
+
+
+class TestFieldTable:
+    """Guards against a field that forms or the reference page cannot show."""
+
+    @pytest.mark.parametrize("table", [Document, System, Service, Kind, Team])
+    def test_every_field_is_described(self, table: Any) -> None:
+        for field in rows(table):
+            assert field.help
+            is_number = field.shape in (Shape.WHOLE, Shape.NUMBER)
+            assert bool(field.unit) == is_number
+            assert not is_number or (field.low is not None and field.high is not None)
+
+    def test_reference_page_is_current(self) -> None:
+        assert PAGE.read_text(encoding="utf-8") == render(), "run make docs"
