Add scenarios with real processes

The scenarios start entry processes and runner stand-ins on free ports and wait by polling with bounds. They cover a job end to end, resubmission, bad input, a killed and a leaving runner, a graceful stop, the death and freeze of the entry process that owns a job, and a restart of all.

They are not part of make test yet, because entry processes do not call each other yet.

--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 	touch $@
 
 format: setup
-	$(PY) -m ruff check --fix --quiet kumquatlift tests tools
-	$(PY) -m black --quiet kumquatlift tests tools
+	$(PY) -m ruff check --fix --quiet kumquatlift tests tools features
+	$(PY) -m black --quiet kumquatlift tests tools features
 
 check: setup
-	$(PY) -m black --check --quiet kumquatlift tests tools
-	$(PY) -m ruff check kumquatlift tests tools
+	$(PY) -m black --check --quiet kumquatlift tests tools features
+	$(PY) -m ruff check kumquatlift tests tools features
 	$(PY) -m mypy
 
 unit: setup
--- /dev/null
+++ b/features/steps/process_steps.py
@@ -0,0 +1,112 @@
+"""Steps that stop, kill and start processes, and judge what runners saw."""
+
+import signal
+import time
+from typing import Any
+
+from behave import then, when
+
+from features.world import ANSWER_BOUND_S
+from kumquatlift.start_record import LEAVING_GRACE_S
+from tools.cluster import wait_for
+
+
+@when("runner {runner} is killed while it is busy")
+def kill_busy_runner(context: Any, runner: str) -> None:
+    world = context.world
+    wait_for(lambda: world.reading(runner)["busy"] > 0, f"{runner} is busy", bound_s=5)
+    world.cluster.kill(runner)
+
+
+@when("runner {runner} joins")
+def start_runner(context: Any, runner: str) -> None:
+    context.world.start_runner(runner)
+    context.world.cluster.wait_until_started()
+
+
+@when("runner {runner} is told to leave")
+def tell_runner_to_leave(context: Any, runner: str) -> None:
+    context.world.cluster.signal(runner, signal.SIGTERM)
+    wait_for(
+        lambda: context.world.reading(runner)["leaving_at_s"] is not None,
+        f"{runner} leaves",
+        bound_s=5,
+    )
+
+
+@when("small jobs are submitted through every entry process until {seconds:d} s after the bound")
+def submit_small_jobs(context: Any, seconds: int) -> None:
+    until = time.monotonic() + LEAVING_GRACE_S + seconds
+    while time.monotonic() < until:
+        for entry in context.world.cluster.entries:
+            submission = context.world.submit_until_answered(entry)
+            assert submission.code == 1000, submission
+
+
+@when("{entry} is told to stop")
+def stop_entry(context: Any, entry: str) -> None:
+    context.world.cluster.signal(entry, signal.SIGTERM)
+
+
+@when("all entry processes are killed and started again")
+def restart_all(context: Any) -> None:
+    cluster = context.world.cluster
+    for name in cluster.entries:
+        cluster.kill(name)
+    cluster.start_entries()
+    cluster.wait_until_started()
+
+
+@when("{entry} is killed")
+def kill_entry(context: Any, entry: str) -> None:
+    context.world.cluster.kill(entry)
+
+
+@when("{entry} is frozen")
+def freeze_entry(context: Any, entry: str) -> None:
+    context.world.cluster.signal(entry, signal.SIGSTOP)
+
+
+@when("{entry} is resumed")
+def resume_entry(context: Any, entry: str) -> None:
+    context.world.cluster.signal(entry, signal.SIGCONT)
+
+
+@then("{entry} ends with exit code {code:d}")
+def check_exit(context: Any, entry: str, code: int) -> None:
+    cluster = context.world.cluster
+    wait_for(lambda: not cluster.is_running(entry), f"{entry} ends", bound_s=ANSWER_BOUND_S)
+    assert cluster.exit_code(entry) == code, cluster.exit_code(entry)
+
+
+@then("runner {runner} has got no request after the bound")
+def check_left_runner(context: Any, runner: str) -> None:
+    reading = context.world.reading(runner)
+    assert context.world.cluster.is_running(runner), "it must still run a task to prove anything"
+    assert reading["requests_after_leaving"] == 0, reading
+
+
+@then("no runner has used more slots or connections than it has")
+def check_limits(context: Any) -> None:
+    for name in context.world.cluster.runners:
+        reading = context.world.reading(name)
+        assert 0 < reading["peak_slots"] <= 2, reading
+        assert 0 < reading["peak_connections"] <= 16, reading
+
+
+@then('the "{kind}" job is complete, with starts after the lease of a lost attempt only')
+def check_retries(context: Any, kind: str) -> None:
+    job = context.by_kind[kind]
+    answer = job.answer.result(ANSWER_BOUND_S)
+    assert answer["code"] == 1000, answer
+    attempts = {row["id"]: row["attempts"] for row in answer["results"]}
+    starts = context.world.starts(job)
+    # The killed runner may have started tasks after it was read last, so starts can be missing.
+    assert all(0 < starts[task] <= attempts[task] for task in attempts), (starts, attempts)
+    assert max(attempts.values()) > 1, "the killed runner ran no task of the job"
+
+
+@then('the "{kind}" job is complete or its answer says that tasks may have run')
+def check_lost_once(context: Any, kind: str) -> None:
+    answer = context.by_kind[kind].answer.result(ANSWER_BOUND_S)
+    assert answer["code"] == 1000 or answer["ran"] in ("maybe", "yes"), answer
--- /dev/null
+++ b/features/world.py
@@ -0,0 +1,132 @@
+"""Processes and jobs of one scenario."""
+
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+from typing import Any, NamedTuple, TypeVar
+
+from kumquatlift.client import Client, Submission, call
+from kumquatlift.failure import Failure
+from tools.cluster import Cluster, wait_for
+
+T = TypeVar("T")
+SERVICE = "work"
+# Runners of one process each; the last one, in the other zone, shows that zones help each other.
+RUNNERS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+ANSWER_BOUND_S = 20.0
+
+
+class Job(NamedTuple):
+    """A submitted job and the future of its submission's answer."""
+
+    fields: dict[str, Any]
+    answer: Future[dict[str, Any] | Failure]
+
+    @property
+    def id(self) -> str:
+        """The job id."""
+        return str(self.fields["id"])
+
+
+class World:
+    """Three entry processes in two zones, their runners, and callers in the background."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="kumquatlift-")
+        self._executor = ThreadPoolExecutor(max_workers=32)
+        self._last_readings: dict[str, dict[str, Any]] = {}
+        self.cluster = Cluster(
+            folder=Path(self._folder.name),
+            document=Path(__file__).with_name("document.toml"),
+            zones=("north", "north", "south"),
+            voters=("north-1", "north-2", "south-1"),
+        )
+
+    def start(self, *runners: str) -> None:
+        """Start the entry processes and runners, and wait until jobs through each are answered."""
+        self.cluster.start_entries()
+        for name in runners or RUNNERS:
+            self.start_runner(name)
+        self.cluster.wait_until_started()
+        for name in self.cluster.entries:
+            submission = self.submit_until_answered(name)
+            assert submission.code == 1000, submission
+
+    def start_runner(self, name: str) -> None:
+        """Start one runner."""
+        self.cluster.start_runners(name, service=SERVICE, zone=RUNNERS.get(name, "north"))
+
+    def callers(self, entry: str) -> str:
+        """Address for callers of an entry process."""
+        return self.cluster.entries[entry].callers
+
+    def submit(self, entry: str, kind: str, count: int, run_ms: int, **extra: Any) -> Job:
+        """Take a ticket and submit a job in the background, without any resubmission."""
+        ticket = call(self.callers(entry), "POST", "/v1/tickets", payload={})
+        assert not isinstance(ticket, Failure), ticket
+        fields = {**_fields(kind, count, run_ms), **extra}
+        fields["id"] = f"{ticket['ledger']}.{time.monotonic_ns()}"
+        return self.resubmit(Job(fields, Future()), entry)
+
+    def resubmit(self, job: Job, entry: str) -> Job:
+        """Send a job as it is to an entry process, once, in the background."""
+        fut = self._executor.submit(
+            call,
+            self.callers(entry),
+            "POST",
+            "/v1/jobs",
+            payload=job.fields,
+            timeout_s=ANSWER_BOUND_S,
+        )
+        return Job(job.fields, fut)
+
+    def resubmit_until_final(self, job: Job, entry: str) -> dict[str, Any]:
+        """Ask one entry process for a job until the answer does not say to ask again."""
+        answers: list[dict[str, Any]] = []
+
+        def is_final() -> bool:
+            answer = self.resubmit(job, entry).answer.result()
+            if isinstance(answer, Failure):
+                return False
+            answers.append(answer)
+            return answer["resubmit"] != "same-id"
+
+        wait_for(is_final, "a final answer", bound_s=ANSWER_BOUND_S)
+        return answers[-1]
+
+    def submit_until_answered(self, entry: str, run_ms: int = 10) -> Submission:
+        """Submit a small job as a patient client does."""
+        client = Client(entries=[self.callers(entry)], answer_timeout_s=5, give_up_s=ANSWER_BOUND_S)
+        return client.submit(_fields("once", 4, run_ms))
+
+    def in_background(self, function: Callable[..., T], *arguments: Any) -> Future[T]:
+        """Call a function in another thread, so that the caller can bound its wait."""
+        return self._executor.submit(function, *arguments)
+
+    def reading(self, runner: str) -> dict[str, Any]:
+        """What a runner tells of itself; the last words of one that was killed."""
+        answer = call(self.cluster.runners[runner], "GET", "/starts")
+        if not isinstance(answer, Failure):
+            self._last_readings[runner] = answer
+        return self._last_readings[runner]
+
+    def starts(self, job: Job) -> Counter[str]:
+        """Count the starts of each task of a job over all runners."""
+        readings = [self.reading(name) for name in self.cluster.runners]
+        return Counter(
+            row["task"] for reading in readings for row in reading["starts"] if row["job"] == job.id
+        )
+
+    def close(self) -> None:
+        """End every process."""
+        self.cluster.close(at_once=True)
+        self._executor.shutdown()
+        self._folder.cleanup()
+
+
+def _fields(kind: str, count: int, run_ms: int) -> dict[str, Any]:
+    tasks = [{"id": f"t{number}", "body": {"run_ms": run_ms}} for number in range(count)]
+    return {"service": SERVICE, "kind": kind, "tasks": tasks}
--- a/kumquatlift/client.py
+++ b/kumquatlift/client.py
@@ -141,6 +141,14 @@
 ) -> dict[str, Any] | Failure:
     """Make one HTTP request with a JSON body on a new connection.
 
+    Args:
+        address: Where to send it, "ip:port".
+        method: HTTP method.
+        path: Path with the query.
+        payload: Body; bytes are sent as they are, anything else as JSON.
+        timeout_s: Longest wait for a connection and for each part of the answer.
+        token: Bearer token; empty for none.
+
     Returns:
         The JSON object of the answer, whatever its status; a ``NOT_DELIVERED`` failure when no
         connection was made; or a ``TIMED_OUT`` failure when the effect is unknown.
@@ -151,7 +159,7 @@
             conn.connect()
         except OSError as exc:
             return Failure(ResultCode.NOT_DELIVERED, f"{address} cannot be reached: {exc}")
-        body = None if payload is None else json.dumps(payload).encode()
+        body = payload if isinstance(payload, bytes | None) else json.dumps(payload).encode()
         headers = {"Content-Type": "application/json"}
         if token:
             headers["Authorization"] = f"Bearer {token}"
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple
 
@@ -75,6 +76,8 @@
         self._folder = folder
         self._command = tuple(command)
         self._processes: dict[str, subprocess.Popen[str]] = {}
+        self._pending_entries: list[EntryPlace] = []
+        self._pending_runners: list[tuple[str, int]] = []
         self.runners: dict[str, str] = {}
         ports = iter(_free_ports(4 * len(zones)))
         self.entries: dict[str, EntryPlace] = {}
@@ -98,12 +101,10 @@
         return [place.callers for place in self.entries.values()]
 
     def start_entries(self, *names: str) -> None:
-        """Start entry processes, all of them without names, and wait until they serve callers."""
-        chosen = [self.entries[name] for name in names or self.entries]
-        for place in chosen:
+        """Start entry processes, all of them without names."""
+        for place in [self.entries[name] for name in names or self.entries]:
             self._start(place.name, "entry", str(self._folder / f"{place.name}.toml"))
-        for place in chosen:
-            wait_for(lambda place=place: self._serves(place), f"{place.name} serves")  # type: ignore[misc]
+            self._pending_entries.append(place)
 
     def start_runners(
         self, name: str, *, service: str, zone: str, copies: int = 1, speeds: Sequence[float] = (1,)
@@ -115,13 +116,27 @@
         arguments = [name, "--service", service, "--zone", zone, "--copies", str(copies)]
         arguments += ["--worker", f"worker-{name}", "--entries", *entries[first:], *entries[:first]]
         arguments += ["--speeds", *(str(speed) for speed in speeds)]
-        process = self._start(name, "runner", *arguments)
-        assert process.stdout is not None
-        for _ in range(copies):
-            words = process.stdout.readline().split()
-            if not words:
-                raise ConditionError(f"{name} ended at its start: {self.log(name)}")
-            self.runners[words[0]] = words[-1]
+        self._start(name, "runner", *arguments)
+        self._pending_runners.append((name, copies))
+
+    def wait_until_started(self) -> None:
+        """Wait until every process started so far serves.
+
+        Raises:
+            ConditionError: A process ended or did not serve in time.
+        """
+        while self._pending_runners:
+            name, copies = self._pending_runners.pop()
+            output = self._processes[name].stdout
+            assert output is not None
+            for _ in range(copies):
+                words = output.readline().split()
+                if not words:
+                    raise ConditionError(f"{name} ended at its start: {self.log(name)}")
+                self.runners[words[0]] = words[-1]
+        while self._pending_entries:
+            place = self._pending_entries.pop()
+            wait_for(partial(self._serves, place), f"{place.name} serves")
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
@@ -144,8 +159,11 @@
         """What a process has written to its log, the last part of it."""
         return (self._folder / f"{name}.log").read_text(encoding="utf-8")[-4000:]
 
-    def close(self) -> None:
-        """End every process by its id, gently at first."""
+    def close(self, *, at_once: bool = False) -> None:
+        """End every process by its id, with SIGTERM first unless ``at_once``."""
+        if at_once:
+            for process in self._processes.values():
+                process.kill()
         running = [process for process in self._processes.values() if process.poll() is None]
         for process in running:
             # A stopped process gets SIGTERM only after SIGCONT.
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -98,6 +98,7 @@
     ) as cluster:
         cluster.start_entries()
         victim = _start_runners(deployment, cluster)
+        cluster.wait_until_started()
         _warm_up(deployment, cluster)
         console.print(
             f"{len(cluster.entries)} entry processes and {len(cluster.runners)} runners in "
