Build one executable file that runs on its own

make build read -c requirements.lock as the name of a console script, so the file ended at its start with a missing file. The lock file is now a constraint, the wheel is named by its path so that no index can offer another package of that name, and old build folders are removed first, because setuptools packs modules that were deleted since.

make build now checks the file: it validates both example documents and runs an entry process, a runner and a job from it.

--- a/Makefile
+++ b/Makefile
@@ -46,12 +46,16 @@
 bench: setup
 	$(PY) -m kumquatlift.bench
 
+# The wheel is named by its path, so that no index can offer another package of that name.
 build: setup
-	mkdir -p build/wheel
+	rm -rf build/lib build/bdist.* build/wheel build/kumquatlift
 	$(PY) -m pip wheel --quiet --disable-pip-version-check --no-deps --wheel-dir build/wheel .
-	$(PY) -m pip freeze --exclude-editable >/dev/null
-	$(PY) -m shiv --quiet --compressed --output-file build/kumquatlift --python "/usr/bin/env python3.11" \
-	  --entry-point kumquatlift.cli:main --find-links build/wheel kumquatlift -c requirements.lock
+	$(PY) -m shiv --compressed --output-file build/kumquatlift --python "/usr/bin/env python3.11" \
+	  --entry-point kumquatlift.cli:main --quiet --disable-pip-version-check \
+	  --constraint requirements.lock build/wheel/*.whl
+	build/kumquatlift check examples/glenkirk/document.toml
+	build/kumquatlift check examples/maulwurf/document.toml
+	$(PY) -m tools.check_build
 
 lock:
 	$(PY) -m uv pip compile --quiet --no-header --no-annotate --no-emit-index-url --extra dev pyproject.toml -o requirements.lock
