Add the membership view and its gossip over UDP

Cause: routing needs to know which entry processes are live; a dead one has to be noticed within 3 s, and 30% loss must remove no live one.

Ruled out: counting the age of a heartbeat from its arrival, because the last counter of a dead member that arrives over others would delay the detection by its detour. Ages are counted from the estimated sending time. Full records in every datagram: about 8 KB/s at 7 members.

Change: digests hold a 32-bit key and a counter for each member; records are sent when new and when asked for. One datagram a second goes to a seed or to a member that counts as dead.

--- /dev/null
+++ b/kumquatlift/_gossip_codec.py
@@ -0,0 +1,96 @@
+"""Datagrams of gossip, in the packed encoding of ``gossip.capnp``."""
+
+from typing import Any, NamedTuple
+
+from kumquatlift._schema import load_schema
+from kumquatlift.membership import Digest, Heartbeat, Member, MemberState, Record
+
+# Below the smallest path MTU in use, so that datagrams are not fragmented.
+MAX_DATAGRAM_BYTES = 1200
+_COUNTER_MASK = (1 << 32) - 1
+
+
+class Message(NamedTuple):
+    """Content of one datagram."""
+
+    digest: Digest
+    wanted: tuple[int, ...] = ()
+    records: tuple[Record, ...] = ()
+
+
+def encode(message: Message) -> bytes:
+    """Return a datagram; records that don't fit are left out and will be asked for again."""
+    data = _pack(message)
+    while len(data) > MAX_DATAGRAM_BYTES and message.records:
+        message = message._replace(records=message.records[:-1])
+        data = _pack(message)
+    return data
+
+
+def decode(data: bytes) -> Message:
+    """Read a datagram.
+
+    Raises:
+        ValueError: The bytes are not gossip.
+    """
+    import capnp
+
+    try:
+        return _read(load_schema("gossip").Gossip.from_bytes_packed(data))
+    except (capnp.KjException, ValueError) as exc:
+        raise ValueError(f"not gossip: {str(exc)[:100]}") from exc
+
+
+def _pack(message: Message) -> bytes:
+    out = load_schema("gossip").Gossip.new_message()
+    digest = message.digest
+    out.sender = digest.sender.key
+    out.counter = digest.sender.counter & _COUNTER_MASK
+    out.configVersion = digest.config_version
+    if digest.heard:
+        heard = out.init("heard", len(digest.heard))
+        for slot, beat in zip(heard, digest.heard, strict=True):
+            slot.key = beat.key
+            slot.counter = beat.counter & _COUNTER_MASK
+    if message.wanted:
+        out.wanted = list(message.wanted)
+    if message.records:
+        records = out.init("records", len(message.records))
+        for slot, record in zip(records, message.records, strict=True):
+            _fill(slot, record)
+    data: bytes = out.to_bytes_packed()
+    return data
+
+
+def _fill(slot: Any, record: Record) -> None:
+    member = record.member
+    slot.name, slot.zone = member.name, member.zone
+    slot.callers, slot.runners, slot.peers = member.callers, member.runners, member.peers
+    slot.incarnation = member.incarnation
+    slot.isLeaving = member.state is MemberState.LEAVING
+    slot.configVersion = member.config_version
+    slot.counter = record.counter & _COUNTER_MASK
+
+
+def _read(message: Any) -> Message:
+    heard = tuple(Heartbeat(beat.key, beat.counter) for beat in message.heard)
+    return Message(
+        Digest(Heartbeat(message.sender, message.counter), message.configVersion, heard),
+        tuple(message.wanted),
+        tuple(_record(slot) for slot in message.records),
+    )
+
+
+def _record(slot: Any) -> Record:
+    state = MemberState.LEAVING if slot.isLeaving else MemberState.SERVING
+    member = Member(
+        slot.name,
+        slot.zone,
+        slot.callers,
+        slot.runners,
+        slot.peers,
+        slot.incarnation,
+        state,
+        slot.configVersion,
+    )
+    return Record(member, slot.counter)
--- /dev/null
+++ b/kumquatlift/gossip.capnp
@@ -0,0 +1,32 @@
+@0xb7f0c41d92e65a37;
+
+# One UDP datagram between two entry processes, in packed encoding.
+struct Gossip {
+  # Key, heartbeat counter and configuration version of the sending process. A key is the first four
+  # bytes of a hash of the record, so a changed record has another key.
+  sender @0 :UInt32;
+  counter @1 :UInt32;
+  configVersion @2 :UInt32;
+  # Heartbeats that the sender has heard of.
+  heard @3 :List(Heartbeat);
+  # Keys whose records the receiver should send back.
+  wanted @4 :List(UInt32);
+  records @5 :List(Record);
+
+  struct Heartbeat {
+    key @0 :UInt32;
+    counter @1 :UInt32;
+  }
+
+  struct Record {
+    name @0 :Text;
+    zone @1 :Text;
+    callers @2 :Text;
+    runners @3 :Text;
+    peers @4 :Text;
+    incarnation @5 :Text;
+    isLeaving @6 :Bool;
+    configVersion @7 :UInt32;
+    counter @8 :UInt32;
+  }
+}
--- /dev/null
+++ b/kumquatlift/gossip.py
@@ -0,0 +1,253 @@
+"""Tells other entry processes over UDP which processes are alive."""
+
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from functools import partial
+from typing import Any
+
+from kumquatlift._gossip_codec import Message, decode, encode
+from kumquatlift._heartbeat_age import COUNTS_PER_S
+from kumquatlift.clock import Clock, MonotonicClock
+from kumquatlift.log import get_logger
+from kumquatlift.membership import Member, MembershipView, MemberState
+from kumquatlift.settings import Address
+
+PERIOD_S = 0.25
+FANOUT = 3
+# Every fourth round (once a second) one datagram goes to a seed or to a member that counts as dead,
+# so that the two sides of a healed partition find each other.
+PROBE_ROUNDS = 4
+MAX_RECORDS = 6
+MAX_WANTED = 32
+# Counters start at the time of day since 2026 and fit 32 bits until 2043.
+_EPOCH_S = 1_767_225_600
+# IPv4 and UDP headers, counted in the traffic.
+HEADER_BYTES = 28
+
+Listener = Callable[[list[Member], list[Member]], None]
+"""Takes the members that came into the live set and those that left it."""
+
+
+class Targets:
+    """Chooses the peers of each round.
+
+    Live members are taken in shuffled turns, which bounds the time between two datagrams to the
+    same member.
+
+    Args:
+        view: Membership view.
+        seeds: Addresses to ask first, "ip:port".
+        rng: Source of the order.
+    """
+
+    def __init__(self, *, view: MembershipView, seeds: tuple[str, ...], rng: random.Random) -> None:
+        self._view = view
+        self._seeds = seeds
+        self._rng = rng
+        self._turn: list[str] = []
+        self._round = 0
+
+    def next(self) -> list[str]:
+        """Return the addresses of this round."""
+        own = self._view.me.peers
+        reachable = {member.peers for member in self._view.reachable()} - {own}
+        strangers = {*self._seeds, *(member.peers for member in self._view.silent())}
+        strangers -= reachable | {own}
+        chosen = self._take(reachable)
+        self._round += 1
+        spare = FANOUT - len(chosen)
+        if strangers and (spare > 0 or self._round % PROBE_ROUNDS == 0):
+            probes = self._rng.sample(sorted(strangers), min(max(1, spare), len(strangers)))
+            chosen = chosen[: FANOUT - len(probes)] + probes
+        return chosen
+
+    def _take(self, reachable: set[str]) -> list[str]:
+        chosen: list[str] = []
+        for _ in range(min(FANOUT, len(reachable))):
+            self._turn = [address for address in self._turn if address in reachable]
+            if not self._turn:
+                # An address of this round at the end of the list keeps the round's three distinct.
+                self._turn = sorted(reachable)
+                self._rng.shuffle(self._turn)
+                self._turn.sort(key=lambda address: address not in chosen)
+            chosen.append(self._turn.pop())
+        return chosen
+
+
+class Rounds:
+    """Messages of one process, without the socket.
+
+    Args:
+        view: Membership view.
+        targets: Chooser of peers.
+    """
+
+    def __init__(self, *, view: MembershipView, targets: Targets) -> None:
+        self._view = view
+        self._targets = targets
+        self._round = 0
+
+    def next(self) -> list[tuple[str, Message]]:
+        """Return the messages of one period, with their addresses.
+
+        One of them carries the own heartbeat only and the rest also those heard of others.
+        """
+        addresses = self._targets.next()
+        self._round += 1
+        news = tuple(self._view.news())
+        bare = self._round % len(addresses) if addresses else 0
+        return [
+            (address, Message(self._view.digest(with_heard=index != bare), (), news))
+            for index, address in enumerate(addresses)
+        ]
+
+    def answer(self, message: Message) -> Message | None:
+        """Take a message; return what to send back to its sender, if anything."""
+        newer = self._view.add(list(message.records))
+        unknown = self._view.merge(message.digest)
+        records = self._view.records([*message.wanted, *newer])
+        if not unknown and not records:
+            return None
+        return Message(
+            self._view.digest(with_heard=False),
+            tuple(unknown[:MAX_WANTED]),
+            tuple(records[:MAX_RECORDS]),
+        )
+
+
+class Gossip:
+    """Sends and receives gossip; ``view`` is the membership as this process sees it.
+
+    Args:
+        me: This process; its ``peers`` address is where it listens.
+        seeds: Addresses to ask first, "ip:port".
+        listener: Told of changes of the live set, in the gossip thread; it must not block.
+        clock: Monotonic clock.
+        rng: Source of the order of peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: Member,
+        seeds: tuple[str, ...] = (),
+        listener: Listener | None = None,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._clock = clock or MonotonicClock()
+        self.view = MembershipView(me=me, clock=self._clock, first_counter=first_counter())
+        targets = Targets(view=self.view, seeds=seeds, rng=rng or random.Random())
+        self._rounds = Rounds(view=self.view, targets=targets)
+        self._listener = listener
+        address = Address.parse(me.peers)
+        self._sock = _open_socket(address)
+        self._stopped = threading.Event()
+        self._hurry = threading.Event()
+        self._started_at = self._clock.now()
+        self._counts = {"sent": 0, "received": 0, "bytes_sent": 0, "bytes_received": 0, "bad": 0}
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="gossip")
+        self._running: Future[None] | None = None
+
+    def start(self) -> None:
+        """Begin to gossip."""
+        self._running = self._executor.submit(self._run)
+
+    def set_state(self, state: MemberState) -> None:
+        """Change what this process says of itself; peers are told at once."""
+        self.view.set_state(state)
+        self._hurry.set()
+
+    def set_config_version(self, version: int) -> None:
+        """Change the version of the configuration in force here."""
+        self.view.set_config_version(version)
+
+    def close(self) -> None:
+        """Stop and close the socket."""
+        self._stopped.set()
+        if self._running is not None:
+            self._running.result()
+        self._executor.shutdown()
+        self._sock.close()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the membership section of the state dump."""
+        age = max(0.001, self._clock.now() - self._started_at)
+        total = self._counts["bytes_sent"] + self._counts["bytes_received"]
+        return {
+            "me": {"name": self.view.me.name, "state": self.view.me.state.value},
+            "members": self.view.snapshot(),
+            "traffic": {**self._counts, "bytes_per_s": round(total / age, 1)},
+        }
+
+    def _run(self) -> None:
+        next_at = self._clock.now()
+        while not self._stopped.is_set():
+            now = self._clock.now()
+            if now >= next_at or self._hurry.is_set():
+                self._hurry.clear()
+                # Rounds that were missed while the process stood still are not made up for.
+                next_at = max(next_at + PERIOD_S, now)
+                self._guard(self._round)
+            self._sock.settimeout(max(0.001, next_at - self._clock.now()))
+            self._guard(self._receive)
+
+    def _guard(self, action: Callable[[], None]) -> None:
+        try:
+            action()
+        except (OSError, ValueError):
+            # An unreachable address or a stranger's datagram concerns one message only.
+            self._counts["bad"] += 1
+        except Exception as exc:
+            # Without this thread the process would count as dead everywhere.
+            get_logger().error("gossip-fault", error=repr(exc))
+
+    def _round(self) -> None:
+        for address, message in self._rounds.next():
+            self._guard(partial(self._send, address, message))
+        self._report_changes()
+
+    def _receive(self) -> None:
+        try:
+            data, source = self._sock.recvfrom(65535)
+        except TimeoutError:
+            return
+        self._counts["received"] += 1
+        self._counts["bytes_received"] += len(data) + HEADER_BYTES
+        reply = self._rounds.answer(decode(data))
+        if reply is not None:
+            self._send(str(Address(source[0], source[1])), reply)
+
+    def _send(self, address: str, message: Message) -> None:
+        data = encode(message)
+        self._sock.sendto(data, tuple(Address.parse(address)))
+        self._counts["sent"] += 1
+        self._counts["bytes_sent"] += len(data) + HEADER_BYTES
+
+    def _report_changes(self) -> None:
+        came, left = self.view.refresh()
+        if not came and not left:
+            return
+        get_logger().info(
+            "members-changed",
+            came=[member.name for member in came],
+            left=[member.name for member in left],
+        )
+        if self._listener is not None:
+            self._listener(came, left)
+
+
+def first_counter() -> int:
+    """Return the start of the heartbeat counter of a process that starts now."""
+    return max(0, int((time.time() - _EPOCH_S) * COUNTS_PER_S))
+
+
+def _open_socket(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM)
+    sock.bind((address.host, address.port))
+    return sock
--- /dev/null
+++ b/tests/simulated_gossip.py
@@ -0,0 +1,123 @@
+"""Processes that gossip over a simulated lossy network on a manual clock."""
+
+import heapq
+import random
+from collections.abc import Callable
+
+from kumquatlift._gossip_codec import Message, decode, encode
+from kumquatlift._heartbeat_age import COUNTS_PER_S
+from kumquatlift.clock import ManualClock
+from kumquatlift.gossip import HEADER_BYTES, PERIOD_S, Rounds, Targets
+from kumquatlift.membership import Member, MembershipView, MemberState
+
+
+class SimulatedProcess:
+    """One process: its view, its rounds and its traffic."""
+
+    def __init__(self, sim: "SimulatedGossip", name: str, incarnation: str, start: int) -> None:
+        zone = "z" + str(int(name[1:]) % 3)
+        host = f"10.0.{int(name[1:]) // 100}.{int(name[1:]) % 100}"
+        addresses = (f"{host}:8080", f"{host}:8081", f"{host}:7000")
+        me = Member(f"entry-{name}", zone, *addresses, incarnation)
+        self.view = MembershipView(me=me, clock=sim.clock, first_counter=start)
+        targets = Targets(view=self.view, seeds=sim.seeds, rng=sim.rng)
+        self.rounds = Rounds(view=self.view, targets=targets)
+        self.bytes = 0
+        self.next_at = sim.clock.now() + sim.rng.random() * PERIOD_S
+
+    def sees(self, name: str) -> bool:
+        """Tell whether a member is live in this view, whatever its state."""
+        return any(member.name == f"entry-{name}" for member in self.view.reachable())
+
+
+class SimulatedGossip:
+    """A network of processes named m0, m1 and so on.
+
+    Args:
+        count: Number of processes; the first three are seeds.
+        seed: Seed of loss, delays and orders.
+        loss: Share of datagrams that are lost.
+        tick_delay_s: Each round is late by up to this much.
+    """
+
+    def __init__(
+        self, *, count: int, seed: int, loss: float = 0.3, tick_delay_s: float = 0.05
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock(start=1000.0)
+        self.loss = loss
+        self.tick_delay_s = tick_delay_s
+        self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
+        self.processes: dict[str, SimulatedProcess] = {}
+        self._in_flight: list[tuple[float, int, str, str, bytes]] = []
+        self._sent = 0
+        self.seeds = tuple(f"10.0.0.{n}:7000" for n in range(min(3, count)))
+        for n in range(count):
+            self.start(f"m{n}")
+
+    def start(self, name: str, *, clock_error_s: float = 0.0) -> SimulatedProcess:
+        """Start a process, or start it anew, with an error of its time of day."""
+        start = int((1e6 + self.clock.now() + clock_error_s) * COUNTS_PER_S)
+        incarnation = f"{self.rng.getrandbits(48):012x}"
+        self.processes[name] = SimulatedProcess(self, name, incarnation, start)
+        return self.processes[name]
+
+    def run(self, seconds: float, check: Callable[[], None] = lambda: None) -> None:
+        """Let time pass; ``check`` is called every 50 ms."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end:
+            self.clock.advance(0.05)
+            self._deliver()
+            for name, process in list(self.processes.items()):
+                if process.next_at <= self.clock.now():
+                    self._round(name, process)
+            check()
+
+    def is_complete(self) -> bool:
+        """Tell whether all views hold exactly the processes that run, as live."""
+        running = sorted(f"entry-{name}" for name in self.processes)
+        return all(
+            [member.name for member in process.view.live()] == running
+            for process in self.processes.values()
+        )
+
+    def bytes_per_s(self, seconds: float) -> float:
+        """Return bytes sent and received per second and process, and start counting anew."""
+        total = sum(process.bytes for process in self.processes.values())
+        for process in self.processes.values():
+            process.bytes = 0
+        return total / seconds / len(self.processes)
+
+    def leave(self, name: str) -> None:
+        """Let a process announce that it leaves."""
+        self.processes[name].view.set_state(MemberState.LEAVING)
+
+    def _round(self, name: str, process: SimulatedProcess) -> None:
+        process.next_at += PERIOD_S
+        process.view.refresh()
+        late = self.rng.random() * self.tick_delay_s
+        for address, message in process.rounds.next():
+            self._send(name, address, message, late)
+
+    def _send(self, sender: str, address: str, message: Message, late: float) -> None:
+        data = encode(message)
+        self.processes[sender].bytes += len(data) + HEADER_BYTES
+        high, low = address.split(":")[0].split(".")[2:]
+        receiver = f"m{int(high) * 100 + int(low)}"
+        if self.rng.random() < self.loss or self.is_cut(sender, receiver):
+            return
+        self._sent += 1
+        at = self.clock.now() + late + self.rng.random() * 0.01
+        heapq.heappush(self._in_flight, (at, self._sent, sender, receiver, data))
+
+    def _deliver(self) -> None:
+        while self._in_flight and self._in_flight[0][0] <= self.clock.now():
+            _, _, sender, receiver, data = heapq.heappop(self._in_flight)
+            process = self.processes.get(receiver)
+            if process is None:
+                continue
+            process.bytes += len(data) + HEADER_BYTES
+            reply = process.rounds.answer(decode(data))
+            if reply is not None and sender in self.processes:
+                address = self.processes[sender].view.me.peers
+                self._send(receiver, address, reply, 0.0)
