Diagnose peers, and halve the bytes of a heartbeat

Cause: operators need to tell a dead process from a stopped one, a silent connection and a partition.

Change: a heartbeat that is passed on takes four bytes, 24 bits of the key and eight of the counter; a digest holds up to 28, the newest first. A pure classifier takes the evidence of channel and membership.

--- a/kumquatlift/_channel_loop.py
+++ b/kumquatlift/_channel_loop.py
@@ -254,7 +254,7 @@
             raise FrameError(f"{MAX_PEERS} peers are known")
         conn.phase = Phase.READY
         if conn.is_ours:
-            link.note_answered()
+            link.note_answered(time.monotonic())
             conn.outbox = link.outbox
         else:
             conn.peer = envelope.topic
--- a/kumquatlift/_gossip_codec.py
+++ b/kumquatlift/_gossip_codec.py
@@ -48,10 +48,7 @@
     out.counter = digest.sender.counter & _COUNTER_MASK
     out.configVersion = digest.config_version
     if digest.heard:
-        heard = out.init("heard", len(digest.heard))
-        for slot, beat in zip(heard, digest.heard, strict=True):
-            slot.key = beat.key
-            slot.counter = beat.counter & _COUNTER_MASK
+        out.heard = [beat.key << 8 | beat.counter & 0xFF for beat in digest.heard]
     if message.wanted:
         out.wanted = list(message.wanted)
     if message.records:
@@ -73,7 +70,7 @@
 
 
 def _read(message: Any) -> Message:
-    heard = tuple(Heartbeat(beat.key, beat.counter) for beat in message.heard)
+    heard = tuple(Heartbeat(beat >> 8, beat & 0xFF) for beat in message.heard)
     return Message(
         Digest(Heartbeat(message.sender, message.counter), message.configVersion, heard),
         tuple(message.wanted),
--- a/kumquatlift/_link.py
+++ b/kumquatlift/_link.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from kumquatlift._connection import Connection, Outbox
-from kumquatlift.peer_diagnosis import ConnectOutcome
+from kumquatlift.peer_diagnosis import ConnectOutcome, Evidence
 
 MAX_PEERS = 256
 # Callers that can use another peer are told at once while a failed attempt is this young.
@@ -26,6 +26,7 @@
         self.conn: Connection | None = None
         self.outcome = ConnectOutcome.NONE
         self.failed_at: float | None = None
+        self.ended_at: float | None = None
         self.heard_at: float | None = None
         self.call_timed_out_at: float | None = None
         self.error = ""
@@ -43,15 +44,25 @@
         """Record an attempt to connect that failed."""
         self.outcome = outcome
         self.error = reason
-        self.failed_at = now
+        self.failed_at = self.ended_at = now
 
-    def note_answered(self) -> None:
+    def note_answered(self, now: float) -> None:
         """Record that the peer answered on a new connection."""
+        self.ended_at = now
         self.outcome = ConnectOutcome.ANSWERED
         self.error = ""
         self.failed_at = None
         self.connects += 1
 
+    def evidence(self, now: float) -> Evidence:
+        """Return what the connections tell of the peer."""
+        return Evidence(
+            connect=self.outcome,
+            connect_age_s=_age(self.ended_at, now),
+            call_timed_out_age_s=_age(self.call_timed_out_at, now),
+            answered_age_s=_age(self.heard_at, now),
+        )
+
     def snapshot(self, now: float) -> dict[str, Any]:
         """Return the counters; ages are in seconds, and None when it never happened."""
         return {
--- a/kumquatlift/gossip.capnp
+++ b/kumquatlift/gossip.capnp
@@ -2,22 +2,18 @@
 
 # One UDP datagram between two entry processes, in packed encoding.
 struct Gossip {
-  # Key, heartbeat counter and configuration version of the sending process. A key is the first four
+  # Key, heartbeat counter and configuration version of the sending process. A key is the first three
   # bytes of a hash of the record, so a changed record has another key.
   sender @0 :UInt32;
   counter @1 :UInt32;
   configVersion @2 :UInt32;
-  # Heartbeats that the sender has heard of.
-  heard @3 :List(Heartbeat);
+  # Heartbeats that the sender has heard of: the key and the last eight bits of the counter, which are
+  # the low bits of each number.
+  heard @3 :List(UInt32);
   # Keys whose records the receiver should send back.
   wanted @4 :List(UInt32);
   records @5 :List(Record);
 
-  struct Heartbeat {
-    key @0 :UInt32;
-    counter @1 :UInt32;
-  }
-
   struct Record {
     name @0 :Text;
     zone @1 :Text;
--- a/kumquatlift/membership.py
+++ b/kumquatlift/membership.py
@@ -7,12 +7,13 @@
 
 from kumquatlift._heartbeat_age import COUNTS_PER_S, HeartbeatAge
 from kumquatlift.clock import Clock
+from kumquatlift.peer_diagnosis import Evidence
 
 # Members that died are kept for the state dump.
 KEEP_S = 600.0
 MAX_MEMBERS = 256
-# Heartbeats of other members in one digest; a longer table is told in turns.
-MAX_HEARD = 10
+# Heartbeats of other members in one digest, the newest first; this bounds the traffic of a process.
+MAX_HEARD = 28
 # A new or changed record is passed on unasked for this long, so that one lost datagram does not
 # delay it by a round trip.
 NEWS_S = 1.5
@@ -85,7 +86,7 @@
 
 
 class Heartbeat(NamedTuple):
-    """A member's record, by its key, and the newest counter heard of it."""
+    """The key of a member's record, and the newest counter heard of it."""
 
     key: int
     counter: int
@@ -99,7 +100,14 @@
 
 
 class Digest(NamedTuple):
-    """What a process tells of the heartbeats that it knows; the first is its own."""
+    """What a process tells of the heartbeats that it knows.
+
+    Args:
+        sender: Its own, with the full counter.
+        config_version: Version of the configuration in force there.
+        heard: Those of live members, with the last eight bits of the counter. Live counters differ
+            by less than 3 s, so eight bits (32 s) tell which is newer.
+    """
 
     sender: Heartbeat
     config_version: int
@@ -107,9 +115,9 @@
 
 
 def key_of(member: Member) -> int:
-    """Return the 32-bit key of a record; the configuration version is no part of it."""
+    """Return the 24-bit key of a record; the configuration version is no part of it."""
     text = "\0".join((*member[:6], member.state.value))
-    return int.from_bytes(blake2b(text.encode(), digest_size=4).digest(), "little")
+    return int.from_bytes(blake2b(text.encode(), digest_size=3).digest(), "little")
 
 
 class _Entry:
@@ -146,7 +154,6 @@
         self._names: dict[int, str] = {}
         self._retired: dict[int, None] = {}
         self._changed_at = self._started_at
-        self._turn = 0
         self._was_live: frozenset[Member] = frozenset()
 
     @property
@@ -198,6 +205,27 @@
         entry = self._entries.get(name)
         return None if entry is None else entry.beat.age_s(self._clock.now())
 
+    def evidence(self, name: str, contact: Evidence) -> Evidence:
+        """Add what is known of a member's heartbeats and zone to what its connections tell."""
+        now = self._clock.now()
+        with self._lock:
+            entry = self._entries.get(name)
+            if entry is None:
+                return contact
+            zone = entry.member.zone
+            others = [
+                other.beat.is_live(now)
+                for other in self._entries.values()
+                if other is not entry and other.member.zone == zone
+            ]
+            # This process proves nothing about reaching its own zone, so it is not counted.
+            return contact._replace(
+                heartbeat_age_s=entry.beat.age_s(now),
+                is_leaving=entry.member.state is MemberState.LEAVING,
+                others_live=sum(others),
+                others_silent=len(others) - sum(others),
+            )
+
     def digest(self, *, with_heard: bool) -> Digest:
         """Return the own heartbeat and, if asked, those heard of others that are worth telling."""
         now = self._clock.now()
@@ -206,11 +234,9 @@
             if not with_heard:
                 return Digest(me, self._me.config_version)
             told = [entry for entry in self._entries.values() if entry.beat.is_live(now)]
-            if len(told) > MAX_HEARD:
-                start = self._turn % len(told)
-                self._turn = start + MAX_HEARD
-                told = (told[start:] + told[:start])[:MAX_HEARD]
-            heard = tuple(Heartbeat(entry.key, entry.beat.counter) for entry in told)
+            # The newest heartbeats are the ones that most receivers lack.
+            told = sorted(told, key=lambda entry: entry.beat.age_s(now))[:MAX_HEARD]
+            heard = tuple(Heartbeat(entry.key, entry.beat.counter & 0xFF) for entry in told)
             return Digest(me, self._me.config_version, heard)
 
     def merge(self, digest: Digest) -> list[int]:
@@ -221,8 +247,8 @@
         """
         now = self._clock.now()
         with self._lock:
-            beats = (digest.sender, *digest.heard)
-            unknown = [beat.key for beat in beats if not self._take(beat, now)]
+            unknown = [] if self._take(digest.sender, now) else [digest.sender.key]
+            unknown += [beat.key for beat in digest.heard if not self._take_heard(beat, now)]
             entry = self._entries.get(self._names.get(digest.sender.key, ""))
             if entry is not None and entry.member.config_version != digest.config_version:
                 entry.member = entry.member._replace(config_version=digest.config_version)
@@ -307,6 +333,18 @@
             entry.beat.advance(beat.counter, now)
         return True
 
+    def _take_heard(self, beat: Heartbeat, now: float) -> bool:
+        """Take a heartbeat that was passed on, with the last eight bits of its counter."""
+        entry = self._entries.get(self._names.get(beat.key, ""))
+        if entry is None:
+            return self._take(beat, now)
+        ahead = (beat.counter - entry.beat.counter) & 0xFF
+        # A member that was silent for over 16 s here may be placed too low, never too high; its own
+        # next heartbeat has the full counter.
+        if 0 < ahead < 0x80:
+            entry.beat.advance(entry.beat.counter + ahead, now)
+        return True
+
     def _add(self, record: Record, now: float) -> int | None:
         """Take a record; return the key of a newer one of that name, if there is one."""
         member, counter = record
--- a/kumquatlift/tcp_channel.py
+++ b/kumquatlift/tcp_channel.py
@@ -13,6 +13,7 @@
 from kumquatlift._link import MAX_PEERS, Links
 from kumquatlift.channel import Handler
 from kumquatlift.failure import Failure
+from kumquatlift.peer_diagnosis import Evidence
 from kumquatlift.settings import Address
 
 
@@ -92,6 +93,11 @@
         if link and len(frame.data) <= MAX_FRAME_BYTES and link.outbox.put(frame):
             self._loop.wake(link)
 
+    def evidence(self, peer: str) -> Evidence:
+        """Return what the connections tell of a peer, without what membership adds."""
+        link = self._links.find(peer)
+        return Evidence() if link is None else link.evidence(time.monotonic())
+
     def snapshot(self) -> dict[str, Any]:
         """Return counters for the state dump, in total and for each peer."""
         return {
