--- /dev/null
+++ b/kumquatlift/ledger_frame.py
@@ -0,0 +1,229 @@
+"""Frames about ledgers and jobs that entry processes exchange."""
+
+from enum import IntEnum
+from functools import cache
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from kumquatlift.claim import Batch, Record
+from kumquatlift.failure import Failure
+from kumquatlift.identity import LedgerId
+
+
+class AppendStatus(IntEnum):
+    """What the backup did with a batch."""
+
+    TAKEN = 0
+    NO_COPY = 1
+    """The backup does not hold the ledger, or not any more."""
+    FULL = 2
+    """The backup holds as many claims as it may."""
+
+
+class Append(NamedTuple):
+    """A batch for a replica.
+
+    Args:
+        ledger: Text form of the ledger's identity.
+        opens: The backup's incarnation when the batch opens the ledger, else empty.
+        batch: The records.
+    """
+
+    ledger: str
+    opens: str
+    batch: Batch
+
+    def to_bytes(self, now: float) -> bytes:
+        """Encode; deadlines travel as the time that remains."""
+        records = [
+            {
+                "key": record.key,
+                "digest": record.digest,
+                "remainingMs": _remaining_ms(record.deadline_at, now),
+                "code": record.code,
+                "answer": record.answer,
+            }
+            for record in self.batch.records
+        ]
+        frame = _schema().Append.new_message(
+            ledger=self.ledger, opens=self.opens, seal=self.batch.seal, records=records
+        )
+        return bytes(frame.to_bytes())
+
+    @classmethod
+    def from_bytes(cls, data: bytes, now: float) -> "Append":
+        """Decode what ``to_bytes`` made."""
+        with _schema().Append.from_bytes(data) as frame:
+            records = [
+                Record(
+                    row.key,
+                    bytes(row.digest),
+                    now + row.remainingMs / 1000,
+                    row.code,
+                    bytes(row.answer),
+                )
+                for row in frame.records
+            ]
+            return cls(frame.ledger, frame.opens, Batch(records, frame.seal))
+
+
+class AppendReply(NamedTuple):
+    """Answer of a replica to a batch.
+
+    Args:
+        status: What was done with it.
+        fenced: Whether the ledger is fenced.
+        refused: Positions of records that were not taken.
+    """
+
+    status: AppendStatus
+    fenced: bool = False
+    refused: frozenset[int] = frozenset()
+
+    def to_bytes(self) -> bytes:
+        """Encode for the writer."""
+        frame = _schema().AppendReply.new_message(
+            status=int(self.status), fenced=self.fenced, refused=sorted(self.refused)
+        )
+        return bytes(frame.to_bytes())
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "AppendReply":
+        """Decode what ``to_bytes`` made."""
+        with _schema().AppendReply.from_bytes(data) as frame:
+            return cls(AppendStatus(frame.status), frame.fenced, frozenset(frame.refused))
+
+
+class Place(NamedTuple):
+    """Where an id is claimed: a ledger and the key in it."""
+
+    ledger: LedgerId
+    key: str
+
+
+class Role(IntEnum):
+    """In which capacity a process is asked about an id."""
+
+    WRITER = 0
+    BACKUP = 1
+
+
+class JobAsk(NamedTuple):
+    """A question about a job.
+
+    Args:
+        job_id: Text form of the job's identity.
+        place: Where the id is claimed, or would be.
+        role: Capacity in which the receiver is asked.
+        digest: Checksum of the payload; empty when only the id is known.
+        deadline_at: Monotonic seconds of this process.
+        request: Encoded request of a submission.
+    """
+
+    job_id: str
+    place: Place
+    role: Role
+    digest: bytes = b""
+    deadline_at: float = 0.0
+    request: bytes = b""
+
+    def to_bytes(self, now: float) -> bytes:
+        """Encode; the deadline travels as the time that remains."""
+        frame = _schema().JobAsk.new_message(
+            jobId=self.job_id,
+            ledger=str(self.place.ledger),
+            key=self.place.key,
+            role=int(self.role),
+            digest=self.digest,
+            remainingMs=_remaining_ms(self.deadline_at, now),
+            request=self.request,
+        )
+        return bytes(frame.to_bytes())
+
+    @classmethod
+    def from_bytes(cls, data: bytes, now: float) -> "JobAsk":
+        """Decode what ``to_bytes`` made.
+
+        Raises:
+            ValueError: The ledger's identity is not valid.
+        """
+        with _schema().JobAsk.from_bytes(data) as frame:
+            return cls(
+                frame.jobId,
+                Place(_ledger(frame.ledger), frame.key),
+                Role(frame.role),
+                bytes(frame.digest),
+                now + frame.remainingMs / 1000,
+                bytes(frame.request),
+            )
+
+
+class ReplyKind(IntEnum):
+    """What a reply about a job carries."""
+
+    ANSWER = 0
+    ASK_BACKUP = 1
+    """Only the backup of ``place`` can tell."""
+    NO_RECORD = 2
+
+
+class JobReply(NamedTuple):
+    """Reply about a job.
+
+    Args:
+        kind: What it carries.
+        job_id: Text form of the identity of the job that it belongs to.
+        digest: Checksum of that job's payload; empty when unknown.
+        answer: Encoded answer.
+        place: Whose backup to ask.
+    """
+
+    kind: ReplyKind
+    job_id: str
+    digest: bytes = b""
+    answer: bytes = b""
+    place: Place | None = None
+
+    def to_bytes(self) -> bytes:
+        """Encode for the process that asked."""
+        frame = _schema().JobReply.new_message(
+            kind=int(self.kind),
+            jobId=self.job_id,
+            digest=self.digest,
+            answer=self.answer,
+            ledger=str(self.place.ledger) if self.place else "",
+            key=self.place.key if self.place else "",
+        )
+        return bytes(frame.to_bytes())
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "JobReply":
+        """Decode what ``to_bytes`` made.
+
+        Raises:
+            ValueError: The ledger's identity is not valid.
+        """
+        with _schema().JobReply.from_bytes(data) as frame:
+            place = Place(_ledger(frame.ledger), frame.key) if frame.ledger else None
+            return cls(
+                ReplyKind(frame.kind), frame.jobId, bytes(frame.digest), bytes(frame.answer), place
+            )
+
+
+def _ledger(text: str) -> LedgerId:
+    ledger = LedgerId.parse(text)
+    if isinstance(ledger, Failure):
+        raise ValueError(ledger.reason)
+    return ledger
+
+
+def _remaining_ms(deadline_at: float, now: float) -> int:
+    return round((deadline_at - now) * 1000)
+
+
+@cache
+def _schema() -> Any:
+    # The library takes several MB, so it is loaded with the first frame.
+    import capnp
+
+    return capnp.load(str(Path(__file__).with_name("ledger.capnp")))
