Replicate claims to a backup and repair ledgers that lost a holder

Cause: a claim counts only once a second entry process holds it. An opening message names the run of the backup that it is meant for, so that a delayed one cannot make known ids look free. New topic job.answer for the replies that are pushed. Failed first: at the bound of held claims a full ledger without a successor went on taking claims; the test of the bound showed it, and the ledger is closed now. Ruled out: extending an append to a replacement backup within the same ledger, because the id names the backup and a resubmission would ask the wrong process. Conclusion: the loss of a writer or a backup leaves a replica; a refused opening refuses new work.

--- a/kumquatlift/channel.py
+++ b/kumquatlift/channel.py
@@ -21,6 +21,7 @@
     JOB_SUBMIT = "job.submit"
     JOB_GET = "job.get"
     JOB_CANCEL = "job.cancel"
+    JOB_ANSWER = "job.answer"
     SLOTS_DEMAND = "slots.demand"
     SLOTS_GRANT = "slots.grant"
     SLOTS_FINISH = "slots.finish"
--- /dev/null
+++ b/kumquatlift/claims.py
@@ -0,0 +1,323 @@
+"""Claims of job ids: writes this process's ledgers and replicates them to a backup."""
+
+import threading
+from concurrent.futures import Future
+
+from kumquatlift.channel import Channel, Topic
+from kumquatlift.claim import (
+    AnswerBudget,
+    Batch,
+    Claim,
+    ClaimState,
+    LedgerLimits,
+    Record,
+    Standing,
+)
+from kumquatlift.clock import Clock
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.identity import LedgerId
+from kumquatlift.ledger import Ledger
+from kumquatlift.ledger_frame import Append, AppendReply, AppendStatus, Place
+from kumquatlift.log import get_logger
+from kumquatlift.membership import Member, Members, owner_of
+from kumquatlift.repair import Repair
+
+APPEND_TIMEOUT_S = 1.0
+RETRY_S = 1.0
+SUSPECT_S = 3.0
+"""How long a backup that failed is not chosen; by then the membership view has noticed a death."""
+TICKET_GRACE_S = 60.0
+"""How long a ledger that was replaced before it was full takes claims, for tickets just issued."""
+MAX_BATCH_RECORDS = 2000
+MAX_BATCH_BYTES = 1024 * 1024
+
+
+class Claims:
+    """The writer side: opens, replicates, rotates and forgets the ledgers of this process.
+
+    Args:
+        channel: Channel to the other entry processes.
+        members: Membership view.
+        clock: Monotonic clock.
+        limits: Bounds; may be replaced at any time.
+        repair: Makes further replicas of ledgers whose backup is lost.
+    """
+
+    def __init__(
+        self,
+        *,
+        channel: Channel,
+        members: Members,
+        clock: Clock,
+        limits: LedgerLimits,
+        repair: Repair,
+    ) -> None:
+        self.limits = limits
+        self.group_commit = True
+        self._channel = channel
+        self._members = members
+        self._clock = clock
+        self._repair = repair
+        self._lock = threading.RLock()
+        self._ledgers: dict[LedgerId, Ledger] = {}
+        self._current: Ledger | None = None
+        self._opening = False
+        self._is_leaving = False
+        self._next_number = 0
+        self._retry_at: dict[LedgerId, float] = {}
+        self._close_at: dict[LedgerId, float] = {}
+        self._suspects: dict[str, float] = {}
+        self._futures: dict[Place, Future[Claim | None]] = {}
+        self._answers = AnswerBudget(max_bytes=limits.max_answer_bytes)
+        channel.handle(Topic.LEDGER_FENCE, self._on_fence)
+
+    def ticket(self) -> LedgerId | Failure:
+        """Return the ledger that takes new claims.
+
+        Returns:
+            The ledger, or a failure when this process is leaving, no backup takes a ledger, or the
+            bound of held claims is reached.
+        """
+        self._ensure_ledger()
+        with self._lock:
+            if self._is_leaving:
+                return Failure(ResultCode.LEAVING, "this entry process is shutting down")
+            if self._current is None or not self._current.is_open:
+                return Failure(ResultCode.OVERLOADED, "no ledger is open", retry_after_ms=200)
+            return self._current.id
+
+    def standing(self, place: Place) -> tuple[Standing, Claim | None]:
+        """Tell what the writer knows about an id."""
+        with self._lock:
+            ledger = self._ledgers.get(place.ledger)
+            if ledger is None:
+                return Standing.NO_RECORD, None
+            return ledger.standing(place.key), ledger.claims.get(place.key)
+
+    def find(self, text: str) -> Place | None:
+        """Return where an adopted id is claimed, if this process adopted it."""
+        with self._lock:
+            found = (Place(it.id, text) for it in self._ledgers.values() if text in it.claims)
+            return next(found, None)
+
+    def claim(self, place: Place, record: Record) -> Future[Claim | None]:
+        """Claim an id, and end it at once when the record carries an outcome.
+
+        Returns:
+            A future of the claim once that is settled: ``CLAIMED`` (the caller alone may run the
+            job), ``ENDED`` or ``UNKNOWN``; or of None when the id was not free.
+        """
+        fut: Future[Claim | None] = Future()
+        with self._lock:
+            ledger = self._ledgers.get(place.ledger)
+            if ledger is not None and ledger.standing(place.key) is Standing.FREE:
+                ledger.claim(record)
+                self._futures[place] = fut
+            else:
+                ledger = None
+        if ledger is None:
+            fut.set_result(None)
+        else:
+            self._pump(ledger)
+        return fut
+
+    def finish(self, place: Place, code: ResultCode, answer: bytes) -> None:
+        """Store the outcome of a job and copy it to the backup."""
+        with self._lock:
+            ledger = self._ledgers[place.ledger]
+            claim = ledger.finish(place.key, int(code), answer)
+            self._answers.keep(claim)
+        self._repair.add(ledger.id, Batch([claim.record(place.key)], False))
+        self._pump(ledger)
+
+    def leave(self) -> None:
+        """Close every ledger and open no more."""
+        with self._lock:
+            self._is_leaving = True
+            ledgers = list(self._ledgers.values())
+            for ledger in ledgers:
+                ledger.close(self._clock.now())
+        for ledger in ledgers:
+            self._pump(ledger)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether every outcome is known to the backup, or else to a repair copy."""
+        with self._lock:
+            ledgers = list(self._ledgers.values())
+        return all(ledger.is_idle or self._repair.is_current(ledger.id) for ledger in ledgers)
+
+    def tick(self) -> None:
+        """Rotate, retry, start repairs and forget; to be called several times a second."""
+        self._ensure_ledger()
+        now = self._clock.now()
+        live = {member.name for member in self._members.live()}
+        with self._lock:
+            for ledger in list(self._ledgers.values()):
+                if ledger.is_expired(now, self.limits):
+                    self._forget(ledger)
+                    continue
+                if now >= self._close_at.get(ledger.id, now + 1):
+                    ledger.close(now)
+                if ledger.id.backup and (ledger.is_broken or ledger.id.backup not in live):
+                    self._repair.start(ledger.id, lambda it=ledger: self._snapshot(it))  # type: ignore[misc]
+            waiting = [
+                ledger
+                for ledger in self._ledgers.values()
+                if now >= self._retry_at.get(ledger.id, 0.0)
+            ]
+        for ledger in waiting:
+            self._pump(ledger)
+
+    def summary(self) -> dict[str, object]:
+        """Return counts for the state dump."""
+        with self._lock:
+            current = self._current
+            return {
+                "ledger": str(current.id) if current else "",
+                "replica": (current.id.backup if current else "") or "none",
+                "ledgers": len(self._ledgers),
+                "claims": self._held(),
+                "answer_bytes": self._answers.used,
+            }
+
+    def _ensure_ledger(self) -> None:
+        while True:
+            with self._lock:
+                backup = self._next_backup()
+                if backup is None or self._opening or self._is_leaving:
+                    return
+                if self._held() >= self.limits.max_held:
+                    # Full and without a successor: new work is refused until claims expire.
+                    if self._current is not None:
+                        self._current.close(self._clock.now())
+                    return
+                self._opening = True
+                me = self._members.me
+                name = backup.name if backup is not me else ""
+                id = LedgerId(me.name, me.incarnation, self._next_number, name)
+                self._next_number += 1
+            if not name:
+                self._opened(id)
+                return
+            body = Append(str(id), backup.incarnation, Batch([], False)).to_bytes(0.0)
+            fut = self._channel.call(name, Topic.LEDGER_APPEND, body, timeout_s=APPEND_TIMEOUT_S)
+            fut.add_done_callback(lambda fut, id=id: self._on_opened(id, fut.result()))  # type: ignore[misc]
+            if not fut.done():
+                return
+
+    def _next_backup(self) -> Member | None:
+        """Return the backup of a new ledger, this process for none, or None to keep the ledger."""
+        me, now = self._members.me, self._clock.now()
+        others = [member for member in self._members.live() if member.name != me.name]
+        usable = [m for m in others if now >= self._suspects.get(m.name, 0.0)]
+        if not self._needs_ledger(usable):
+            return None
+        if not usable:
+            # Peers that are live but failed a moment ago are tried again before going without.
+            return None if others else me
+        near = [member for member in usable if member.zone == me.zone]
+        return owner_of(f"{me.name}/{self._next_number}", near or usable)
+
+    def _needs_ledger(self, usable: list[Member]) -> bool:
+        ledger = self._current
+        if ledger is None or not ledger.is_open or len(ledger.claims) >= self.limits.max_claims:
+            return True
+        if self._clock.now() >= ledger.opened_at + self.limits.rotation_s:
+            return True
+        return bool(usable) and ledger.id.backup not in {member.name for member in usable}
+
+    def _on_opened(self, id: LedgerId, reply: bytes | Failure) -> None:
+        if not isinstance(reply, Failure):
+            status = AppendReply.from_bytes(reply).status
+            reason = "" if status is AppendStatus.TAKEN else status.name.lower()
+        else:
+            reason = str(reply)
+        if reason:
+            get_logger().warning("ledger_not_opened", ledger=str(id), reason=reason)
+            with self._lock:
+                self._suspects[id.backup] = self._clock.now() + SUSPECT_S
+                self._opening = False
+            return
+        self._opened(id)
+
+    def _opened(self, id: LedgerId) -> None:
+        now = self._clock.now()
+        with self._lock:
+            self._opening = False
+            old, ledger = self._current, Ledger(id=id, opened_at=now)
+            self._ledgers[id] = self._current = ledger
+            if self._is_leaving:
+                ledger.close(now)
+            if old is not None:
+                is_full = len(old.claims) >= self.limits.max_claims
+                self._close_at[old.id] = now if is_full else now + TICKET_GRACE_S
+        get_logger().info("ledger_opened", ledger=str(id), replica=id.backup or "none")
+
+    def _pump(self, ledger: Ledger) -> None:
+        limit = MAX_BATCH_RECORDS if self.group_commit else 1
+        with self._lock:
+            batch = ledger.take_batch(limit, MAX_BATCH_BYTES)
+        if batch is None:
+            return
+        if not ledger.id.backup:
+            self._on_appended(ledger, AppendReply(AppendStatus.TAKEN))
+            return
+        body = Append(str(ledger.id), "", batch).to_bytes(self._clock.now())
+        fut = self._channel.call(
+            ledger.id.backup, Topic.LEDGER_APPEND, body, timeout_s=APPEND_TIMEOUT_S
+        )
+        fut.add_done_callback(lambda fut: self._on_appended(ledger, fut.result()))
+
+    def _on_appended(self, ledger: Ledger, reply: "bytes | Failure | AppendReply") -> None:
+        now = self._clock.now()
+        if isinstance(reply, bytes):
+            reply = AppendReply.from_bytes(reply)
+        with self._lock:
+            if isinstance(reply, Failure):
+                keys = ledger.lose_batch(now)
+                self._retry_at[ledger.id] = now + RETRY_S
+                self._suspects[ledger.id.backup] = now + SUSPECT_S
+            elif reply.status is not AppendStatus.TAKEN:
+                keys = ledger.orphan(now)
+            else:
+                keys = ledger.acknowledge(reply.refused, reply.fenced, now)
+            settled = [
+                (ledger.claims[key], fut)
+                for key in keys
+                if (fut := self._futures.pop(Place(ledger.id, key), None)) is not None
+            ]
+            for claim, _ in settled:
+                if claim.state is ClaimState.ENDED:
+                    self._answers.keep(claim)
+        if isinstance(reply, Failure):
+            get_logger().warning("append_unknown", ledger=str(ledger.id), reason=reply.reason)
+        for claim, fut in settled:
+            fut.set_result(claim)
+        if not isinstance(reply, Failure):
+            self._pump(ledger)
+        if not ledger.is_open:
+            self._ensure_ledger()
+
+    def _on_fence(self, sender: str, body: bytes) -> bytes | None:
+        id = LedgerId.parse(body.decode())
+        with self._lock:
+            ledger = None if isinstance(id, Failure) else self._ledgers.get(id)
+            if ledger is not None and sender == ledger.id.backup:
+                ledger.fence(self._clock.now())
+        return None
+
+    def _held(self) -> int:
+        return sum(len(ledger.claims) for ledger in self._ledgers.values())
+
+    def _snapshot(self, ledger: Ledger) -> Batch:
+        with self._lock:
+            return Batch(ledger.records(), ledger.is_sealed)
+
+    def _forget(self, ledger: Ledger) -> None:
+        del self._ledgers[ledger.id]
+        self._retry_at.pop(ledger.id, None)
+        self._close_at.pop(ledger.id, None)
+        self._answers.forget(set(ledger.claims.values()))
+        self._repair.stop(ledger.id)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,198 @@
+"""Replication of claims between entry processes on a network without delay."""
+
+from kumquatlift.claim import ClaimState, LedgerLimits, Record, Standing
+from kumquatlift.claims import TICKET_GRACE_S, Claims
+from kumquatlift.clock import ManualClock
+from kumquatlift.codes import ResultCode
+from kumquatlift.copies import Copies
+from kumquatlift.failure import Failure
+from kumquatlift.identity import LedgerId
+from kumquatlift.ledger_frame import Place
+from kumquatlift.membership import Member
+from kumquatlift.repair import Repair
+from tests.fakes import FakeMembers, FakeNetwork, member
+
+LIMITS = LedgerLimits(rotation_s=600.0, max_claims=3, retention_s=3600.0, max_held=7)
+
+
+class Process:
+    """The claims, copies and repair of one entry process."""
+
+    def __init__(self, network: FakeNetwork, me: Member, clock: ManualClock) -> None:
+        channel = network.channel(me.name)
+        self.members = FakeMembers(me=me, others=[])
+        self.repair = Repair(channel=channel, members=self.members, clock=clock)
+        self.claims = Claims(
+            channel=channel, members=self.members, clock=clock, limits=LIMITS, repair=self.repair
+        )
+        self.copies = Copies(
+            channel=channel, members=self.members, clock=clock, limits=LIMITS, repair=self.repair
+        )
+
+    def ledger(self) -> LedgerId:
+        ledger = self.claims.ticket()
+        assert isinstance(ledger, LedgerId)
+        return ledger
+
+    def claim(self, ledger: LedgerId, key: str) -> ClaimState | None:
+        fut = self.claims.claim(Place(ledger, key), Record(key, b"digest", 1e6))
+        claim = fut.result(timeout=0)
+        return claim.state if claim is not None else None
+
+    def tick(self) -> None:
+        self.claims.tick()
+        self.copies.tick()
+        self.repair.tick()
+
+
+class TestClaims:
+    """Guards against a start that the backup does not know of, and against unbounded memory."""
+
+    def setup_method(self) -> None:
+        self.clock = ManualClock(start=10.0)
+        self.network = FakeNetwork()
+        self.processes: dict[str, Process] = {}
+        self.start("a", "b")
+
+    def start(self, *names: str, zone: str = "z1") -> None:
+        for name in names:
+            self.processes[name] = Process(self.network, member(name, zone), self.clock)
+        mes = [process.members.me for process in self.processes.values()]
+        for process in self.processes.values():
+            process.members.others = [m for m in mes if m != process.members.me]
+
+    def stop(self, name: str) -> None:
+        del self.network.channels[name]
+        gone = self.processes.pop(name).members.me
+        for process in self.processes.values():
+            process.members.others.remove(gone)
+
+    def test_a_claim_is_at_the_backup_before_the_job_may_run(self) -> None:
+        a, b = self.processes["a"], self.processes["b"]
+        ledger = a.ledger()
+        assert ledger.backup == "b"
+        assert a.claim(ledger, "k") is ClaimState.CLAIMED
+        assert b.copies.standing(Place(ledger, "k"))[0] is Standing.PENDING
+        a.claims.finish(Place(ledger, "k"), ResultCode.COMPLETE, b"answer")
+        assert b.copies.standing(Place(ledger, "k"))[0] is Standing.ENDED
+
+    def test_an_unanswered_append_closes_the_ledger_and_is_released_later(self) -> None:
+        a = self.processes["a"]
+        self.start("c")
+        ledger = a.ledger()
+        self.network.lost = lambda sender, receiver: sender == ledger.backup
+        assert a.claim(ledger, "k") is ClaimState.UNKNOWN
+        assert a.ledger().backup not in ("", ledger.backup)
+        self.network.lost = lambda sender, receiver: False
+        self.clock.advance(2.0)
+        a.tick()
+        assert a.claims.standing(Place(ledger, "k"))[0] is Standing.ENDED
+        assert a.claims.standing(Place(ledger, "other"))[0] is Standing.CLOSED
+
+    def test_a_fence_keeps_the_writer_from_claiming(self) -> None:
+        a, b = self.processes["a"], self.processes["b"]
+        ledger = a.ledger()
+        place = Place(ledger, "k")
+        assert b.copies.take_over(place, b"digest", 1e6, adopt=True)[0] is Standing.FREE
+        assert a.claim(ledger, "k") is ClaimState.UNKNOWN
+        assert a.claims.standing(place)[0] is Standing.ASK_BACKUP
+        assert a.ledger() != ledger
+
+    def test_the_writer_is_told_of_a_fence(self) -> None:
+        a, b = self.processes["a"], self.processes["b"]
+        ledger = a.ledger()
+        b.copies.take_over(Place(ledger, "k"), b"", 1e6, adopt=False)
+        b.tick()
+        assert a.claims.standing(Place(ledger, "x"))[0] is Standing.ASK_BACKUP
+
+    def test_a_restarted_backup_does_not_pass_for_one_that_knows_the_claims(self) -> None:
+        a = self.processes["a"]
+        ledger = a.ledger()
+        a.claim(ledger, "k")
+        restarted = member("b", "z1")._replace(incarnation="1" * 12)
+        self.processes["b"] = Process(self.network, restarted, self.clock)
+        assert a.claim(ledger, "k2") is ClaimState.UNKNOWN
+        place = Place(ledger, "k")
+        assert self.processes["b"].copies.standing(place)[0] is Standing.NO_RECORD
+
+    def test_a_delayed_opening_message_for_an_earlier_run_is_refused(self) -> None:
+        restarted = member("b", "z1")._replace(incarnation="1" * 12)
+        self.processes["b"] = Process(self.network, restarted, self.clock)
+        ledger = self.processes["a"].claims.ticket()
+        assert isinstance(ledger, Failure) and ledger.code is ResultCode.OVERLOADED
+
+    def test_a_backup_of_the_own_zone_is_preferred(self) -> None:
+        self.stop("b")
+        self.start("c", "d", "e", zone="z2")
+        self.start("f")
+        assert self.processes["a"].ledger().backup == "f"
+
+    def test_without_a_peer_in_the_zone_another_zone_holds_the_copy(self) -> None:
+        self.stop("b")
+        self.start("c", zone="z2")
+        assert self.processes["a"].ledger().backup == "c"
+
+    def test_a_process_that_is_alone_goes_without_a_replica_and_says_so(self) -> None:
+        self.stop("b")
+        a = self.processes["a"]
+        ledger = a.ledger()
+        assert ledger.backup == "" and a.claims.summary()["replica"] == "none"
+        assert a.claim(ledger, "k") is ClaimState.CLAIMED
+
+    def test_a_full_ledger_is_replaced_and_the_bound_of_held_claims_refuses(self) -> None:
+        a = self.processes["a"]
+        ledgers = set()
+        for index in range(9):
+            ledger = a.ledger()
+            ledgers.add(ledger)
+            a.claim(ledger, f"k{index}")
+            a.claims.finish(Place(ledger, f"k{index}"), ResultCode.COMPLETE, b"")
+            a.tick()
+        assert len(ledgers) == 3
+        refused = a.claims.ticket()
+        assert isinstance(refused, Failure) and refused.ran.value == "no"
+        self.clock.advance(LIMITS.rotation_s + LIMITS.retention_s + 1)
+        for process in self.processes.values():
+            process.tick()
+        assert a.claims.summary()["claims"] == 0
+        assert self.processes["b"].copies.summary()["claims"] == 0
+        assert isinstance(a.claims.ticket(), LedgerId)
+
+    def test_a_ledger_is_rotated_for_its_age_and_old_tickets_get_a_grace(self) -> None:
+        a = self.processes["a"]
+        old = a.ledger()
+        self.clock.advance(LIMITS.rotation_s)
+        a.tick()
+        assert a.ledger() != old
+        assert a.claim(old, "k") is ClaimState.CLAIMED
+        self.clock.advance(TICKET_GRACE_S)
+        a.tick()
+        assert a.claim(old, "k2") is None
+        assert a.claims.standing(Place(old, "k2"))[0] is Standing.CLOSED
+
+    def test_a_repair_copy_outlives_the_writer_and_the_backup(self) -> None:
+        self.start("c")
+        a = self.processes["a"]
+        ledger = a.ledger()
+        third = "c" if ledger.backup == "b" else "b"
+        a.claim(ledger, "k")
+        a.claim(ledger, "k2")
+        a.claims.finish(Place(ledger, "k"), ResultCode.COMPLETE, b"answer")
+        self.stop("a")
+        self.processes[ledger.backup].tick()
+        self.stop(ledger.backup)
+        copies = self.processes[third].copies
+        assert copies.standing(Place(ledger, "k"))[0] is Standing.ENDED
+        assert copies.standing(Place(ledger, "k2"))[0] is Standing.PENDING
+        assert copies.standing(Place(ledger, "k3"))[0] is Standing.NO_RECORD
+
+    def test_a_writer_that_lost_its_backup_copies_its_ledger_elsewhere(self) -> None:
+        self.start("c")
+        a = self.processes["a"]
+        ledger = a.ledger()
+        a.claim(ledger, "k")
+        self.stop(ledger.backup)
+        a.tick()
+        a.claims.finish(Place(ledger, "k"), ResultCode.COMPLETE, b"answer")
+        (third,) = set(self.processes) - {"a"}
+        assert self.processes[third].copies.standing(Place(ledger, "k"))[0] is Standing.ENDED
