Route jobs to the process that answers for them, at most once

Cause: a caller may reach any entry process, and any of them may be lost while the job runs. Change: a question goes to the writer that the id names, then to the backup, which fences the ledger and may adopt the job, then to all live processes. Replies carry the job id and the checksum of the payload and are checked; final answers are pushed and polled once a second as a fallback. A refusal of an id that the caller knows is recorded like a claim before it is answered, because another message with that id may be on its way; a question about an unused id is answered "claim unknown", not "not found", for the same reason. Test: random histories of submissions, cancellations, late, crossed and lost messages, crashes, freezes and cuts against a naive service that keeps a dict from id to state. Failed first: assertions in callbacks of futures are swallowed, so the first version of the test could not fail; it collects errors now.

--- /dev/null
+++ b/kumquatlift/job_router.py
@@ -0,0 +1,374 @@
+"""Routes submissions, questions and cancellations to the process that answers for a job."""
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+
+from kumquatlift.channel import Channel, Topic
+from kumquatlift.claim import LedgerLimits
+from kumquatlift.claims import Claims
+from kumquatlift.clock import Clock
+from kumquatlift.codes import ResultCode
+from kumquatlift.copies import Copies
+from kumquatlift.dispatcher import JobExecutor
+from kumquatlift.failure import Failure
+from kumquatlift.identity import JobId, LedgerId
+from kumquatlift.job import JobAnswer, JobRequest
+from kumquatlift.job_authority import JobAuthority, Verb
+from kumquatlift.job_wait import JobWait, RoutedAnswer, Stage
+from kumquatlift.ledger_frame import JobAsk, JobReply, Place, ReplyKind, Role
+from kumquatlift.membership import Members
+from kumquatlift.repair import Repair
+
+CALL_TIMEOUT_S = 1.0
+POLL_S = 1.0
+"""Interval at which a job elsewhere is asked for; its answer is pushed, so this finds losses."""
+ANSWER_GRACE_S = 2.0
+"""How long after the deadline a waiting caller may get the answer of the deadline itself."""
+MAX_HOPS = 4
+"""Bound on takeovers followed for one question; each takes the loss of one more process."""
+
+_TOPICS = {
+    Verb.SUBMIT: Topic.JOB_SUBMIT,
+    Verb.GET: Topic.JOB_GET,
+    Verb.CANCEL: Topic.JOB_CANCEL,
+}
+
+
+class JobRouter:
+    """What the callers' HTTP application calls.
+
+    Args:
+        channel: Channel to the other entry processes.
+        members: Membership view.
+        clock: Monotonic clock.
+        executor: Runs claimed jobs.
+        limits: Bounds of ledgers and kept answers.
+    """
+
+    def __init__(
+        self,
+        *,
+        channel: Channel,
+        members: Members,
+        clock: Clock,
+        executor: JobExecutor,
+        limits: LedgerLimits = LedgerLimits(),  # noqa: B008 - immutable
+    ) -> None:
+        self._channel = channel
+        self._members = members
+        self._clock = clock
+        self._lock = threading.RLock()
+        self._waits: dict[str, list[JobWait]] = {}
+        self._repair = Repair(channel=channel, members=members, clock=clock)
+        self._claims = Claims(
+            channel=channel, members=members, clock=clock, limits=limits, repair=self._repair
+        )
+        self._copies = Copies(
+            channel=channel, members=members, clock=clock, limits=limits, repair=self._repair
+        )
+        self._authority = JobAuthority(
+            claims=self._claims,
+            copies=self._copies,
+            clock=clock,
+            executor=executor,
+            publish=self._publish,
+        )
+        for verb, topic in _TOPICS.items():
+            channel.handle(topic, self._handler(verb))
+        channel.handle(Topic.JOB_ANSWER, self._on_answer)
+        channel.handle(Topic.LEDGER_RESOLVE, self._on_resolve)
+
+    def set_limits(self, limits: LedgerLimits) -> None:
+        """Put other bounds in force."""
+        self._claims.limits = self._copies.limits = limits
+
+    def ticket(self) -> LedgerId | Failure:
+        """Return the ledger in which callers may choose keys."""
+        return self._claims.ticket()
+
+    def submit(
+        self, job_id: str | None, req: JobRequest, *, deadline_at: float, wait: bool = True
+    ) -> Future[RoutedAnswer]:
+        """Submit a job, or ask again for one that was submitted.
+
+        Args:
+            job_id: Text form of the identity; None for a new one.
+            req: The job.
+            deadline_at: Monotonic seconds of this process at which the job fails.
+            wait: Whether to wait for the outcome; else ``PENDING`` is an answer.
+
+        Returns:
+            A future of the job id and its answer. The id is empty when the job was refused before
+            it got one.
+        """
+        if job_id is None:
+            new_id = self._new_id(req)
+            if isinstance(new_id, Failure):
+                return _done("", new_id)
+            job_id = new_id
+        expires_at = deadline_at + ANSWER_GRACE_S
+        return self._ask(
+            Verb.SUBMIT, job_id, req.digest, deadline_at, req.to_bytes(), expires_at, wait
+        )
+
+    def get(self, job_id: str, wait_s: float = 0.0) -> Future[RoutedAnswer]:
+        """Ask for a job's answer.
+
+        Args:
+            job_id: Text form of the identity.
+            wait_s: How long to wait for the outcome before ``PENDING`` is the answer.
+        """
+        expires_at = self._clock.now() + max(wait_s, CALL_TIMEOUT_S * MAX_HOPS)
+        if wait_s > 0:
+            expires_at = self._clock.now() + wait_s
+        return self._ask(Verb.GET, job_id, b"", 0.0, b"", expires_at, wait_s > 0)
+
+    def cancel(self, job_id: str) -> Future[RoutedAnswer]:
+        """Cancel a job; an id that was never used is used up and never runs."""
+        now = self._clock.now()
+        expires_at = now + CALL_TIMEOUT_S * MAX_HOPS
+        return self._ask(Verb.CANCEL, job_id, b"", now, b"", expires_at, True)
+
+    def leave(self) -> None:
+        """Take no new work from now on; known jobs go on and answer."""
+        self._authority.leave()
+        self._claims.leave()
+
+    def drain(self, timeout_s: float) -> bool:
+        """Leave, then wait for running jobs and for their outcomes to be copied.
+
+        Returns:
+            Whether nothing is left that an exit would lose.
+        """
+        self.leave()
+        end = time.monotonic() + timeout_s
+        while not self.is_idle:
+            if time.monotonic() >= end:
+                return False
+            time.sleep(0.02)
+        return True
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no job runs here and every outcome is copied."""
+        return self._authority.is_idle and self._claims.is_idle
+
+    def tick(self) -> None:
+        """Do what is due: retries, rotation, expiry, polls; to be called every 50 to 100 ms."""
+        self._claims.tick()
+        self._copies.tick()
+        self._repair.tick()
+        now = self._clock.now()
+        with self._lock:
+            waits = [wait for waits in self._waits.values() for wait in waits]
+        for wait in waits:
+            if now >= wait.expires_at:
+                self._expire(wait)
+            elif wait.server and now >= wait.next_poll_at:
+                wait.next_poll_at = now + POLL_S
+                self._call(wait, wait.server, Verb.GET)
+
+    def summary(self) -> dict[str, object]:
+        """Return counts for the state dump."""
+        with self._lock:
+            waits = sum(map(len, self._waits.values()))
+        return {
+            "running": self._authority.running,
+            "waiting_callers": waits,
+            "own": self._claims.summary(),
+            "copied": self._copies.summary(),
+            "repair_targets": self._repair.targets(),
+        }
+
+    def _new_id(self, req: JobRequest) -> str | Failure:
+        # The caller does not know the id yet, so a refusal needs no record to stay true.
+        refusal = self._authority.admit(req)
+        ledger = refusal or self._claims.ticket()
+        return ledger if isinstance(ledger, Failure) else str(JobId.generate(ledger))
+
+    def _ask(
+        self,
+        verb: Verb,
+        text: str,
+        digest: bytes,
+        deadline_at: float,
+        request: bytes,
+        expires_at: float,
+        waits_for_end: bool,
+    ) -> Future[RoutedAnswer]:
+        job_id = JobId.parse(text)
+        if isinstance(job_id, Failure):
+            return _done(text, job_id)
+        place = Place(job_id.ledger, job_id.key)
+        ask = JobAsk(text, place, Role.WRITER, digest, deadline_at, request)
+        wait = JobWait(ask, verb, expires_at=expires_at, waits_for_end=waits_for_end)
+        with self._lock:
+            self._waits.setdefault(text, []).append(wait)
+        self._call(wait, job_id.ledger.writer, verb)
+        return wait.fut
+
+    def _call(self, wait: JobWait, peer: str, verb: Verb) -> None:
+        """Send the question to a process, this one included."""
+        attempt = wait.begin_attempt()
+        if peer == self._members.me.name:
+            reply = self._authority.serve(verb, wait.ask, peer="")
+            self._on_reply(wait, attempt, peer, reply)
+            return
+        body = wait.ask.to_bytes(self._clock.now())
+        fut = self._channel.call(peer, _TOPICS[verb], body, timeout_s=CALL_TIMEOUT_S)
+        fut.add_done_callback(lambda fut: self._on_reply(wait, attempt, peer, _reply(fut.result())))
+
+    def _on_reply(self, wait: JobWait, attempt: int, peer: str, reply: JobReply | Failure) -> None:
+        with self._lock:
+            if wait.attempt != attempt or wait.fut.done():
+                return
+        self._advance(wait, peer, reply)
+
+    def _advance(self, wait: JobWait, peer: str, reply: JobReply | Failure) -> None:
+        if isinstance(reply, Failure) or reply.job_id != wait.ask.job_id:
+            self._next_stage(wait)
+        elif reply.kind is ReplyKind.ASK_BACKUP and reply.place is not None:
+            wait.hops += 1
+            wait.writer_lost = True
+            wait.ask = wait.ask._replace(place=reply.place)
+            self._to_backup(wait)
+        elif reply.kind is ReplyKind.NO_RECORD:
+            wait.writer_lost = wait.writer_lost or wait.stage is Stage.WRITER
+            wait.backup_lost = wait.backup_lost or wait.stage is Stage.BACKUP
+            self._next_stage(wait)
+        else:
+            self._take_answer(wait, peer, reply)
+
+    def _take_answer(self, wait: JobWait, peer: str, reply: JobReply) -> None:
+        answer = JobAnswer.from_bytes(reply.answer)
+        if not wait.matches(reply):
+            reason = "the id belongs to a job with another payload"
+            answer = JobAnswer(ResultCode.ID_REUSED, reason)
+        if answer.code is ResultCode.PENDING and wait.waits_for_end:
+            wait.server = peer if peer != self._members.me.name else ""
+            wait.is_pending = True
+            wait.next_poll_at = self._clock.now() + POLL_S
+            return
+        self._resolve(wait, answer)
+
+    def _next_stage(self, wait: JobWait) -> None:
+        if wait.stage is Stage.WRITER:
+            self._to_backup(wait)
+        else:
+            self._search(wait)
+
+    def _to_backup(self, wait: JobWait) -> None:
+        wait.stage, wait.server = Stage.BACKUP, ""
+        wait.ask = wait.ask._replace(role=Role.BACKUP)
+        backup = wait.ask.place.ledger.backup
+        if not backup or wait.hops > MAX_HOPS:
+            wait.backup_lost = not backup
+            self._search(wait)
+        else:
+            self._call(wait, backup, wait.verb)
+
+    def _search(self, wait: JobWait) -> None:
+        """Ask every live entry process for a copy or an adopted job."""
+        wait.stage, wait.server = Stage.SEARCH, ""
+        attempt = wait.begin_attempt()
+        me = self._members.me.name
+        peers = [member.name for member in self._members.live() if member.name != me]
+        replies: list[JobReply | Failure] = [self._authority.resolve(wait.ask.job_id)]
+
+        def collect(reply: JobReply | Failure) -> None:
+            with self._lock:
+                replies.append(reply)
+                is_last = len(replies) == len(peers) + 1
+            if is_last and wait.attempt == attempt:
+                self._conclude(wait, replies)
+
+        body = wait.ask.job_id.encode()
+        for peer in peers:
+            fut = self._channel.call(peer, Topic.LEDGER_RESOLVE, body, timeout_s=CALL_TIMEOUT_S)
+            fut.add_done_callback(lambda fut: collect(_reply(fut.result())))
+        if not peers:
+            self._conclude(wait, replies)
+
+    def _conclude(self, wait: JobWait, replies: list[JobReply | Failure]) -> None:
+        found = [
+            reply
+            for reply in replies
+            if isinstance(reply, JobReply)
+            and reply.kind is ReplyKind.ANSWER
+            and reply.job_id == wait.ask.job_id
+        ]
+        # An outcome outweighs a claim without one; codes from 5000 ask the client to come again.
+        found.sort(key=lambda reply: _rank(JobAnswer.from_bytes(reply.answer).code))
+        if found:
+            wait.waits_for_end = False
+            self._take_answer(wait, "", found[0])
+        elif wait.writer_lost and wait.backup_lost:
+            reason = "no replica of the record is left; the job may have run"
+            self._resolve(wait, JobAnswer(ResultCode.RECORD_LOST, reason))
+        else:
+            reason = "not run here; the processes that know the job cannot be reached"
+            self._resolve(wait, JobAnswer(ResultCode.OWNER_UNREACHABLE, reason))
+
+    def _expire(self, wait: JobWait) -> None:
+        if wait.is_pending and wait.verb is not Verb.SUBMIT:
+            self._resolve(wait, JobAnswer(ResultCode.PENDING, "the job is not finished"))
+        else:
+            reason = "no answer from the process that knows the job"
+            self._resolve(wait, JobAnswer(ResultCode.TIMED_OUT, reason))
+
+    def _resolve(self, wait: JobWait, answer: JobAnswer) -> None:
+        with self._lock:
+            waits = self._waits.get(wait.ask.job_id, [])
+            if wait not in waits:
+                return
+            waits.remove(wait)
+            if not waits:
+                del self._waits[wait.ask.job_id]
+        wait.fut.set_result(RoutedAnswer(wait.ask.job_id, answer))
+
+    def _publish(self, reply: JobReply, peers: set[str]) -> None:
+        """Give a job's reply to the callers waiting here and to the processes that asked."""
+        self._deliver(reply, self._members.me.name)
+        for peer in peers:
+            self._channel.send(peer, Topic.JOB_ANSWER, reply.to_bytes())
+
+    def _deliver(self, reply: JobReply, peer: str) -> None:
+        with self._lock:
+            waits = list(self._waits.get(reply.job_id, []))
+        for wait in waits:
+            # A push may overtake the reply to the question; the payload tells whether it fits.
+            if wait.matches(reply) and not wait.fut.done():
+                wait.begin_attempt()
+                self._advance(wait, peer, reply)
+
+    def _on_answer(self, sender: str, body: bytes) -> bytes | None:
+        self._deliver(JobReply.from_bytes(body), sender)
+        return None
+
+    def _on_resolve(self, sender: str, body: bytes) -> bytes:
+        return self._authority.resolve(body.decode()).to_bytes()
+
+    def _handler(self, verb: Verb) -> Callable[[str, bytes], bytes]:
+        def handle(sender: str, body: bytes) -> bytes:
+            ask = JobAsk.from_bytes(body, self._clock.now())
+            return self._authority.serve(verb, ask, peer=sender).to_bytes()
+
+        return handle
+
+
+def _done(job_id: str, failure: Failure) -> Future[RoutedAnswer]:
+    fut: Future[RoutedAnswer] = Future()
+    fut.set_result(RoutedAnswer(job_id, JobAnswer.from_failure(failure)))
+    return fut
+
+
+def _reply(body: bytes | Failure) -> JobReply | Failure:
+    return body if isinstance(body, Failure) else JobReply.from_bytes(body)
+
+
+def _rank(code: ResultCode) -> int:
+    if code is ResultCode.PENDING:
+        return 1
+    return 0 if code < 5000 else 2
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,244 @@
+"""Random histories against a naive service that keeps a dict from id to state."""
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kumquatlift.codes import Ran, ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.job import TaskResult
+from kumquatlift.job_router import RoutedAnswer
+from tests.simulation import Cluster, expected_answer, request
+
+NODES = 4
+DIGESTS = {request(payload).digest: payload for payload in range(2)}
+
+
+class NaiveService:
+    """A single process without faults: the first payload of an id runs, once.
+
+    It is told what the cluster does and says, and rejects what it could not have done or said.
+    """
+
+    def __init__(self) -> None:
+        self.started: dict[str, int] = {}
+        self.not_run: set[tuple[str, int]] = set()
+        self.submitted: set[tuple[str, int]] = set()
+        self.seen: Counter[ResultCode] = Counter()
+        self.errors: list[str] = []
+
+    def expect(self, holds: bool, error: str) -> None:
+        """Note an error; a future would swallow an exception of its callback."""
+        if not holds:
+            self.errors.append(error)
+
+    def start(self, job_id: str, digest: bytes) -> None:
+        payload = DIGESTS[digest]
+        self.expect(job_id not in self.started, f"{job_id} started twice")
+        self.expect((job_id, payload) not in self.not_run, f"{job_id} started after 'not run'")
+        self.started[job_id] = payload
+
+    def check(self, payload: int | None, routed: RoutedAnswer) -> None:
+        job_id, answer = routed
+        self.seen[answer.code] += 1
+        ran = self.started.get(job_id)
+        if answer.is_complete:
+            self.expect(ran is not None and payload in (None, ran), f"{job_id}: foreign answer")
+            # Answers cross the network as JSON, so the results are compared as values.
+            results = tuple(TaskResult(*row) for row in answer.results)
+            whole = expected_answer(request(ran or 0)).results
+            self.expect(results == whole, f"{job_id}: not the whole answer")
+            return
+        self.expect(answer.results == (), f"{job_id}: failed with results")
+        if answer.code is ResultCode.ID_REUSED:
+            other = (job_id, 1 - (payload or 0))
+            self.expect(other in self.submitted, f"{job_id}: no other payload was submitted")
+        if answer.code.ran is Ran.YES:
+            self.expect(ran is not None, f"{job_id}: reported as run")
+        if answer.code.ran is Ran.NO and job_id:
+            payloads = list(DIGESTS.values()) if payload is None else [payload]
+            self.expect(ran not in payloads, f"{job_id}: started, then {answer.code.label}")
+            self.not_run |= {(job_id, each) for each in payloads}
+
+
+class History:
+    """Applies steps to a cluster and shows every answer to the naive service."""
+
+    def __init__(self) -> None:
+        self.naive = NaiveService()
+        self.cluster = Cluster(NODES, self.naive.start)
+        self.ids: list[str] = []
+        self.deadlines: dict[str, float] = {}
+
+    def apply(self, op: int, arg: int) -> None:
+        """Take one step; unequal weights make most steps messages and submissions."""
+        steps = [
+            *[self.deliver] * 24,
+            *[self.submit] * 8,
+            *[self.finish] * 4,
+            self.issue,
+            self.get,
+            self.cancel,
+            self.lose,
+            self.advance,
+            self.advance,
+            self.crash,
+            self.freeze,
+            self.thaw,
+            self.cut,
+            self.heal,
+            self.refuse,
+        ]
+        steps[op % len(steps)](arg)
+
+    def node(self, arg: int) -> str | None:
+        names = sorted(set(self.cluster.nodes) - self.cluster.network.frozen)
+        return names[arg % len(names)] if names else None
+
+    def issue(self, arg: int) -> None:
+        name = self.node(arg)
+        ledger = self.cluster.nodes[name].router.ticket() if name else None
+        if ledger is not None and not isinstance(ledger, Failure):
+            self.ids.append(f"{ledger}.k{len(self.ids)}")
+
+    def submit(self, arg: int) -> None:
+        name = self.node(arg)
+        if name is None or not self.ids:
+            return
+        self.submit_to(name, self.ids[-1 - arg // 4 % min(3, len(self.ids))], int(arg % 11 == 0))
+
+    def submit_to(self, name: str, job_id: str, payload: int) -> None:
+        self.naive.submitted.add((job_id, payload))
+        fut = self.cluster.nodes[name].router.submit(
+            job_id, request(payload), deadline_at=self.cluster.clock.now() + 8.0
+        )
+        fut.add_done_callback(lambda fut: self.naive.check(payload, self.result(job_id, fut)))
+
+    def get(self, arg: int) -> None:
+        name = self.node(arg)
+        if name and self.ids:
+            job_id = self.ids[arg // 4 % len(self.ids)]
+            fut = self.cluster.nodes[name].router.get(job_id, wait_s=arg % 3)
+            fut.add_done_callback(lambda fut: self.naive.check(None, self.result(job_id, fut)))
+
+    def cancel(self, arg: int) -> None:
+        name = self.node(arg)
+        if name and self.ids and arg % 3 == 0:
+            job_id = self.ids[-1]
+            fut = self.cluster.nodes[name].router.cancel(job_id)
+            fut.add_done_callback(lambda fut: self.naive.check(None, self.result(job_id, fut)))
+
+    def result(self, job_id: str, fut: object) -> RoutedAnswer:
+        routed = fut.result()  # type: ignore[attr-defined]
+        assert isinstance(routed, RoutedAnswer)
+        self.naive.expect(routed.job_id == job_id, f"{job_id}: answer with another id")
+        return routed
+
+    def deliver(self, arg: int) -> None:
+        ready = self.cluster.network.deliverable()
+        if ready:
+            # Mostly in order, now and then any message: crossed and late ones.
+            self.cluster.network.deliver(ready[arg % len(ready) if arg % 4 == 0 else 0])
+
+    def lose(self, arg: int) -> None:
+        messages = self.cluster.network.messages
+        if messages:
+            del messages[arg % len(messages)]
+
+    def finish(self, arg: int) -> None:
+        name = self.node(arg)
+        running = sorted(self.cluster.nodes[name].executor.running) if name else []
+        if name and running:
+            self.cluster.nodes[name].executor.finish(running[arg % len(running)])
+
+    def advance(self, arg: int) -> None:
+        self.cluster.advance([0.2, 0.2, 1.1, 1.1, 1.1, 3.0, 9.0, 61.0][arg % 8])
+
+    def crash(self, arg: int) -> None:
+        names = sorted(self.cluster.nodes)
+        if len(names) > 1:
+            self.cluster.crash(names[arg % len(names)])
+            if arg % 2:
+                self.cluster.start(names[arg % len(names)])
+
+    def freeze(self, arg: int) -> None:
+        name = self.node(arg)
+        if name:
+            self.cluster.network.frozen.add(name)
+            if arg % 2:
+                self.cluster.refresh_views()
+
+    def thaw(self, arg: int) -> None:
+        self.cluster.network.frozen.clear()
+        self.cluster.refresh_views()
+        for name in "abcd"[: NODES if arg % 3 == 0 else 0]:
+            if name not in self.cluster.nodes:
+                self.cluster.start(name)
+
+    def cut(self, arg: int) -> None:
+        pair = frozenset(("abcd"[arg % 4], "abcd"[arg // 4 % 4]))
+        if len(pair) == 2:
+            self.cluster.network.cuts.add(pair)
+
+    def heal(self, arg: int) -> None:
+        self.cluster.network.cuts.clear()
+
+    def refuse(self, arg: int) -> None:
+        name = self.node(arg)
+        if name:
+            refusal = Failure(ResultCode.OVERLOADED, "queue full") if arg % 3 == 0 else None
+            self.cluster.nodes[name].executor.refusal = refusal
+
+    def conclude(self) -> None:
+        """Repair everything, finish all jobs, and ask for every id through every process."""
+        self.heal(0)
+        self.thaw(0)
+        for _ in range(2):
+            self.cluster.settle()
+            for node in self.cluster.nodes.values():
+                for job_id in sorted(node.executor.running):
+                    node.executor.finish(job_id)
+            for job_id in self.ids:
+                for name in sorted(self.cluster.nodes):
+                    self.submit_to(name, job_id, 0)
+        self.cluster.settle()
+
+
+class TestAtMostOnce:
+    """Guards against a second start of a job and against untrue or foreign answers."""
+
+    @settings(max_examples=20)
+    @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 2)), min_size=1, max_size=12))
+    def test_without_faults_every_answer_equals_the_naive_one(
+        self, submissions: list[tuple[int, int]]
+    ) -> None:
+        history, naive = History(), dict[str, int]()
+        for at, key in submissions:
+            if key == 0 or not history.ids:
+                history.issue(at)
+            job_id, payload = history.ids[-1 - key % len(history.ids)], at % 2
+            router = history.cluster.nodes["abcd"[at]].router
+            fut = router.submit(job_id, request(payload), deadline_at=1e6)
+            history.cluster.network.settle()
+            for index in range(NODES):
+                history.finish(index)
+            history.cluster.network.settle()
+            expected = naive.setdefault(job_id, payload)
+            code = ResultCode.COMPLETE if payload == expected else ResultCode.ID_REUSED
+            assert fut.result(timeout=0).answer.code is code
+        assert history.naive.started == naive
+
+    @pytest.mark.parametrize("block", range(15))
+    def test_histories_with_faults_agree_with_a_naive_service(self, block: int) -> None:
+        # Plain seeds: shrinking a history of 300 steps takes minutes and tells little more.
+        for seed in range(block * 10, block * 10 + 10):
+            history, rng = History(), random.Random(seed)
+            history.issue(0)
+            for _ in range(300):
+                history.apply(rng.randrange(1000), rng.randrange(10_000))
+                assert history.naive.errors == [], f"seed {seed}"
+            history.conclude()
+            assert history.naive.errors == [], f"seed {seed}"
--- /dev/null
+++ b/tests/test_job_router.py
@@ -0,0 +1,197 @@
+"""What callers get from any entry process."""
+
+import threading
+from concurrent.futures import Future
+
+from kumquatlift.claim import LedgerLimits
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.identity import LedgerId
+from kumquatlift.job_router import RoutedAnswer
+from kumquatlift.ledger_frame import JobReply, ReplyKind
+from tests.simulation import Cluster, Node, expected_answer, request
+
+REQ, OTHER = request(0), request(1)
+
+
+class TestJobRouter:
+    """Guards against untrue, foreign and missing answers."""
+
+    def setup_method(self) -> None:
+        self.starts: list[str] = []
+        self.cluster = Cluster(4, lambda job_id, digest: self.starts.append(job_id))
+        ledger = self.cluster.nodes["a"].router.ticket()
+        assert isinstance(ledger, LedgerId)
+        self.ledger, self.id = ledger, f"{ledger}.k"
+        self.others = sorted(set("abcd") - {"a", ledger.backup})
+
+    def node(self, name: str) -> Node:
+        return self.cluster.nodes[name]
+
+    def submit(self, name: str, job_id: str | None, req: object = REQ) -> Future[RoutedAnswer]:
+        fut = self.node(name).router.submit(
+            job_id, req, deadline_at=self.cluster.clock.now() + 60.0  # type: ignore[arg-type]
+        )
+        self.cluster.network.settle()
+        return fut
+
+    def code(self, fut: Future[RoutedAnswer]) -> ResultCode:
+        self.cluster.settle()
+        return fut.result(timeout=0).answer.code
+
+    def test_a_resubmission_of_a_running_job_joins_it(self) -> None:
+        futs = [self.submit(name, self.id) for name in "abcd"]
+        assert self.starts == [self.id]
+        self.node("a").executor.finish(self.id)
+        self.cluster.network.settle()
+        assert {fut.result(timeout=0).job_id for fut in futs} == {self.id}
+        assert all(fut.result(timeout=0).answer.is_complete for fut in futs)
+
+    def test_an_answer_that_was_pushed_and_lost_is_polled(self) -> None:
+        fut = self.submit("d" if self.ledger.backup != "d" else "c", self.id)
+        self.node("a").executor.finish(self.id)
+        self.cluster.network.messages.clear()
+        assert self.code(fut) is ResultCode.COMPLETE
+
+    def test_the_same_id_with_another_payload_is_refused(self) -> None:
+        self.submit("a", self.id)
+        assert self.code(self.submit("b", self.id, OTHER)) is ResultCode.ID_REUSED
+
+    def test_a_job_without_an_id_gets_one(self) -> None:
+        fut = self.submit("a", None)
+        (job_id,) = self.starts
+        self.node("a").executor.finish(job_id)
+        assert fut.result(timeout=0) == (job_id, expected_answer(REQ))
+
+    def test_a_caller_that_does_not_wait_gets_pending(self) -> None:
+        fut = self.node("a").router.submit(self.id, REQ, deadline_at=1e6, wait=False)
+        assert fut.result(timeout=0).answer.code is ResultCode.PENDING
+
+    def test_a_refused_id_stays_refused_at_the_writer_and_at_the_backup(self) -> None:
+        self.node("a").executor.refusal = Failure(ResultCode.OVERLOADED, "queue full")
+        assert self.code(self.submit("a", self.id)) is ResultCode.OVERLOADED
+        self.node("a").executor.refusal = None
+        assert self.code(self.submit("a", self.id)) is ResultCode.OVERLOADED
+        self.cluster.crash("a")
+        assert self.code(self.submit(self.others[0], self.id)) is ResultCode.OVERLOADED
+        assert self.starts == []
+
+    def test_the_backup_adopts_an_unclaimed_job_of_a_dead_writer(self) -> None:
+        self.cluster.crash("a")
+        fut = self.submit(self.others[0], self.id)
+        again = self.submit(self.others[1], self.id)
+        assert self.starts == [self.id]
+        self.node(self.ledger.backup).executor.finish(self.id)
+        assert self.code(fut) is self.code(again) is ResultCode.COMPLETE
+
+    def test_an_adopted_jobs_outcome_is_found_after_the_adopter_is_lost(self) -> None:
+        self.cluster.crash("a")
+        self.submit(self.others[0], self.id)
+        self.node(self.ledger.backup).executor.finish(self.id)
+        self.cluster.settle()
+        self.cluster.crash(self.ledger.backup)
+        for name in self.others:
+            assert self.code(self.submit(name, self.id)) is ResultCode.COMPLETE
+        assert self.starts == [self.id]
+
+    def test_a_claimed_job_of_a_dead_writer_is_never_run_again(self) -> None:
+        self.submit("a", self.id)
+        self.cluster.crash("a")
+        assert self.code(self.submit(self.others[0], self.id)) is ResultCode.OWNER_UNREACHABLE
+        self.cluster.advance(61.0)
+        assert self.code(self.submit(self.others[0], self.id)) is ResultCode.OWNER_LOST
+        assert self.starts == [self.id]
+
+    def test_a_lost_record_is_told_from_an_unreachable_owner(self) -> None:
+        self.submit("a", self.id)
+        self.cluster.crash("a")
+        self.cluster.crash(self.ledger.backup)
+        asked = self.others[0]
+        assert self.code(self.submit(asked, self.id)) is ResultCode.OWNER_UNREACHABLE
+        self.cluster.start("a")
+        self.cluster.start(self.ledger.backup)
+        assert self.code(self.submit(asked, self.id)) is ResultCode.RECORD_LOST
+
+    def test_a_cancelled_id_never_runs(self) -> None:
+        assert self.code(self.node("b").router.cancel(self.id)) is (
+            ResultCode.CANCELLED_BEFORE_START
+        )
+        assert self.code(self.submit("c", self.id)) is ResultCode.CANCELLED_BEFORE_START
+        assert self.starts == []
+
+    def test_a_running_job_is_cancelled_from_elsewhere(self) -> None:
+        fut = self.submit("a", self.id)
+        self.node("b").router.cancel(self.id)
+        assert self.code(fut) is ResultCode.CANCELLED_AFTER_START
+
+    def test_a_question_about_an_unused_id_does_not_call_it_not_run(self) -> None:
+        answer = self.code(self.node("b").router.get(self.id))
+        assert answer is ResultCode.CLAIM_UNKNOWN and answer.ran.value == "maybe"
+        self.submit("a", self.id)
+        assert self.code(self.node("b").router.get(self.id)) is ResultCode.PENDING
+
+    def test_a_leaving_process_refuses_new_work_and_answers_for_known_jobs(self) -> None:
+        fut = self.submit("a", self.id)
+        router = self.node("a").router
+        router.leave()
+        self.cluster.network.settle()
+        assert self.code(self.submit("a", None)) is ResultCode.LEAVING
+        assert self.code(self.submit("b", f"{self.ledger}.new")) is ResultCode.LEAVING
+        again = self.submit("b", self.id)
+        assert not router.is_idle
+        assert router.drain(0.0) is False
+        self.node("a").executor.finish(self.id)
+        assert self.code(fut) is self.code(again) is ResultCode.COMPLETE
+        assert router.drain(0.0) is True
+        self.cluster.crash("a")
+        assert self.code(self.submit("b", f"{self.ledger}.new")) is ResultCode.LEDGER_CLOSED
+        assert self.code(self.submit("c", self.id)) is ResultCode.COMPLETE
+
+    def test_a_reply_for_another_job_is_not_taken(self) -> None:
+        asked = self.others[0]
+        foreign = JobReply(
+            ReplyKind.ANSWER, f"{self.ledger}.x", b"", expected_answer(REQ).to_bytes()
+        )
+        self.node("a").channel.handlers["job.submit"] = lambda sender, body: foreign.to_bytes()
+        fut = self.submit(asked, self.id)
+        assert self.starts == [self.id]
+        self.node(self.ledger.backup).executor.finish(self.id)
+        assert self.code(fut) is ResultCode.COMPLETE
+
+    def test_an_expired_id_may_have_run(self) -> None:
+        self.submit("a", self.id)
+        self.node("a").executor.finish(self.id)
+        for _ in range(4):
+            self.cluster.advance(70.0)
+            self.cluster.network.settle()
+        assert self.code(self.submit("b", self.id)) is ResultCode.RECORD_LOST
+        assert self.starts == [self.id]
+
+    def test_results_over_the_byte_bound_are_dropped_and_the_id_stays_used(self) -> None:
+        cluster = Cluster(2, lambda job_id, digest: self.starts.append(job_id))
+        a = cluster.nodes["a"].router
+        a._claims._answers.max_bytes = 10
+        ledger = a.ticket()
+        a.submit(f"{ledger}.k", REQ, deadline_at=1e6)
+        cluster.settle()
+        cluster.nodes["a"].executor.finish(f"{ledger}.k")
+        fut = a.submit(f"{ledger}.k", REQ, deadline_at=1e6)
+        assert fut.result(timeout=0).answer.code is ResultCode.RECORD_LOST
+        assert self.starts == [f"{ledger}.k"]
+
+    def test_threads_that_submit_the_same_id_start_it_once(self) -> None:
+        router, barrier = self.node("a").router, threading.Barrier(4)
+        router.set_limits(LedgerLimits())
+
+        def submit() -> None:
+            barrier.wait()
+            for key in range(50):
+                router.submit(f"{self.ledger}.t{key}", REQ, deadline_at=1e6)
+
+        threads = [threading.Thread(target=submit) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.cluster.network.settle()
+        assert sorted(self.starts) == sorted({f"{self.ledger}.t{key}" for key in range(50)})
