Add the administration API and the console for operators

Operators change the configuration through forms or JSON over HTTP. The console keeps the token in an HttpOnly, SameSite=Strict cookie, and each form carries a key derived from it, so that no other site can post; a foreign Origin header is refused too.

The forms come from the field table. A conflict shows the differences against what is in force.

--- /dev/null
+++ b/kumquatlift/config_diff.py
@@ -0,0 +1,35 @@
+"""Differences between two configuration documents."""
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+
+class Difference(NamedTuple):
+    """One value that differs.
+
+    Args:
+        path: Dotted path of the value.
+        old: Old value as JSON; None when it is new.
+        new: New value as JSON; None when it is removed.
+    """
+
+    path: str
+    old: str | None
+    new: str | None
+
+
+def differences(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[Difference]:
+    """Compare two documents in plain dicts and lists, ordered by path."""
+    before, after = dict(_leaves("", old)), dict(_leaves("", new))
+    paths = sorted({*before, *after})
+    rows = [Difference(path, before.get(path), after.get(path)) for path in paths]
+    return [row for row in rows if row.old != row.new]
+
+
+def _leaves(path: str, value: Any) -> Iterator[tuple[str, str]]:
+    if not isinstance(value, Mapping) or not value:
+        yield path, json.dumps(value, sort_keys=True, ensure_ascii=False)
+        return
+    for name, inner in value.items():
+        yield from _leaves(f"{path}.{name}" if path else str(name), inner)
--- /dev/null
+++ b/kumquatlift/console_forms.py
@@ -0,0 +1,145 @@
+"""Forms of the console: one form for each table of the document, made from the field table."""
+
+import copy
+from collections.abc import Mapping
+from enum import Enum
+from typing import Any, NamedTuple
+
+from kumquatlift.document import Document
+from kumquatlift.field_table import FieldRow, Shape, row, rows
+
+PREFIX = "field."
+FIRST_KIND = "first_kind"
+
+
+class Input(NamedTuple):
+    """One field of a form.
+
+    Args:
+        field: The field of the table.
+        text: What the form shows in it.
+        problem: What is wrong with it; empty when nothing is.
+    """
+
+    field: FieldRow
+    text: str
+    problem: str = ""
+
+
+class Place(NamedTuple):
+    """One table of the document.
+
+    Args:
+        path: Names that lead to it.
+        table: Class of the table; None for tables by name, such as all services.
+        inner: Class of the tables by name; None for one table.
+        entries: What the document holds there; None when it holds nothing yet.
+    """
+
+    path: tuple[str, ...]
+    table: Any
+    inner: Any
+    entries: Mapping[str, Any] | None
+
+    @property
+    def is_new(self) -> bool:
+        """Whether the document does not hold the table yet."""
+        return self.entries is None
+
+    @property
+    def needs_kind(self) -> bool:
+        """Whether the form asks for the name of a first inner table, which the field needs."""
+        return self.is_new and any(
+            field.shape is Shape.TABLES and field.is_needed for field in self.fields
+        )
+
+    @property
+    def fields(self) -> tuple[FieldRow, ...]:
+        """The fields of the table."""
+        return rows(self.table) if self.table is not None else ()
+
+    @property
+    def children(self) -> list[tuple[str, str]]:
+        """Paths of the tables inside, each with its help."""
+        entries = self.entries or {}
+        if self.inner is not None:
+            return [(".".join((*self.path, name)), "") for name in sorted(entries)]
+        inner = [field for field in self.fields if field.table is not None]
+        return [(".".join((*self.path, field.name)), field.help) for field in inner]
+
+    def inputs(self, given: Mapping[str, str], problems: Mapping[str, str]) -> list[Input]:
+        """Return the fields of the form.
+
+        Args:
+            given: Texts from a form that was sent; replaces what the document holds.
+            problems: Problems by path of the field.
+        """
+        made = []
+        for field in self.fields:
+            if field.table is None:
+                path = ".".join((*self.path, field.name))
+                held = (self.entries or {}).get(field.name, field.default)
+                text = given.get(PREFIX + field.name, _text(held))
+                made.append(Input(field, text, problems.get(path, "")))
+        return made
+
+    def change(self, doc: Mapping[str, Any], form: Mapping[str, str]) -> dict[str, Any]:
+        """Return the document with what a form says; wrong texts are left for the validator."""
+        changed = copy.deepcopy(dict(doc))
+        parent = changed
+        for name in self.path[:-1]:
+            parent = parent.setdefault(name, {})
+        if form.get("remove"):
+            parent.pop(self.path[-1], None)
+            return changed
+        target = parent.setdefault(self.path[-1], {})
+        for field in self.fields:
+            if field.table is None and PREFIX + field.name in form:
+                target[field.name] = _value(field, form[PREFIX + field.name])
+            elif field.shape is Shape.TABLES and field.is_needed and self.is_new:
+                name = form.get(FIRST_KIND, "").strip()
+                target[field.name] = {name: {}} if name else {}
+        return changed
+
+
+def find(doc: Mapping[str, Any], path_text: str) -> Place | None:
+    """Return the table that a dotted path leads to, or None when there can be none."""
+    path = tuple(path_text.split(".")) if path_text else ()
+    table: Any = Document
+    inner: Any = None
+    entries: Any = doc
+    for name in path:
+        entries = entries.get(name) if isinstance(entries, Mapping) else None
+        if inner is not None:
+            table, inner = inner, None
+            continue
+        field = row(table, name) if table is not None else None
+        if field is None or field.table is None:
+            return None
+        is_many = field.shape is Shape.TABLES
+        table, inner = (None, field.table) if is_many else (field.table, None)
+    return Place(path, table, inner, entries)
+
+
+def _text(held: Any) -> str:
+    if isinstance(held, list | tuple):
+        return ", ".join(map(str, held))
+    if isinstance(held, Enum):
+        return str(held.value)
+    if isinstance(held, bool):
+        return str(held).lower()
+    return "" if held is None else str(held)
+
+
+def _value(field: FieldRow, text: str) -> Any:
+    text = text.strip()
+    if field.shape is Shape.NAMES:
+        return [part.strip() for part in text.split(",") if part.strip()]
+    if field.shape is Shape.FLAG:
+        return {"true": True, "false": False}.get(text, text)
+    try:
+        if field.shape is Shape.WHOLE:
+            return int(text)
+        return float(text) if field.shape is Shape.NUMBER else text
+    except ValueError:
+        return text
--- /dev/null
+++ b/kumquatlift/operator_access.py
@@ -0,0 +1,91 @@
+"""Who may use the operators' port: bearer tokens, the console's cookie and its forms."""
+
+import hmac
+from base64 import b64decode, b64encode
+from collections.abc import Iterable
+from hashlib import sha256
+from http.cookies import CookieError, SimpleCookie
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+from kumquatlift.settings import OperatorToken
+from kumquatlift.wsgi import ApiRequest
+
+COOKIE = "kumquatlift-token"
+_FORM_PURPOSE = b"kumquatlift console form"
+
+
+class Operator(NamedTuple):
+    """An operator whose token was checked.
+
+    Args:
+        name: Name from the settings.
+        form_key: Text that only pages made for this token contain.
+    """
+
+    name: str
+    form_key: str
+
+
+class OperatorAccess:
+    """Checks tokens against their SHA-256, in constant time.
+
+    Args:
+        tokens: Names and checksums from the settings.
+    """
+
+    def __init__(self, *, tokens: Iterable[OperatorToken]) -> None:
+        self._tokens = tuple(tokens)
+
+    def by_token(self, token: str) -> Operator | None:
+        """Return the operator of a token, or None when it is not valid."""
+        given = sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
+        found: Operator | None = None
+        # Every token is compared, so that the time does not tell which one was close.
+        for known in self._tokens:
+            if hmac.compare_digest(given, known.sha256):
+                found = Operator(known.name, _form_key(token))
+        return found
+
+    def by_bearer(self, req: ApiRequest) -> Operator | None:
+        """Return the operator of a request's ``Authorization`` header."""
+        scheme, _, token = req.headers.get("authorization", "").partition(" ")
+        return self.by_token(token.strip()) if scheme.lower() == "bearer" else None
+
+    def by_cookie(self, req: ApiRequest) -> Operator | None:
+        """Return the operator of a request's cookie."""
+        try:
+            morsel = SimpleCookie(req.headers.get("cookie", "")).get(COOKIE)
+        except CookieError:
+            return None
+        if morsel is None:
+            return None
+        try:
+            token = b64decode(morsel.value.encode(), altchars=b"-_", validate=True)
+        except ValueError:
+            return None
+        return self.by_token(token.decode("utf-8", "surrogateescape"))
+
+
+def is_own_form(operator: Operator, form_key: str, req: ApiRequest) -> bool:
+    """Tell whether a post comes from a form of this console and not from another site."""
+    known = hmac.compare_digest(form_key.encode(), operator.form_key.encode())
+    return known and is_same_origin(req)
+
+
+def is_same_origin(req: ApiRequest) -> bool:
+    """Tell whether the browser says, if it says anything, that a post comes from this site."""
+    origin = req.headers.get("origin")
+    return origin is None or urlsplit(origin).netloc == req.headers.get("host", "")
+
+
+def cookie_header(token: str) -> tuple[str, str]:
+    """Return the header that stores a token in the browser; an empty one removes it."""
+    age = "; Max-Age=0" if not token else ""
+    # The encoding keeps any character of a token from ending the cookie or the header.
+    value = b64encode(token.encode("utf-8", "surrogateescape"), altchars=b"-_").decode()
+    return ("Set-Cookie", f"{COOKIE}={value}; Path=/console; HttpOnly; SameSite=Strict{age}")
+
+
+def _form_key(token: str) -> str:
+    return hmac.new(token.encode("utf-8", "surrogateescape"), _FORM_PURPOSE, sha256).hexdigest()
--- /dev/null
+++ b/kumquatlift/operators.py
@@ -0,0 +1,196 @@
+"""HTTP application for operators: the administration API, metrics, the dump and the console."""
+
+import json
+import re
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from kumquatlift.codes import ResultCode
+from kumquatlift.config_diff import differences
+from kumquatlift.config_value import Change, Proposal
+from kumquatlift.console import Console
+from kumquatlift.document import Document, Problem
+from kumquatlift.failure import Failure
+from kumquatlift.in_force import write_document
+from kumquatlift.log import get_logger
+from kumquatlift.membership import Members
+from kumquatlift.operator_access import Operator, OperatorAccess
+from kumquatlift.register import Register
+from kumquatlift.settings import OperatorToken
+from kumquatlift.wsgi import ApiRequest, ApiResponse, code_fields
+
+# A change takes at most 5 s of rounds, after the ones that wait before it.
+ANSWER_TIMEOUT_S = 30.0
+_CHANGE_ID = re.compile(r"[A-Za-z0-9_.-]{1,64}")
+_CHANGES = "/v1/configuration/changes"
+
+
+class Operators:
+    """Answers operators; without a valid token nothing is shown or changed.
+
+    Args:
+        register: The configuration.
+        members: Membership view.
+        tokens: Operators' names and checksums of their tokens.
+        dump: Returns the state of this process as plain data.
+        metrics: Returns the metrics in the text format that scrapers read.
+    """
+
+    def __init__(
+        self,
+        *,
+        register: Register,
+        members: Members,
+        tokens: Iterable[OperatorToken],
+        dump: Callable[[], dict[str, Any]],
+        metrics: Callable[[], bytes],
+    ) -> None:
+        self._register = register
+        self._members = members
+        self._access = OperatorAccess(tokens=tokens)
+        self._dump = dump
+        self._metrics = metrics
+        self._console = Console(
+            access=self._access, state=self._state, register=register, submit=self.submit
+        )
+        self._routes: dict[tuple[str, str], Callable[[ApiRequest, Operator], ApiResponse]] = {
+            ("GET", "/v1/configuration"): self._get,
+            ("POST", "/v1/configuration/preview"): self._preview,
+            ("GET", _CHANGES): self._history,
+            ("POST", _CHANGES): self._propose,
+            ("GET", "/v1/state"): lambda req, who: _json(self._state()),
+            ("GET", "/v1/dump"): lambda req, who: _json(self._dump()),
+            ("GET", "/metrics"): self._scrape,
+        }
+
+    def handle(self, req: ApiRequest) -> ApiResponse:
+        """Answer one HTTP request."""
+        if req.path == "/" or req.path == "/console" or req.path.startswith("/console/"):
+            return self._console.handle(req)
+        operator = self._access.by_bearer(req)
+        if operator is None:
+            failure = Failure(ResultCode.UNAUTHORIZED, "a valid operator token is needed")
+            res = ApiResponse.from_failure(failure)
+            return res._replace(headers=(*res.headers, ("WWW-Authenticate", "Bearer")))
+        route = self._routes.get((req.method, req.path))
+        if route is not None:
+            return route(req, operator)
+        if req.method == "GET" and req.path.startswith(f"{_CHANGES}/"):
+            return self._outcome(req.path.removeprefix(f"{_CHANGES}/"))
+        return ApiResponse.from_failure(
+            Failure(ResultCode.NOT_FOUND, f"no {req.method} of {req.path[:100]}")
+        )
+
+    def submit(
+        self, operator: Operator, change_id: str, base_version: int, doc: Document
+    ) -> Change | Failure:
+        """Propose a change and wait for its outcome."""
+        proposal = Proposal(
+            change_id, base_version, write_document(doc), operator.name, int(time.time() * 1000)
+        )
+        try:
+            return self._register.propose(proposal).result(timeout=ANSWER_TIMEOUT_S)
+        except TimeoutError:
+            return Failure(ResultCode.CHANGE_UNKNOWN, "no outcome yet; ask again with the same id")
+
+    def _get(self, _req: ApiRequest, _who: Operator) -> ApiResponse:
+        return _json(self._in_force())
+
+    def _preview(self, req: ApiRequest, _who: Operator) -> ApiResponse:
+        fields = req.json_object()
+        if isinstance(fields, Failure):
+            return ApiResponse.from_failure(fields)
+        doc = _read(fields.get("document"))
+        if isinstance(doc, list):
+            return _invalid(doc)
+        current = self._register.document
+        old = {} if current is None else current.to_mapping()
+        rows = [row._asdict() for row in differences(old, doc.to_mapping())]
+        return _json({"version": self._register.version, "differences": rows})
+
+    def _propose(self, req: ApiRequest, operator: Operator) -> ApiResponse:
+        fields = req.json_object()
+        if isinstance(fields, Failure):
+            return ApiResponse.from_failure(fields)
+        change_id, base_version = fields.get("change_id"), fields.get("base_version")
+        if not isinstance(change_id, str) or not _CHANGE_ID.fullmatch(change_id):
+            return _malformed("change_id: 1 to 64 of A-Z, a-z, 0-9, _, . and - are needed")
+        if type(base_version) is not int or base_version < 1:
+            return _malformed("base_version: the version that the change was made from is needed")
+        doc = _read(fields.get("document"))
+        if isinstance(doc, list):
+            return _invalid(doc)
+        return self._answer(self.submit(operator, change_id, base_version, doc))
+
+    def _outcome(self, change_id: str) -> ApiResponse:
+        if not _CHANGE_ID.fullmatch(change_id):
+            return _malformed("change_id: 1 to 64 of A-Z, a-z, 0-9, _, . and - are needed")
+        try:
+            return self._answer(self._register.find_change(change_id).result(ANSWER_TIMEOUT_S))
+        except TimeoutError:
+            return ApiResponse.from_failure(
+                Failure(ResultCode.CHANGE_UNKNOWN, "no majority answered in time; ask again")
+            )
+
+    def _answer(self, result: Change | Failure) -> ApiResponse:
+        if isinstance(result, Failure):
+            # The lost side of a race sees at once what its change has to be made from.
+            is_conflict = result.code is ResultCode.VERSION_CONFLICT
+            extra = {"in_force": self._in_force()} if is_conflict else {}
+            return ApiResponse.from_failure(result, **extra)
+        code = ResultCode(result.code)
+        return _json({**code_fields(Failure(code, code.help)), "change": result._asdict()})
+
+    def _history(self, _req: ApiRequest, _who: Operator) -> ApiResponse:
+        value = self._register.value
+        changes = () if value is None else value.changes
+        return _json({"changes": [change._asdict() for change in reversed(changes)]})
+
+    def _scrape(self, _req: ApiRequest, _who: Operator) -> ApiResponse:
+        return ApiResponse(200, self._metrics(), "text/plain; version=0.0.4")
+
+    def _in_force(self) -> dict[str, Any]:
+        doc = self._register.document
+        return {
+            "version": self._register.version,
+            "document": None if doc is None else doc.to_mapping(),
+        }
+
+    def _state(self) -> dict[str, Any]:
+        return {
+            "configuration": self._register.state(),
+            "instances": [
+                {
+                    "name": member.name,
+                    "zone": member.zone,
+                    "state": member.state.value,
+                    "configuration": member.config_version,
+                    "peers": member.peers,
+                }
+                for member in self._members.live()
+            ],
+            "services": self._dump().get("slots", {}).get("services", {}),
+        }
+
+
+def _read(source: Any) -> Document | list[Problem]:
+    """Read a document from TOML text or from plain dicts and lists."""
+    return Document.from_toml(source) if isinstance(source, str) else Document.from_mapping(source)
+
+
+def _json(value: Any) -> ApiResponse:
+    # The dump may hold values that JSON does not know; they are shown as text.
+    body = json.dumps(value, default=str).encode()
+    return ApiResponse(200, body, headers=(("Cache-Control", "no-store"),))
+
+
+def _malformed(reason: str) -> ApiResponse:
+    return ApiResponse.from_failure(Failure(ResultCode.MALFORMED, reason))
+
+
+def _invalid(problems: list[Problem]) -> ApiResponse:
+    get_logger().info("document_refused", problems=len(problems))
+    failure = Failure(ResultCode.INVALID_DOCUMENT, f"{len(problems)} problem(s) in the document")
+    rows = [problem._asdict() for problem in problems]
+    return ApiResponse.from_failure(failure, problems=rows)
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import pytest
-from fakes import FakeMembers, FakeNetwork, member
 
 from kumquatlift import register as register_module
 from kumquatlift.blackboard import Blackboard
@@ -17,6 +16,7 @@
 from kumquatlift.failure import Failure
 from kumquatlift.in_force import write_document
 from kumquatlift.register import Register
+from tests.fakes import FakeMembers, FakeNetwork, member
 
 VOTERS = ("a", "b", "c")
 
