Write values of the register field by field

A change with 200 records took 7.2 ms to encode and 6.2 ms to decode, because the library converts dicts and lists item by item through its generic setters; a change does this some ten times on its way. A cache of encoded values was ruled out: it hides the cost instead of removing it.

--- a/kumquatlift/config_codec.py
+++ b/kumquatlift/config_codec.py
@@ -50,8 +50,16 @@
 
 def encode(message: Message) -> bytes:
     """Encode a message."""
+    if isinstance(message, Value):
+        builder = _schema().Message.new_message()
+        _write_value(builder.init("value"), message)
+        return cast(bytes, builder.to_bytes())
     name, fields = _fields(message)
-    return cast(bytes, _schema().Message.new_message(**{name: fields}).to_bytes())
+    builder = _schema().Message.new_message(**{name: fields})
+    value = getattr(message, "value", None)
+    if value is not None:
+        _write_value(getattr(builder, name).init("value"), value)
+    return cast(bytes, builder.to_bytes())
 
 
 def decode(data: bytes, expected: type[T]) -> T:
@@ -91,74 +99,82 @@
 
     try:
         with _schema().Message.from_bytes(data, traversal_limit_in_words=_MAX_WORDS) as reader:
-            name = reader.which()
-            fields = getattr(reader, str(name)).to_dict()
-        return cast(Message, _READERS[str(name)](fields))
+            name = str(reader.which())
+            return cast(Message, _READERS[name](getattr(reader, name)))
     except (capnp.KjException, KeyError, TypeError, ValueError) as exc:
         raise CodecError(f"not a message of the register: {exc}") from exc
 
 
 def _fields(message: Message) -> tuple[str, dict[str, Any]]:
+    """Return the name of a message and its fields without the value."""
     if isinstance(message, Read):
         evidence = [{"voter": voter, "nonce": nonce} for voter, nonce in message.evidence]
         return "read", {"newerThan": message.newer_than, "evidence": evidence}
     if isinstance(message, ReadAnswer):
-        fields = {"isVoter": message.status is not None, "value": _plain(message.value)}
-        return "readAnswer", {**fields, "status": _plain(message.status)}
+        fields = {"isVoter": message.status is not None}
+        return "readAnswer", {**fields, "status": _plain(message.status) or {}}
     name = type(message).__name__
     return name[0].lower() + name[1:], _plain(message)
 
 
 def _plain(item: Any) -> Any:
-    if item is None:
-        return {}
-    if isinstance(item, Change):
-        row = item._asdict()
-        return {"atMs": row.pop("at_ms"), **row}
-    if isinstance(item, tuple) and hasattr(item, "_asdict"):
-        return {key: _plain(value) for key, value in item._asdict().items()}
-    return [_plain(value) for value in item] if isinstance(item, tuple) else item
-
-
-def _ballot(fields: dict[str, Any]) -> Ballot:
-    return Ballot(fields["number"], fields["proposer"])
-
-
-def _value(fields: dict[str, Any]) -> Value | None:
-    if not fields["version"]:
+    if not hasattr(item, "_asdict"):
+        return item
+    return {key: _plain(value) for key, value in item._asdict().items() if key != "value"}
+
+
+# Values are written and read field by field: with 200 changes the library's conversion from and
+# to dicts takes over ten times as long to write and four times as long to read.
+def _write_value(builder: Any, value: Value) -> None:
+    builder.version, builder.document, builder.register = (
+        value.version,
+        value.document,
+        value.register,
+    )
+    rows = builder.init("changes", len(value.changes))
+    for row, change in zip(rows, value.changes, strict=True):
+        row.id, row.version, row.code, row.digest, row.operator, row.atMs = change
+
+
+def _value(reader: Any) -> Value | None:
+    if not reader.version:
         return None
-    changes = tuple(Change(at_ms=row.pop("atMs"), **row) for row in fields["changes"])
-    return Value(fields["version"], fields["document"], changes, fields["register"])
+    changes = tuple(
+        Change(row.id, row.version, row.code, row.digest, row.operator, row.atMs)
+        for row in reader.changes
+    )
+    return Value(reader.version, reader.document, changes, reader.register)
 
 
-def _some_value(fields: dict[str, Any]) -> Value:
-    value = _value(fields)
+def _some_value(reader: Any) -> Value:
+    value = _value(reader)
     if value is None:
         raise CodecError("a value is missing")
     return value
 
 
-def _status(fields: dict[str, Any]) -> VoterStatus:
-    return VoterStatus(**{**fields, "accepted": _ballot(fields["accepted"])})
+def _ballot(reader: Any) -> Ballot:
+    return Ballot(reader.number, reader.proposer)
 
 
-def _read_answer(fields: dict[str, Any]) -> ReadAnswer:
-    status = _status(fields["status"]) if fields["isVoter"] else None
-    return ReadAnswer(status, _value(fields["value"]))
+def _read_answer(r: Any) -> ReadAnswer:
+    status = r.status
+    known = VoterStatus(
+        status.register, _ballot(status.accepted), status.version, status.nonce, status.confirmed
+    )
+    return ReadAnswer(known if r.isVoter else None, _value(r.value))
 
 
 _READERS: dict[str, Any] = {
-    "prepare": lambda f: Prepare(f["register"], _ballot(f["ballot"])),
-    "promise": lambda f: Promise(_ballot(f["ballot"]), _ballot(f["accepted"]), _value(f["value"])),
-    "accept": lambda f: Accept(f["register"], _ballot(f["ballot"]), _some_value(f["value"])),
-    "accepted": lambda f: Accepted(_ballot(f["ballot"])),
-    "refusal": lambda f: Refusal(f["register"], _ballot(f["promised"])),
-    "read": lambda f: Read(
-        f["newerThan"], tuple((row["voter"], row["nonce"]) for row in f["evidence"])
-    ),
+    "prepare": lambda r: Prepare(r.register, _ballot(r.ballot)),
+    "promise": lambda r: Promise(_ballot(r.ballot), _ballot(r.accepted), _value(r.value)),
+    "accept": lambda r: Accept(r.register, _ballot(r.ballot), _some_value(r.value)),
+    "accepted": lambda r: Accepted(_ballot(r.ballot)),
+    "refusal": lambda r: Refusal(r.register, _ballot(r.promised)),
+    "read": lambda r: Read(r.newerThan, tuple((row.voter, row.nonce) for row in r.evidence)),
     "readAnswer": _read_answer,
     "value": _some_value,
-    "voterState": lambda f: VoterState(
-        f["register"], _ballot(f["promised"]), _ballot(f["accepted"]), _value(f["value"])
+    "voterState": lambda r: VoterState(
+        r.register, _ballot(r.promised), _ballot(r.accepted), _value(r.value)
     ),
 }
