--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,7 +10,6 @@
 from urllib.parse import urlencode
 
 import pytest
-from fakes import FakeMembers, FakeNetwork, member
 
 from kumquatlift.blackboard import Blackboard
 from kumquatlift.clock import MonotonicClock
@@ -20,6 +19,7 @@
 from kumquatlift.register import Register
 from kumquatlift.settings import OperatorToken
 from kumquatlift.wsgi import ApiRequest, ApiResponse
+from tests.fakes import FakeMembers, FakeNetwork, member
 
 TOKEN = "correct token; with others"
 EVIL = '<script>alert("x")</script>'
