--- a/Makefile
+++ b/Makefile
@@ -53,8 +53,7 @@
 	$(PY) -m shiv --compressed --output-file build/kumquatlift --python "/usr/bin/env python3.11" \
 	  --entry-point kumquatlift.cli:main --quiet --disable-pip-version-check \
 	  --constraint requirements.lock build/wheel/*.whl
-	build/kumquatlift check examples/glenkirk/document.toml
-	build/kumquatlift check examples/maulwurf/document.toml
+	for doc in examples/*/document.toml; do build/kumquatlift check $$doc || exit 1; done
 	$(PY) -m tools.check_build
 
 lock:
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -8,22 +8,26 @@
 from kumquatlift.settings import Settings
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
+DEPLOYMENTS = sorted(path.parent for path in EXAMPLES.glob("*/document.toml"))
 
 
-@pytest.mark.parametrize("deployment", ["glenkirk", "maulwurf"])
+def test_there_are_two_deployments() -> None:
+    assert len(DEPLOYMENTS) == 2
+
+
+@pytest.mark.parametrize("folder", DEPLOYMENTS)
 class TestExamples:
     """Guards against an example that an entry process would refuse or could not join."""
 
-    def test_document_is_valid_and_has_the_sizes_of_the_design(self, deployment: str) -> None:
-        text = (EXAMPLES / deployment / "document.toml").read_text(encoding="utf-8")
+    def test_document_is_valid_and_has_the_sizes_of_the_design(self, folder: Path) -> None:
+        text = (folder / "document.toml").read_text(encoding="utf-8")
         doc = Document.from_toml(text)
         assert isinstance(doc, Document), doc
         (service,) = doc.services.values()
         assert (service.slots, service.connections, len(service.kinds)) == (8, 64, 3)
         assert any(not kind.repeatable for kind in service.kinds.values())
 
-    def test_settings_name_the_voters_and_share_no_port(self, deployment: str) -> None:
-        folder = EXAMPLES / deployment
+    def test_settings_name_the_voters_and_share_no_port(self, folder: Path) -> None:
         settings = [
             Settings.from_file(path)
             for path in sorted(folder.glob("*.toml"))
