Answer oversized bodies with their code and give up silent addresses sooner

A body over 4 MiB got a reset connection: the server refused it by itself while the client was still sending, so no code arrived. The server now buffers up to 16 MiB, and every application answers 2002 from 4 MiB on. Larger bodies still get the server's own refusal.

The client waits at most 2 s for a connection, so that an address that drops packets does not take the whole time for an answer.

The scenario about a reused id waits for the first answer; without that, the other payload could arrive first.

--- a/features/submission.feature
+++ b/features/submission.feature
@@ -40,6 +40,7 @@
 
   Scenario: The id of a job is refused for another payload
     When a "once" job of 1 tasks of 10 ms is submitted through north-1
+    And its answer has arrived
     And its id is used for another payload through north-1
     Then the answer to the other payload is 2008 "id-reused"
     And its answer is 1000 "complete" with the result of every task in order
--- a/kumquatlift/client.py
+++ b/kumquatlift/client.py
@@ -12,6 +12,8 @@
 
 # Refusals about one entry process or one ledger rather than about load: another ticket helps.
 _ASK_ANOTHER = (ResultCode.LEAVING, ResultCode.LEDGER_CLOSED)
+# An address that drops packets is given up sooner than one that took the request.
+CONNECT_TIMEOUT_S = 2.0
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 1.0
 _TICKET_TIMEOUT_S = 2.0
@@ -146,17 +148,18 @@
         method: HTTP method.
         path: Path with the query.
         payload: Body; bytes are sent as they are, anything else as JSON.
-        timeout_s: Longest wait for a connection and for each part of the answer.
+        timeout_s: Longest wait for each part of the answer.
         token: Bearer token; empty for none.
 
     Returns:
         The JSON object of the answer, whatever its status; a ``NOT_DELIVERED`` failure when no
         connection was made; or a ``TIMED_OUT`` failure when the effect is unknown.
     """
-    conn = http.client.HTTPConnection(address, timeout=timeout_s)
+    conn = http.client.HTTPConnection(address, timeout=min(timeout_s, CONNECT_TIMEOUT_S))
     try:
         try:
             conn.connect()
+            conn.sock.settimeout(timeout_s)
         except OSError as exc:
             return Failure(ResultCode.NOT_DELIVERED, f"{address} cannot be reached: {exc}")
         body = payload if isinstance(payload, bytes | None) else json.dumps(payload).encode()
--- a/kumquatlift/server.py
+++ b/kumquatlift/server.py
@@ -14,6 +14,9 @@
 BACKLOG = 1024
 # A client that sends nothing for this long in the middle of a request loses its connection.
 IDLE_TIMEOUT_S = 30
+# The server resets the connection of a larger body and gives no code, so the limit of a request is
+# checked by the application, and this one only bounds what is buffered.
+BUFFERED_REQUEST_BYTES = 4 * MAX_REQUEST_BYTES
 _POLL_S = 0.02
 
 
@@ -36,7 +39,7 @@
             backlog=BACKLOG,
             connection_limit=MAX_CONNECTIONS,
             channel_timeout=IDLE_TIMEOUT_S,
-            max_request_body_size=MAX_REQUEST_BYTES,
+            max_request_body_size=BUFFERED_REQUEST_BYTES,
             ident=None,
         )
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix=f"http-{name}")
--- a/kumquatlift/wsgi.py
+++ b/kumquatlift/wsgi.py
@@ -6,6 +6,7 @@
 from urllib.parse import parse_qs
 
 from kumquatlift.codes import ResultCode
+from kumquatlift.document import MAX_REQUEST_BYTES
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
 
@@ -118,12 +119,20 @@
     return fields
 
 
+def _too_large(environ: dict[str, Any]) -> ApiResponse | None:
+    size = int(environ.get("CONTENT_LENGTH") or 0)
+    if size <= MAX_REQUEST_BYTES:
+        return None
+    reason = f"the body has {size} bytes, at most {MAX_REQUEST_BYTES} are allowed"
+    return ApiResponse.from_failure(Failure(ResultCode.TOO_LARGE, reason))
+
+
 def application(handler: Callable[[ApiRequest], ApiResponse]) -> WsgiApp:
     """Make a WSGI application of a function from request to answer."""
 
     def app(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
         try:
-            res = handler(ApiRequest.from_environ(environ))
+            res = _too_large(environ) or handler(ApiRequest.from_environ(environ))
         except Exception as exc:
             # A programming error must not take the server's thread with it.
             get_logger().error(
