Order demands by stretched response time alone

Cause: a job of one short task waited behind jobs of 64 tasks that had the same deadline, and the measure is response time relative to the ideal.

Change: a demand is ordered as if it had to end 10 times its expected response time alone after it came, or at its deadline when that is earlier.

--- a/kumquatlift/scheduler.py
+++ b/kumquatlift/scheduler.py
@@ -37,6 +37,9 @@
 """A new owner waits this long for announcements before it refuses for lack of runners."""
 TRIAL_OF_LAST_RESORT_S = 5.0
 """A trial overdue by this time may use a request that is not repeatable."""
+STRETCH = 10.0
+"""Demands are ordered as if each had to end after this many times its response time alone, so that
+a small job does not wait for a large one; one that waits that long goes first."""
 _MAX_HELD = 32
 """Demands passed over in one poll because they rather wait for a faster runner; the next one is
 judged as if it were the last of the queue, so that a long queue uses every runner."""
@@ -200,7 +203,7 @@
             rank=demand.urgency,
             team=demand.team,
             left=demand.count,
-            deadline_at=demand.deadline_at,
+            deadline_at=min(demand.deadline_at, now + STRETCH * self._alone_s(demand, now)),
             waiting_since=now,
         )
         self._entries[demand.id] = entry
@@ -481,6 +484,12 @@
         slots = sum(self._pool.capacity(state) for state in self._pool)
         return max(1, min(quota, round(quota * slots / self._total_slots)))
 
+    def _alone_s(self, demand: Demand, now: float) -> float:
+        """Return the expected response time of a demand that has all runners for itself."""
+        speed = self._pool.speed(now)
+        share_s = demand.count * self._mean_s / speed if speed > 0 else 0.0
+        return self._expected_s(demand) + share_s
+
     def _expected_s(self, demand: Demand) -> float:
         return self._run_times.expected_s(demand.kind, demand.expected_s)
 
