Join peers, ledgers, configuration and operators into the entry process

Cause: the entry process knew only itself; jobs, slots and the configuration stayed in one process. Change: the entry process assembles gossip, the TCP channel, the configuration register, the job router, slots, dispatcher and the four listeners; it serves callers once a configuration is in force, and on SIGTERM it leaves, finishes its jobs, copies their outcomes and ends. Ruled out: serving before a configuration is known, because every job would be refused as unknown.

--- a/kumquatlift/channel.py
+++ b/kumquatlift/channel.py
@@ -50,5 +50,11 @@
     def send(self, peer: str, topic: str, body: bytes) -> None:
         """Send a one-way message; it may be lost."""
 
-    def handle(self, topic: str, handler: Handler) -> None:
-        """Register the handler of a topic; it runs in an executor thread."""
+    def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
+        """Register the handler of a topic.
+
+        Args:
+            topic: Name of the topic.
+            handler: Runs in an executor thread.
+            workers: Handlers that run at a time; 1 keeps messages in order, None is the default.
+        """
--- a/kumquatlift/entry.py
+++ b/kumquatlift/entry.py
@@ -4,32 +4,48 @@
 import threading
 import time
 from pathlib import Path
-from typing import Any
 
 from kumquatlift.announcements import Announcements
 from kumquatlift.blackboard import Blackboard
 from kumquatlift.callers import Callers
-from kumquatlift.channel import Channel, Topic
+from kumquatlift.channel import Topic
+from kumquatlift.claim import LedgerLimits
 from kumquatlift.clock import MonotonicClock
+from kumquatlift.data_file import FolderDisk
 from kumquatlift.dispatcher import Dispatcher
-from kumquatlift.document import Document
-from kumquatlift.identity import LedgerId, new_incarnation
-from kumquatlift.local_jobs import LocalJobs
+from kumquatlift.document import Document, System
+from kumquatlift.gossip import Gossip
+from kumquatlift.identity import new_incarnation
+from kumquatlift.job_router import JobRouter
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Member, Members
+from kumquatlift.membership import Member, MemberState
+from kumquatlift.metrics import Metrics
+from kumquatlift.operators import Operators
+from kumquatlift.register import Register
+from kumquatlift.routed_jobs import RoutedJobs
 from kumquatlift.runner_client import RunnerClient
 from kumquatlift.server import HttpServer
 from kumquatlift.settings import Address, Settings
 from kumquatlift.slot_client import STATE_INTERVAL_S, SlotClient
 from kumquatlift.slot_messages import SlotDemands, SlotGrants
 from kumquatlift.slot_owner import SlotOwner
+from kumquatlift.tcp_channel import TcpChannel
 from kumquatlift.timer import Timer
 from kumquatlift.wsgi import application
 
 OWNER_TICK_S = 0.1
-RUNNER_THREADS = 8
-# Time for peers and balancer to see that this process is leaving, before it stops listening.
+ROUTER_TICK_S = 0.05
+IDLE_CONNECTION_TICK_S = 1.0
+RUNNER_THREADS = 16
+OPERATOR_THREADS = 4
+CHANNEL_WORKERS = 4
+# Time for peers and the balancer to see that this process is leaving, before its last jobs end.
 LEAVE_NOTICE_S = 1.0
+# Longest wait for outcomes to be copied after the last job has ended.
+COPY_GRACE_S = 5.0
+
+NO_DOCUMENT = Document(System(voters=()), {}, {})
+"""Stands for the configuration until one is in force; it has no service."""
 
 
 class EntryProcess:
@@ -37,96 +53,195 @@
 
     Args:
         settings: The process's own settings.
-        document: The configuration.
-        members: Membership view.
-        channel: Messages to other entry processes.
-        incarnation: Random identity of this run.
+        first_document: Configuration to form the register with; None when this process has none.
     """
 
-    def __init__(
-        self,
-        *,
-        settings: Settings,
-        document: Document,
-        members: Members,
-        channel: Channel,
-        incarnation: str,
-    ) -> None:
-        self._document = document
+    def __init__(self, *, settings: Settings, first_document: Document | None) -> None:
+        self._settings = settings
         self._clock = MonotonicClock()
-        self._channel = channel
-        self._members = members
-        self.board = Blackboard(clock=self._clock)
+        self._board = Blackboard(clock=self._clock)
         self._timer = Timer(clock=self._clock)
+        self._stopping = threading.Event()
+        incarnation = new_incarnation()
+        me = Member(
+            settings.name,
+            settings.zone,
+            settings.callers,
+            settings.runners,
+            settings.peers,
+            incarnation,
+        )
+        self._gossip = Gossip(me=me, seeds=settings.seeds, clock=self._clock)
+        self._members = self._gossip.view
+        self._channel = TcpChannel(
+            name=settings.name,
+            address=Address.parse(settings.peers),
+            locate=self._locate,
+            workers=CHANNEL_WORKERS,
+        )
+        self._register = Register(
+            members=self._members,
+            channel=self._channel,
+            disk=FolderDisk(path=Path(settings.data_folder)) if settings.data_folder else None,
+            first_document=first_document,
+            clock=self._clock,
+            section=self._board.section("config"),
+        )
         self._client = RunnerClient()
+        self._make_slots(f"{settings.name}-{incarnation}")
+        self._dispatcher = Dispatcher(
+            document=self.document,
+            slots=self._slots,
+            client=self._client,
+            timer=self._timer,
+            clock=self._clock,
+            section=self._board.section("dispatcher"),
+        )
+        self._router = JobRouter(
+            channel=self._channel,
+            members=self._members,
+            clock=self._clock,
+            executor=self._dispatcher,
+        )
+        self._board.section("claims").publish("state", self._router.summary)
+        self._board.section("channel").publish("state", self._channel.snapshot)
+        self._board.section("membership").publish("state", self._gossip.snapshot)
+        self._servers: list[HttpServer] = []
+
+    def document(self) -> Document:
+        """Return the configuration in force, or one without services before there is any."""
+        return self._register.document or NO_DOCUMENT
+
+    def run(self) -> None:
+        """Serve until ``stop`` is called, then finish everything that was accepted."""
+        self._gossip.start()
+        self._register.on_change(self._apply)
+        self._register.start()
+        self._serve_operators()
+        if self._wait_for_configuration():
+            self._serve()
+            self._stopping.wait()
+        self._drain()
+
+    def stop(self) -> None:
+        """Begin an orderly stop; may be called from a signal handler."""
+        self._stopping.set()
+
+    def _make_slots(self, token: str) -> None:
         self._owner = SlotOwner(
-            token=f"{settings.name}-{incarnation}",
-            document=lambda: self._document,
+            token=token,
+            document=self.document,
             deliver=self._deliver,
             clock=self._clock,
-            section=self.board.section("slots"),
+            section=self._board.section("slots"),
         )
         self._slots = SlotClient(
-            members=members,
-            channel=channel,
+            members=self._members,
+            channel=self._channel,
             apply_locally=self._owner.apply,
             message_weight=self._message_weight,
             clock=self._clock,
-            section=self.board.section("requester"),
+            section=self._board.section("requester"),
         )
-        channel.handle(Topic.SLOTS_DEMAND, self._handle_demands)
-        self._dispatcher = Dispatcher(
-            document=lambda: self._document,
-            slots=self._slots,
-            client=self._client,
-            timer=self._timer,
-            clock=self._clock,
-            section=self.board.section("dispatcher"),
+        # One worker a topic keeps the messages of a peer in order.
+        self._channel.handle(Topic.SLOTS_DEMAND, self._handle_demands, workers=1)
+
+    def _serve_operators(self) -> None:
+        operators = Operators(
+            register=self._register,
+            members=self._members,
+            tokens=self._settings.operator_tokens,
+            dump=self._board.snapshot,
+            metrics=Metrics(board=self._board).scrape,
         )
-        ledger = LedgerId(settings.name, incarnation, 1, "")
-        self._jobs = LocalJobs(ledger=ledger, executor=self._dispatcher, clock=self._clock)
-        callers = Callers(jobs=self._jobs, zone=settings.zone)
-        announcements = Announcements(members=members, channel=channel, owner=self._owner)
-        self._callers_server = HttpServer(
-            app=application(callers.handle),
-            address=Address.parse(settings.callers),
-            threads=document.system.max_callers,
-            name="callers",
+        server = HttpServer(
+            app=application(operators.handle),
+            address=Address.parse(self._settings.operators),
+            threads=OPERATOR_THREADS,
+            name="operators",
         )
-        self._runners_server = HttpServer(
+        server.start()
+        self._servers.append(server)
+
+    def _wait_for_configuration(self) -> bool:
+        while self._register.document is None:
+            if self._stopping.wait(0.05):
+                return False
+        return True
+
+    def _serve(self) -> None:
+        announcements = Announcements(
+            members=self._members, channel=self._channel, owner=self._owner
+        )
+        runners = HttpServer(
             app=application(announcements.handle),
-            address=Address.parse(settings.runners),
+            address=Address.parse(self._settings.runners),
             threads=RUNNER_THREADS,
             name="runners",
         )
-
-    def start(self) -> None:
-        """Begin to serve."""
+        jobs = RoutedJobs(router=self._router, document=self.document, clock=self._clock)
+        self._callers_server = HttpServer(
+            app=application(Callers(jobs=jobs, zone=self._settings.zone).handle),
+            address=Address.parse(self._settings.callers),
+            threads=self.document().system.max_callers,
+            name="callers",
+        )
         self._timer.call_every(OWNER_TICK_S, self._owner.tick)
         self._timer.call_every(STATE_INTERVAL_S, self._slots.send_state)
+        self._timer.call_every(ROUTER_TICK_S, self._router.tick)
+        self._timer.call_every(IDLE_CONNECTION_TICK_S, self._client.close_idle)
         self._slots.start()
-        self._timer.call_every(1.0, self._client.close_idle)
-        self._runners_server.start()
-        self._callers_server.start()
+        for server in (runners, self._callers_server):
+            server.start()
+            self._servers.append(server)
+        get_logger().info("started", zone=self._settings.zone, callers=self._settings.callers)
 
-    def stop(self) -> None:
-        """Finish every request and job, then end."""
+    def _drain(self) -> None:
+        """Leave: hand over, finish running jobs, copy their outcomes, answer every caller."""
         get_logger().info("stopping")
+        self._gossip.set_state(MemberState.LEAVING)
+        self._router.leave()
         time.sleep(LEAVE_NOTICE_S)
-        longest_s = max(
+        is_drained = self._router.drain(self._longest_deadline_s() + COPY_GRACE_S)
+        for server in self._servers:
+            is_drained = server.drain(timeout_s=COPY_GRACE_S) and is_drained
+        self._register.stop()
+        self._gossip.close()
+        self._channel.close()
+        get_logger().info("stopped", drained=is_drained)
+
+    def _longest_deadline_s(self) -> float:
+        deadlines = [
             kind.deadline_ms / 1000
-            for service in self._document.services.values()
+            for service in self.document().services.values()
             for kind in service.kinds.values()
+        ]
+        return max(deadlines, default=0.0)
+
+    def _apply(self, version: int, doc: Document) -> None:
+        """Put a document into force in every controller."""
+        self._gossip.set_config_version(version)
+        self._owner.reconfigure(doc)
+        self._dispatcher.reconfigure()
+        self._router.set_limits(
+            LedgerLimits(
+                rotation_s=doc.system.ledger_rotation_s,
+                max_claims=doc.system.ledger_max_claims,
+                retention_s=doc.system.retention_s,
+            )
         )
-        is_drained = self._callers_server.drain(timeout_s=longest_s)
-        get_logger().info("stopped", drained=is_drained)
+        get_logger().info("configuration_in_force", version=version)
+
+    def _locate(self, peer: str) -> Address | None:
+        member = self._members.get(peer)
+        return None if member is None else Address.parse(member.peers)
 
     def _message_weight(self, service: str) -> float:
-        cfg = self._document.services.get(service)
+        cfg = self.document().services.get(service)
         return 0.0 if cfg is None else cfg.message_weight
 
     def _deliver(self, requester: str, msg: SlotGrants) -> None:
-        if requester == self._members.me.name:
+        if requester == self._settings.name:
             self._slots.take_grants(msg)
         else:
             self._channel.send(requester, Topic.SLOTS_GRANT, msg.to_bytes())
@@ -135,32 +250,6 @@
         self._owner.apply(sender, SlotDemands.from_bytes(body))
 
 
-class _AloneMembers:
-    def __init__(self, *, me: Member) -> None:
-        self._me = me
-
-    @property
-    def me(self) -> Member:
-        return self._me
-
-    def live(self, zone: str | None = None) -> list[Member]:
-        return [self._me] if zone in (None, self._me.zone) else []
-
-    def get(self, name: str) -> Member | None:
-        return self._me if name == self._me.name else None
-
-
-class _AloneChannel:
-    def call(self, peer: str, topic: str, body: bytes, *, timeout_s: float) -> Any:
-        raise NotImplementedError
-
-    def send(self, peer: str, topic: str, body: bytes) -> None:
-        raise NotImplementedError
-
-    def handle(self, topic: str, handler: Any) -> None:
-        pass
-
-
 def run_entry(settings: Settings) -> int:
     """Run an entry process until SIGTERM or SIGINT.
 
@@ -168,35 +257,32 @@
         settings: The process's own settings.
 
     Returns:
-        Exit code.
+        Exit code: 0 after an orderly stop, 1 when the process cannot start.
     """
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    text = Path(settings.first_document).read_text(encoding="utf-8")
-    doc = Document.from_toml(text)
-    if isinstance(doc, list):
-        for problem in doc:
-            get_logger().error("document_invalid", problem=str(problem))
+    first = _read_first_document(settings)
+    if isinstance(first, str):
+        get_logger().error("start_failed", reason=first)
+        return 1
+    try:
+        process = EntryProcess(settings=settings, first_document=first)
+    except OSError as exc:
+        get_logger().error("start_failed", reason=str(exc))
         return 1
-    incarnation = new_incarnation()
-    me = Member(
-        settings.name,
-        settings.zone,
-        settings.callers,
-        settings.runners,
-        settings.peers,
-        incarnation,
-    )
-    process = EntryProcess(
-        settings=settings,
-        document=doc,
-        members=_AloneMembers(me=me),
-        channel=_AloneChannel(),
-        incarnation=incarnation,
-    )
-    process.start()
-    get_logger().info("started", zone=settings.zone, callers=settings.callers)
-    stop.wait()
-    process.stop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: process.stop())
+    process.run()
     return 0
+
+
+def _read_first_document(settings: Settings) -> Document | str | None:
+    """Return the first document, None when the settings name none, or why it cannot be used."""
+    if not settings.first_document:
+        return None
+    path = Path(settings.first_document)
+    try:
+        doc = Document.from_toml(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as exc:
+        return f"{path}: {exc}"
+    if isinstance(doc, list):
+        return "; ".join(f"{path}: {problem}" for problem in doc)
+    return doc
--- a/kumquatlift/slot_client.py
+++ b/kumquatlift/slot_client.py
@@ -138,7 +138,8 @@
         self._changed = threading.Event()
         self._closed = False
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="slots")
-        channel.handle(Topic.SLOTS_GRANT, self._handle_grants)
+        # One worker keeps the messages of an owner in order.
+        channel.handle(Topic.SLOTS_GRANT, self._handle_grants, workers=1)
         section.publish("requester", self._snapshot)
 
     def start(self) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -47,7 +47,7 @@
     def send(self, peer: str, topic: str, body: bytes) -> None:
         self._exchange(peer, topic, body)
 
-    def handle(self, topic: str, handler: Handler) -> None:
+    def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
         self._handlers[topic] = handler
 
     def _exchange(self, peer: str, topic: str, body: bytes) -> bytes | Failure:
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -151,6 +151,10 @@
         """Whether a process has not ended."""
         return self._processes[name].poll() is None
 
+    def pid(self, name: str) -> int:
+        """Process id of a process."""
+        return self._processes[name].pid
+
     def exit_code(self, name: str) -> int | None:
         """Exit code of a process; None while it runs."""
         return self._processes[name].poll()
--- /dev/null
+++ b/tools/measure_entry.py
@@ -0,0 +1,112 @@
+"""Measure what a task costs an entry process, by the tasks that travel in one request."""
+
+import json
+import os
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import tomli_w
+
+from kumquatlift.client import call
+from kumquatlift.failure import Failure
+from tools.cluster import Cluster, wait_for
+from tools.slopes import Slope
+
+RUN_S = 4.0
+CLIENTS = 8
+TASKS_PER_JOB = 64
+RUN_MS = 1
+RUNNER_PROCESSES = 4
+RUNNERS_PER_PROCESS = 3
+BATCHES = (1, 2, 4, 8, 16)
+
+
+def _write_document(path: Path) -> None:
+    kinds = {
+        f"batch-{size}": {"tasks_per_request": size, "expected_ms": RUN_MS, "repeatable": True}
+        for size in BATCHES
+    }
+    source = {"system": {"voters": ["a-1"]}, "services": {"s": {"kinds": kinds}}}
+    path.write_text(tomli_w.dumps(source))
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().split()
+    return (int(fields[13]) + int(fields[14])) / os.sysconf("SC_CLK_TCK")
+
+
+def _rss_kb(pid: int) -> int:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS"))
+
+
+def _job(kind: str) -> dict[str, object]:
+    tasks = [{"id": f"t{number}", "body": {"run_ms": RUN_MS}} for number in range(TASKS_PER_JOB)]
+    return {"service": "s", "kind": kind, "tasks": tasks}
+
+
+def _run_clients(address: str, kind: str) -> int:
+    """Submit jobs one after the other from each client; return the number of complete jobs."""
+    until = time.monotonic() + RUN_S
+    done = [0] * CLIENTS
+
+    def client(number: int) -> None:
+        while time.monotonic() < until:
+            reply = call(address, "POST", "/v1/jobs", payload=_job(kind))
+            if not isinstance(reply, Failure) and reply.get("code") == 1000:
+                done[number] += 1
+
+    threads = [threading.Thread(target=client, args=(number,)) for number in range(CLIENTS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return sum(done)
+
+
+def entry_slopes() -> list[Slope]:
+    """Measure processor time a task against requests a task, with real processes."""
+    points: list[tuple[float, float]] = []
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = Path(scratch)
+        _write_document(folder / "document.toml")
+        cluster = Cluster(
+            folder=folder, document=folder / "document.toml", zones=["a"], voters=["a-1"]
+        )
+        with cluster:
+            cluster.start_entries()
+            for number in range(RUNNER_PROCESSES):
+                cluster.start_runners(
+                    f"r{number}", service="s", zone="a", copies=RUNNERS_PER_PROCESS
+                )
+            address = cluster.callers[0]
+            wait_for(lambda: _run_one(address), "a job is complete")
+            pid = cluster.pid("a-1")
+            for size in BATCHES:
+                before, start = _cpu_s(pid), time.monotonic()
+                tasks = _run_clients(address, f"batch-{size}") * TASKS_PER_JOB
+                spent, elapsed = _cpu_s(pid) - before, time.monotonic() - start
+                points.append((1 / size, spent / max(tasks, 1) * 1e6))
+                print(
+                    json.dumps(
+                        {
+                            "tasks_per_request": size,
+                            "tasks_per_s": round(tasks / elapsed),
+                            "cores": round(spent / elapsed, 2),
+                            "cpu_us_per_task": round(points[-1][1]),
+                            "rss_kb": _rss_kb(pid),
+                        }
+                    )
+                )
+    return [Slope.fit("entry: processor time a task", "us/request", points)]
+
+
+def _run_one(address: str) -> bool:
+    reply = call(address, "POST", "/v1/jobs", payload=_job("batch-1"))
+    return not isinstance(reply, Failure) and reply.get("code") == 1000
+
+
+if __name__ == "__main__":
+    entry_slopes()
--- a/tools/measure_register.py
+++ b/tools/measure_register.py
@@ -82,7 +82,7 @@
         self._network.pushes += 1
         self._network.deliver(self._name, peer, topic, body)
 
-    def handle(self, topic: str, handler: Handler) -> None:
+    def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
         """Register a handler."""
         self._network.handlers[self._name][topic] = handler
 
