Move waiting requests to zones that have free slots

Cause: a scenario whose only runner was in another zone got 3004 after 10 s: the first division of a job knows no loads, so everything went to the own zone and stayed there. Change: every second, what waits in a zone without free slots moves to zones that report some. Ruled out: asking every zone for every request, because each would answer with grants that are not needed and have to be returned. Seen: the test with runners in the other zone alone fails without the change and passes with it; the scenario's first job is answered. Conclusion: kept; a moved request loses its place among equals in the queue, which is noted.

--- a/kumquatlift/slot_client.py
+++ b/kumquatlift/slot_client.py
@@ -205,6 +205,8 @@
         """Send the whole state to every owner of a service that had recent requests."""
         now = self._clock.now()
         with self._lock:
+            for entry in self._wishes.values():
+                self._rebalance(entry)
             zones = self._zones()
             for service, since in list(self._interest.items()):
                 is_used = any(wish.service == service for wish in self._wishes.values())
@@ -254,6 +256,28 @@
             # Until the owner reports again, what was sent there counts as taken.
             self._loads[(entry.service, zone)] = load.after(count)
 
+    def _rebalance(self, entry: _OpenWish) -> None:
+        """Move what waits in a zone without free slots to zones that have some.
+
+        Loads are up to a second old when a job is divided, and a zone may lose its runners later.
+        """
+        loads = {zone: self._zone_load(entry.service, zone) for zone in self._zones()}
+        for zone, count in list(entry.by_zone.items()):
+            here = loads.get(zone, NO_LOAD)
+            for other, load in loads.items():
+                room = load.free if here.slots else load.slots
+                part = min(count, room)
+                if other == zone or here.free or part <= 0 or other in entry.refused:
+                    continue
+                count -= part
+                entry.by_zone[zone] = count
+                change = self._at((entry.service, zone))
+                change.cancelled.append(entry.wish.id)
+                change.demands.append(entry.wish.id)
+                self._add(entry, other, part)
+                loads[other] = self._zone_load(entry.service, other)
+                self._section.count("moved", part)
+
     def _zone_load(self, service: str, zone: str) -> ZoneLoad:
         load = self._loads.get((service, zone), NO_LOAD)
         delay = 0.0 if zone == self._members.me.zone else ZONE_DELAY_S
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -199,6 +199,23 @@
             process.client.flush()
             assert not listener.slots
 
+    def test_wish_moves_from_a_zone_without_runners_to_one_that_has_some(self) -> None:
+        clock, network = ManualClock(), FakeNetwork()
+        north, south = member("a", "z"), member("b", "y")
+        with_runner = Process(north, [south], network, clock)
+        without = Process(south, [north], network, clock)
+        token = with_runner.owner._token
+        with_runner.owner.announce(announcement(token))
+        listener = Listener()
+        without.client.request("s", wish("w", 2), listener)
+        without.client.flush()
+        assert not listener.slots
+        for _ in range(2):
+            without.client.send_state()
+            without.client.flush()
+        assert len(listener.slots) == 2
+        assert {slot.place for slot in listener.slots} == {("s", "z")}
+
     def test_slots_of_a_vanished_wish_are_given_back(self) -> None:
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
