--- a/kumquatlift/_connection.py
+++ b/kumquatlift/_connection.py
@@ -132,7 +132,12 @@
         total = 0
         while self.wants_write:
             batch = self.outbox.take(max_bytes=_WRITE_BYTES, max_frames=_WRITE_FRAMES)
-            sent = self._send([self._rest, *(frame.data for frame in batch)])
+            try:
+                sent = self._send([self._rest, *(frame.data for frame in batch)])
+            except OSError:
+                # None of these frames was written, so they go out on the next connection.
+                self.outbox.put_back(batch)
+                raise
             total += sent
             if not self._account(batch, sent):
                 break
--- a/kumquatlift/gossip.py
+++ b/kumquatlift/gossip.py
@@ -14,6 +14,7 @@
 from kumquatlift.clock import Clock, MonotonicClock
 from kumquatlift.log import get_logger
 from kumquatlift.membership import Member, MembershipView, MemberState
+from kumquatlift.peer_diagnosis import Evidence, diagnose
 from kumquatlift.settings import Address
 
 PERIOD_S = 0.25
@@ -123,8 +124,9 @@
     """Sends and receives gossip; ``view`` is the membership as this process sees it.
 
     Args:
-        me: This process; its ``peers`` address is where it listens.
+        me: This process; peers reach it at its ``peers`` address.
         seeds: Addresses to ask first, "ip:port".
+        listen: Where to listen, when not at that address, such as behind a proxy in tests.
         listener: Told of changes of the live set, in the gossip thread; it must not block.
         clock: Monotonic clock.
         rng: Source of the order of peers.
@@ -135,6 +137,7 @@
         *,
         me: Member,
         seeds: tuple[str, ...] = (),
+        listen: Address | None = None,
         listener: Listener | None = None,
         clock: Clock | None = None,
         rng: random.Random | None = None,
@@ -144,8 +147,7 @@
         targets = Targets(view=self.view, seeds=seeds, rng=rng or random.Random())
         self._rounds = Rounds(view=self.view, targets=targets)
         self._listener = listener
-        address = Address.parse(me.peers)
-        self._sock = _open_socket(address)
+        self._sock = _open_socket(listen or Address.parse(me.peers))
         self._stopped = threading.Event()
         self._hurry = threading.Event()
         self._started_at = self._clock.now()
@@ -174,13 +176,23 @@
         self._executor.shutdown()
         self._sock.close()
 
-    def snapshot(self) -> dict[str, Any]:
-        """Return the membership section of the state dump."""
+    def snapshot(self, contact: Callable[[str], Evidence] | None = None) -> dict[str, Any]:
+        """Return the membership section of the state dump.
+
+        Args:
+            contact: Returns what the connections to a member tell, such as ``TcpChannel.evidence``.
+        """
+        members = self.view.snapshot()
+        for row in members:
+            evidence = contact(row["name"]) if contact else Evidence()
+            diagnosis = diagnose(self.view.evidence(row["name"], evidence))
+            row["diagnosis"] = diagnosis.value
+            row["meaning"] = diagnosis.help
         age = max(0.001, self._clock.now() - self._started_at)
         total = self._counts["bytes_sent"] + self._counts["bytes_received"]
         return {
             "me": {"name": self.view.me.name, "state": self.view.me.state.value},
-            "members": self.view.snapshot(),
+            "members": members,
             "traffic": {**self._counts, "bytes_per_s": round(total / age, 1)},
         }
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -220,7 +220,9 @@
             time.sleep(0.02)
         try:
             assert sorted(changes) == ["p0", "p0", "p1", "p1"]
-            assert processes[0].snapshot()["traffic"]["bad"] >= 1
+            dump = processes[0].snapshot()
+            assert dump["traffic"]["bad"] >= 1
+            assert [row["diagnosis"] for row in dump["members"]] == ["live"]
         finally:
             for gossip in processes:
                 gossip.close()
--- a/tests/test_tcp_channel.py
+++ b/tests/test_tcp_channel.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from kumquatlift._calls import Call
+from kumquatlift._connection import Connection, Frame
 from kumquatlift._envelope import MAX_FRAME_BYTES, Envelope, FrameReader, Kind, decode, encode
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
@@ -179,6 +181,19 @@
         silent.answer(req.id, b"old")
         assert first.result(WAIT_S) == b"old"
 
+    def test_failed_write(self) -> None:
+        """Guards against losing requests that a broken connection did not take."""
+        ours, theirs = socket.socketpair()
+        theirs.close()
+        conn = Connection(sock=ours, peer="p", is_ours=True, now=0.0)
+        call = Call(call_id=1, peer="p", deadline=1.0)
+        conn.outbox.put(Frame(b"frame", call))
+        with pytest.raises(BrokenPipeError):
+            conn.write()
+        ours.close()
+        assert conn.wants_write
+        assert not call.is_written
+
     @pytest.mark.parametrize(
         "data",
         [
