Add a proxy that injects network faults

Cause: silent connections, cuts in one direction and resets have to be shown to a whole process, not only to the parts of the channel.

Ruled out: emulating an address that drops connection requests. The kernel accepts for the proxy, so a cut shows as a connection without an answer.

Change: tools/fault_proxy.py forwards TCP and UDP between two addresses and takes drop, delay, cut, freeze, reset and pass on a control port.

Not measured: throughput; the proxy is for tests of behaviour.

--- /dev/null
+++ b/tools/fault_proxy.py
@@ -0,0 +1,297 @@
+"""Forwards TCP and UDP between two addresses and injects faults, for tests.
+
+Run from the root of the project: ``python -m tools.fault_proxy LISTEN TARGET CONTROL``, each as
+"ip:port". "up" is the direction from the clients to the target, "down" the other one. A control
+connection takes one command per line and answers each with a line that starts with "ok" or "error":
+
+    drop SHARE [up|down]   lose this share of datagrams, 0 to 1
+    delay MS [up|down]     delay bytes and datagrams
+    cut [up|down]          hold TCP bytes back and lose datagrams; new connections get no bytes
+    freeze                 the open TCP connections never forward again; new ones work
+    reset                  reset the open TCP connections
+    pass                   end drop, delay and cut
+    stats                  numbers of open connections, bytes and datagrams
+"""
+
+import argparse
+import random
+import socket
+import struct
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from kumquatlift.settings import Address
+
+MAX_THREADS = 256
+MAX_CLIENTS = 100
+POLL_S = 0.05
+CHUNK = 65536
+DIRECTIONS = ("up", "down")
+
+
+@dataclass
+class Fault:
+    """Faults of one direction."""
+
+    drop: float = 0.0
+    delay_s: float = 0.0
+    is_cut: bool = False
+
+
+@dataclass
+class Pair:
+    """The two sockets of a forwarded TCP connection."""
+
+    client: socket.socket
+    target: socket.socket
+    is_frozen: bool = False
+    is_closed: threading.Event = field(default_factory=threading.Event)
+
+    def close(self, *, reset: bool) -> None:
+        """Close both sockets, with a reset or in order."""
+        self.is_closed.set()
+        for sock in (self.client, self.target):
+            with suppress(OSError):
+                if reset:
+                    linger = struct.pack("ii", 1, 0)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                else:
+                    sock.shutdown(socket.SHUT_RDWR)
+                sock.close()
+
+
+class FaultProxy:
+    """A proxy for one target.
+
+    Args:
+        target: Where to forward to, TCP and UDP.
+        listen: Where clients connect; port 0 takes a free one, the same for TCP and UDP.
+        control: Where commands arrive; port 0 takes a free one.
+        seed: Seed of the losses.
+    """
+
+    def __init__(
+        self, *, target: Address, listen: Address, control: Address, seed: int = 0
+    ) -> None:
+        self._target = target
+        self._rng = random.Random(seed)
+        self._faults = {direction: Fault() for direction in DIRECTIONS}
+        self._pairs: list[Pair] = []
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._counts = {"bytes": 0, "datagrams": 0, "lost": 0}
+        self._clients: dict[tuple[str, int], socket.socket] = {}
+        self._tcp = socket.create_server(listen)
+        self.address = Address(*self._tcp.getsockname())
+        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._udp.bind(self.address)
+        self._control = socket.create_server(control)
+        self.control = Address(*self._control.getsockname())
+        self._executor = ThreadPoolExecutor(max_workers=MAX_THREADS, thread_name_prefix="proxy")
+        self._executor.submit(self._accept, self._tcp, self._open_pair)
+        self._executor.submit(self._accept, self._control, self._serve_control)
+        self._executor.submit(self._pump_datagrams_up)
+
+    def command(self, line: str) -> str:
+        """Run a command; return its answer."""
+        try:
+            return "ok " + self._run(line.split())
+        except (ValueError, IndexError, KeyError) as exc:
+            return f"error {exc!r}"
+
+    def close(self) -> None:
+        """Close everything."""
+        self._stopped.set()
+        for sock in (self._tcp, self._udp, self._control, *self._clients.values()):
+            sock.close()
+        self._close_pairs(reset=False)
+        self._executor.shutdown()
+
+    def _run(self, words: list[str]) -> str:
+        name, args = words[0], words[1:]
+        if name in ("drop", "delay", "cut"):
+            amount = 0.0 if name == "cut" else float(args.pop(0))
+            for direction in args or DIRECTIONS:
+                self._set(self._faults[direction], name, amount)
+        elif name == "freeze":
+            with self._lock:
+                for pair in self._pairs:
+                    pair.is_frozen = True
+        elif name == "reset":
+            self._close_pairs(reset=True)
+        elif name == "pass":
+            self._faults = {direction: Fault() for direction in DIRECTIONS}
+        elif name == "stats":
+            counts = {"connections": len(self._pairs), **self._counts}
+            return " ".join(f"{key}={value}" for key, value in counts.items())
+        else:
+            raise ValueError(f"unknown command {name}")
+        return name
+
+    @staticmethod
+    def _set(fault: Fault, name: str, amount: float) -> None:
+        if name == "drop":
+            fault.drop = amount
+        elif name == "delay":
+            fault.delay_s = amount / 1000
+        else:
+            fault.is_cut = True
+
+    def _close_pairs(self, *, reset: bool) -> None:
+        with self._lock:
+            pairs, self._pairs = self._pairs, []
+        for pair in pairs:
+            pair.close(reset=reset)
+
+    def _accept(self, server: socket.socket, serve: Callable[[socket.socket], None]) -> None:
+        server.settimeout(POLL_S)
+        while not self._stopped.is_set():
+            try:
+                sock, _ = server.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            self._executor.submit(serve, sock)
+
+    def _serve_control(self, sock: socket.socket) -> None:
+        sock.settimeout(POLL_S)
+        buffer = b""
+        with sock:
+            while not self._stopped.is_set():
+                try:
+                    data = sock.recv(CHUNK)
+                except TimeoutError:
+                    continue
+                if not data:
+                    return
+                *lines, buffer = (buffer + data).split(b"\n")
+                for line in lines:
+                    sock.sendall(self.command(line.decode()).encode() + b"\n")
+
+    def _open_pair(self, client: socket.socket) -> None:
+        try:
+            target = socket.create_connection(self._target, timeout=1.0)
+        except OSError:
+            client.close()
+            return
+        pair = Pair(client, target)
+        for sock in (client, target):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(POLL_S)
+        with self._lock:
+            self._pairs.append(pair)
+        self._executor.submit(self._pump, pair, client, target, "up")
+        self._executor.submit(self._pump, pair, target, client, "down")
+
+    def _pump(self, pair: Pair, source: socket.socket, sink: socket.socket, direction: str) -> None:
+        try:
+            while not self._stopped.is_set() and not pair.is_closed.is_set():
+                try:
+                    data = source.recv(CHUNK)
+                except TimeoutError:
+                    continue
+                if not data:
+                    break
+                self._pass(pair, sink, direction, data)
+        except OSError:
+            pass
+        # The end of a connection is held back like its bytes.
+        self._wait(pair, direction)
+        pair.close(reset=False)
+        with self._lock, suppress(ValueError):
+            self._pairs.remove(pair)
+
+    def _pass(self, pair: Pair, sink: socket.socket, direction: str, data: bytes) -> None:
+        pair.is_closed.wait(self._faults[direction].delay_s)
+        self._wait(pair, direction)
+        view = memoryview(data)
+        while view and not pair.is_closed.is_set():
+            with suppress(TimeoutError):
+                view = view[sink.send(view) :]
+        with self._lock:
+            self._counts["bytes"] += len(data)
+
+    def _wait(self, pair: Pair, direction: str) -> None:
+        while pair.is_frozen or self._faults[direction].is_cut:
+            if self._stopped.is_set() or pair.is_closed.wait(POLL_S):
+                return
+
+    def _pump_datagrams_up(self) -> None:
+        self._udp.settimeout(POLL_S)
+        while not self._stopped.is_set():
+            try:
+                data, client = self._udp.recvfrom(CHUNK)
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            upstream = self._upstream(client)
+            if upstream is not None:
+                self._datagram(data, upstream, self._target, "up")
+
+    def _upstream(self, client: tuple[str, int]) -> socket.socket | None:
+        """Return the socket that stands for a client towards the target."""
+        if client not in self._clients:
+            if len(self._clients) >= MAX_CLIENTS:
+                return None
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.bind((self.address.host, 0))
+            sock.settimeout(POLL_S)
+            self._clients[client] = sock
+            self._executor.submit(self._pump_datagrams_down, client, sock)
+        return self._clients[client]
+
+    def _pump_datagrams_down(self, client: tuple[str, int], upstream: socket.socket) -> None:
+        while not self._stopped.is_set():
+            try:
+                data = upstream.recv(CHUNK)
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            self._datagram(data, self._udp, client, "down")
+
+    def _datagram(
+        self, data: bytes, sock: socket.socket, to: tuple[str, int], direction: str
+    ) -> None:
+        fault = self._faults[direction]
+        with self._lock:
+            self._counts["datagrams"] += 1
+            if fault.is_cut or self._rng.random() < fault.drop:
+                self._counts["lost"] += 1
+                return
+        if fault.delay_s:
+            self._executor.submit(self._send_late, data, sock, to, fault.delay_s)
+        else:
+            self._send_late(data, sock, to, 0.0)
+
+    def _send_late(
+        self, data: bytes, sock: socket.socket, to: tuple[str, int], delay_s: float
+    ) -> None:
+        self._stopped.wait(delay_s)
+        with suppress(OSError):
+            sock.sendto(data, to)
+
+
+def main() -> None:
+    """Run one proxy until interrupted."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    for name in ("listen", "target", "control"):
+        parser.add_argument(name, type=Address.parse)
+    args = parser.parse_args()
+    proxy = FaultProxy(target=args.target, listen=args.listen, control=args.control)
+    print(f"{proxy.address} -> {args.target}, commands on {proxy.control}", flush=True)
+    try:
+        threading.Event().wait()
+    except KeyboardInterrupt:
+        proxy.close()
+
+
+if __name__ == "__main__":
+    main()
