--- a/kumquatlift/job_authority.py
+++ b/kumquatlift/job_authority.py
@@ -14,7 +14,7 @@
 from kumquatlift.failure import Failure
 from kumquatlift.identity import JobId
 from kumquatlift.job import JobAnswer, JobRequest
-from kumquatlift.ledger_frame import JobAsk, JobReply, Place, ReplyKind, Role
+from kumquatlift.ledger_frame import JobAsk, JobResponse, Place, ReplyKind, Role
 
 
 class Verb(Enum):
@@ -36,7 +36,7 @@
         self.peers: set[str] = set()
         self.is_started = False
         self.is_cancelled = False
-        self.reply: JobReply | None = None
+        self.reply: JobResponse | None = None
 
 
 class JobAuthority:
@@ -61,7 +61,7 @@
         copies: Copies,
         clock: Clock,
         executor: JobExecutor,
-        publish: Callable[[JobReply, set[str]], None],
+        publish: Callable[[JobResponse, set[str]], None],
     ) -> None:
         self._claims = claims
         self._copies = copies
@@ -93,7 +93,7 @@
             return Failure(ResultCode.LEAVING, "this entry process is shutting down; use another")
         return self._executor.admit(req)
 
-    def serve(self, verb: Verb, ask: JobAsk, *, peer: str) -> JobReply:
+    def serve(self, verb: Verb, ask: JobAsk, *, peer: str) -> JobResponse:
         """Answer a question at once; ``PENDING`` when the final reply is to be published.
 
         Args:
@@ -107,7 +107,7 @@
                 reply = self._join(job, ask, peer)
             else:
                 decided = self._decide(verb, ask)
-                if isinstance(decided, JobReply):
+                if isinstance(decided, JobResponse):
                     return decided
                 job = self._jobs[ask.job_id] = _Job(ask, decided)
                 job.peers = {peer} - {""}
@@ -119,7 +119,7 @@
             self._cancel(job)
         return reply
 
-    def resolve(self, text: str) -> JobReply:
+    def resolve(self, text: str) -> JobResponse:
         """Tell what is known about an id in any role, without changing anything."""
         with self._lock:
             job = self._jobs.get(text)
@@ -127,7 +127,7 @@
         if job is not None:
             return _pending(job)
         if isinstance(job_id, Failure):
-            return JobReply(ReplyKind.NO_RECORD, text)
+            return JobResponse(ReplyKind.NO_RECORD, text)
         ask = JobAsk(text, Place(job_id.ledger, job_id.key), Role.BACKUP)
         own, copied = self._claims.find(text), self._copies.find(text)
         if own is not None:
@@ -135,10 +135,10 @@
         else:
             standing, claim = self._copies.standing(copied or ask.place)
         if standing in (Standing.FREE, Standing.ADOPTED, Standing.ASK_BACKUP):
-            return JobReply(ReplyKind.NO_RECORD, text)
+            return JobResponse(ReplyKind.NO_RECORD, text)
         return self._describe(standing, claim, ask, ask.place)
 
-    def _decide(self, verb: Verb, ask: JobAsk) -> JobReply | Place:
+    def _decide(self, verb: Verb, ask: JobAsk) -> JobResponse | Place:
         """Return the reply, or the place where this process is to claim the id now."""
         place = ask.place
         if ask.role is Role.BACKUP:
@@ -153,7 +153,7 @@
             return place
         return self._describe(standing, claim, ask, place)
 
-    def _take_over(self, ask: JobAsk) -> JobReply | Place:
+    def _take_over(self, ask: JobAsk) -> JobResponse | Place:
         ledger = self._claims.ticket()
         can_adopt = not isinstance(ledger, Failure)
         standing, claim = self._copies.take_over(
@@ -171,7 +171,7 @@
             return _answer(ask.job_id, answer)
         return Place(ledger, ask.job_id)
 
-    def _join(self, job: _Job, ask: JobAsk, peer: str) -> JobReply:
+    def _join(self, job: _Job, ask: JobAsk, peer: str) -> JobResponse:
         if ask.digest and job.digest != ask.digest:
             if job.is_started:
                 return _reused(ask.job_id)
@@ -232,9 +232,9 @@
     def _finish(self, job: _Job, answer: JobAnswer) -> None:
         data = answer.to_bytes()
         self._claims.finish(job.place, answer.code, data)
-        self._settle(job, JobReply(ReplyKind.ANSWER, job.id, job.digest, data))
+        self._settle(job, JobResponse(ReplyKind.ANSWER, job.id, job.digest, data))
 
-    def _settle(self, job: _Job, reply: JobReply) -> None:
+    def _settle(self, job: _Job, reply: JobResponse) -> None:
         with self._lock:
             job.reply = reply
             del self._jobs[job.id]
@@ -243,16 +243,16 @@
 
     def _describe(
         self, standing: Standing, claim: Claim | None, ask: JobAsk, place: Place
-    ) -> JobReply:
+    ) -> JobResponse:
         if standing is Standing.ASK_BACKUP:
-            return JobReply(ReplyKind.ASK_BACKUP, ask.job_id, place=place)
+            return JobResponse(ReplyKind.ASK_BACKUP, ask.job_id, place=place)
         if standing in (Standing.NO_RECORD, Standing.ADOPTED):
-            return JobReply(ReplyKind.NO_RECORD, ask.job_id)
+            return JobResponse(ReplyKind.NO_RECORD, ask.job_id)
         if claim is not None and ask.digest and claim.digest and claim.digest != ask.digest:
             return _reused(ask.job_id)
         digest = claim.digest if claim is not None else b""
         if standing is Standing.ENDED and claim is not None:
-            return JobReply(ReplyKind.ANSWER, ask.job_id, digest, _kept_answer(claim))
+            return JobResponse(ReplyKind.ANSWER, ask.job_id, digest, _kept_answer(claim))
         return _answer(ask.job_id, self._unfinished(standing), digest)
 
     def _unfinished(self, standing: Standing) -> JobAnswer:
@@ -281,14 +281,14 @@
     return answer.to_bytes()
 
 
-def _pending(job: _Job) -> JobReply:
+def _pending(job: _Job) -> JobResponse:
     return _answer(job.id, JobAnswer(ResultCode.PENDING, "the job is not finished"), job.digest)
 
 
-def _reused(job_id: str) -> JobReply:
+def _reused(job_id: str) -> JobResponse:
     answer = JobAnswer(ResultCode.ID_REUSED, "the id belongs to a job with another payload")
     return _answer(job_id, answer)
 
 
-def _answer(job_id: str, answer: JobAnswer, digest: bytes = b"") -> JobReply:
-    return JobReply(ReplyKind.ANSWER, job_id, digest, answer.to_bytes())
+def _answer(job_id: str, answer: JobAnswer, digest: bytes = b"") -> JobResponse:
+    return JobResponse(ReplyKind.ANSWER, job_id, digest, answer.to_bytes())
--- a/kumquatlift/job_router.py
+++ b/kumquatlift/job_router.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
+from kumquatlift.callers import JobReply
 from kumquatlift.channel import Channel, Topic
 from kumquatlift.claim import LedgerLimits
 from kumquatlift.claims import Claims
@@ -13,15 +14,16 @@
 from kumquatlift.copies import Copies
 from kumquatlift.dispatcher import JobExecutor
 from kumquatlift.failure import Failure
-from kumquatlift.identity import JobId, LedgerId
+from kumquatlift.identity import JobId
 from kumquatlift.job import JobAnswer, JobRequest
 from kumquatlift.job_authority import JobAuthority, Verb
-from kumquatlift.job_wait import JobWait, RoutedAnswer, Stage
-from kumquatlift.ledger_frame import JobAsk, JobReply, Place, ReplyKind, Role
+from kumquatlift.job_wait import JobWait, Stage
+from kumquatlift.ledger_frame import JobAsk, JobResponse, Place, ReplyKind, Role
 from kumquatlift.membership import Members
 from kumquatlift.repair import Repair
 
 CALL_TIMEOUT_S = 1.0
+DEFAULT_DEADLINE_S = 30.0
 POLL_S = 1.0
 """Interval at which a job elsewhere is asked for; its answer is pushed, so this finds losses."""
 ANSWER_GRACE_S = 2.0
@@ -36,6 +38,10 @@
 }
 
 
+def _requested_s(req: JobRequest) -> float:
+    return req.deadline_ms / 1000 or DEFAULT_DEADLINE_S
+
+
 class JobRouter:
     """What the callers' HTTP application calls.
 
@@ -45,6 +51,7 @@
         clock: Monotonic clock.
         executor: Runs claimed jobs.
         limits: Bounds of ledgers and kept answers.
+        time_allowed_s: Returns how long a job may take when its caller says nothing more.
     """
 
     def __init__(
@@ -55,7 +62,9 @@
         clock: Clock,
         executor: JobExecutor,
         limits: LedgerLimits = LedgerLimits(),  # noqa: B008 - immutable
+        time_allowed_s: Callable[[JobRequest], float] = _requested_s,
     ) -> None:
+        self._time_allowed_s = time_allowed_s
         self._channel = channel
         self._members = members
         self._clock = clock
@@ -84,36 +93,45 @@
         """Put other bounds in force."""
         self._claims.limits = self._copies.limits = limits
 
-    def ticket(self) -> LedgerId | Failure:
+    def ticket(self) -> str | Failure:
         """Return the ledger in which callers may choose keys."""
-        return self._claims.ticket()
+        ledger = self._claims.ticket()
+        return ledger if isinstance(ledger, Failure) else str(ledger)
 
     def submit(
-        self, job_id: str | None, req: JobRequest, *, deadline_at: float, wait: bool = True
-    ) -> Future[RoutedAnswer]:
+        self,
+        job_id: str | None,
+        req: JobRequest,
+        *,
+        wait: bool = True,
+        deadline_at: float | None = None,
+    ) -> Future[JobReply]:
         """Submit a job, or ask again for one that was submitted.
 
         Args:
-            job_id: Text form of the identity; None for a new one.
+            job_id: Text form of the identity; None or empty for a new one.
             req: The job.
-            deadline_at: Monotonic seconds of this process at which the job fails.
             wait: Whether to wait for the outcome; else ``PENDING`` is an answer.
+            deadline_at: Monotonic seconds of this process at which the job fails; None for the
+                deadline of the request or its kind.
 
         Returns:
             A future of the job id and its answer. The id is empty when the job was refused before
             it got one.
         """
-        if job_id is None:
+        if not job_id:
             new_id = self._new_id(req)
             if isinstance(new_id, Failure):
                 return _done("", new_id)
             job_id = new_id
+        if deadline_at is None:
+            deadline_at = self._clock.now() + self._time_allowed_s(req)
         expires_at = deadline_at + ANSWER_GRACE_S
         return self._ask(
             Verb.SUBMIT, job_id, req.digest, deadline_at, req.to_bytes(), expires_at, wait
         )
 
-    def get(self, job_id: str, wait_s: float = 0.0) -> Future[RoutedAnswer]:
+    def get(self, job_id: str, wait_s: float = 0.0) -> Future[JobReply]:
         """Ask for a job's answer.
 
         Args:
@@ -125,7 +143,7 @@
             expires_at = self._clock.now() + wait_s
         return self._ask(Verb.GET, job_id, b"", 0.0, b"", expires_at, wait_s > 0)
 
-    def cancel(self, job_id: str) -> Future[RoutedAnswer]:
+    def cancel(self, job_id: str) -> Future[JobReply]:
         """Cancel a job; an id that was never used is used up and never runs."""
         now = self._clock.now()
         expires_at = now + CALL_TIMEOUT_S * MAX_HOPS
@@ -197,7 +215,7 @@
         request: bytes,
         expires_at: float,
         waits_for_end: bool,
-    ) -> Future[RoutedAnswer]:
+    ) -> Future[JobReply]:
         job_id = JobId.parse(text)
         if isinstance(job_id, Failure):
             return _done(text, job_id)
@@ -220,13 +238,15 @@
         fut = self._channel.call(peer, _TOPICS[verb], body, timeout_s=CALL_TIMEOUT_S)
         fut.add_done_callback(lambda fut: self._on_reply(wait, attempt, peer, _reply(fut.result())))
 
-    def _on_reply(self, wait: JobWait, attempt: int, peer: str, reply: JobReply | Failure) -> None:
+    def _on_reply(
+        self, wait: JobWait, attempt: int, peer: str, reply: JobResponse | Failure
+    ) -> None:
         with self._lock:
             if wait.attempt != attempt or wait.fut.done():
                 return
         self._advance(wait, peer, reply)
 
-    def _advance(self, wait: JobWait, peer: str, reply: JobReply | Failure) -> None:
+    def _advance(self, wait: JobWait, peer: str, reply: JobResponse | Failure) -> None:
         if isinstance(reply, Failure) or reply.job_id != wait.ask.job_id:
             self._next_stage(wait)
         elif reply.kind is ReplyKind.ASK_BACKUP and reply.place is not None:
@@ -241,7 +261,7 @@
         else:
             self._take_answer(wait, peer, reply)
 
-    def _take_answer(self, wait: JobWait, peer: str, reply: JobReply) -> None:
+    def _take_answer(self, wait: JobWait, peer: str, reply: JobResponse) -> None:
         answer = JobAnswer.from_bytes(reply.answer)
         if not wait.matches(reply):
             reason = "the id belongs to a job with another payload"
@@ -275,9 +295,9 @@
         attempt = wait.begin_attempt()
         me = self._members.me.name
         peers = [member.name for member in self._members.live() if member.name != me]
-        replies: list[JobReply | Failure] = [self._authority.resolve(wait.ask.job_id)]
+        replies: list[JobResponse | Failure] = [self._authority.resolve(wait.ask.job_id)]
 
-        def collect(reply: JobReply | Failure) -> None:
+        def collect(reply: JobResponse | Failure) -> None:
             with self._lock:
                 replies.append(reply)
                 is_last = len(replies) == len(peers) + 1
@@ -291,11 +311,11 @@
         if not peers:
             self._conclude(wait, replies)
 
-    def _conclude(self, wait: JobWait, replies: list[JobReply | Failure]) -> None:
+    def _conclude(self, wait: JobWait, replies: list[JobResponse | Failure]) -> None:
         found = [
             reply
             for reply in replies
-            if isinstance(reply, JobReply)
+            if isinstance(reply, JobResponse)
             and reply.kind is ReplyKind.ANSWER
             and reply.job_id == wait.ask.job_id
         ]
@@ -326,15 +346,15 @@
             waits.remove(wait)
             if not waits:
                 del self._waits[wait.ask.job_id]
-        wait.fut.set_result(RoutedAnswer(wait.ask.job_id, answer))
+        wait.fut.set_result(JobReply(wait.ask.job_id, answer))
 
-    def _publish(self, reply: JobReply, peers: set[str]) -> None:
+    def _publish(self, reply: JobResponse, peers: set[str]) -> None:
         """Give a job's reply to the callers waiting here and to the processes that asked."""
         self._deliver(reply, self._members.me.name)
         for peer in peers:
             self._channel.send(peer, Topic.JOB_ANSWER, reply.to_bytes())
 
-    def _deliver(self, reply: JobReply, peer: str) -> None:
+    def _deliver(self, reply: JobResponse, peer: str) -> None:
         with self._lock:
             waits = list(self._waits.get(reply.job_id, []))
         for wait in waits:
@@ -344,7 +364,7 @@
                 self._advance(wait, peer, reply)
 
     def _on_answer(self, sender: str, body: bytes) -> bytes | None:
-        self._deliver(JobReply.from_bytes(body), sender)
+        self._deliver(JobResponse.from_bytes(body), sender)
         return None
 
     def _on_resolve(self, sender: str, body: bytes) -> bytes:
@@ -358,14 +378,14 @@
         return handle
 
 
-def _done(job_id: str, failure: Failure) -> Future[RoutedAnswer]:
-    fut: Future[RoutedAnswer] = Future()
-    fut.set_result(RoutedAnswer(job_id, JobAnswer.from_failure(failure)))
+def _done(job_id: str, failure: Failure) -> Future[JobReply]:
+    fut: Future[JobReply] = Future()
+    fut.set_result(JobReply(job_id, JobAnswer.from_failure(failure)))
     return fut
 
 
-def _reply(body: bytes | Failure) -> JobReply | Failure:
-    return body if isinstance(body, Failure) else JobReply.from_bytes(body)
+def _reply(body: bytes | Failure) -> JobResponse | Failure:
+    return body if isinstance(body, Failure) else JobResponse.from_bytes(body)
 
 
 def _rank(code: ResultCode) -> int:
--- a/kumquatlift/job_wait.py
+++ b/kumquatlift/job_wait.py
@@ -2,18 +2,10 @@
 
 from concurrent.futures import Future
 from enum import Enum
-from typing import NamedTuple
 
-from kumquatlift.job import JobAnswer
+from kumquatlift.callers import JobReply
 from kumquatlift.job_authority import Verb
-from kumquatlift.ledger_frame import JobAsk, JobReply
-
-
-class RoutedAnswer(NamedTuple):
-    """An answer and the text form of the job id that it belongs to."""
-
-    job_id: str
-    answer: JobAnswer
+from kumquatlift.ledger_frame import JobAsk, JobResponse
 
 
 class Stage(Enum):
@@ -39,7 +31,7 @@
         self.verb = verb
         self.expires_at = expires_at
         self.waits_for_end = waits_for_end
-        self.fut: Future[RoutedAnswer] = Future()
+        self.fut: Future[JobReply] = Future()
         self.stage = Stage.WRITER
         self.attempt = 0
         self.hops = 0
@@ -54,7 +46,7 @@
         self.attempt += 1
         return self.attempt
 
-    def matches(self, reply: JobReply) -> bool:
+    def matches(self, reply: JobResponse) -> bool:
         """Tell whether a reply is about this job with this payload."""
         digests = (self.ask.digest, reply.digest)
         return self.ask.job_id == reply.job_id and (not all(digests) or digests[0] == digests[1])
--- a/kumquatlift/ledger.capnp
+++ b/kumquatlift/ledger.capnp
@@ -31,7 +31,7 @@
   request @6 :Data;
 }
 
-struct JobReply {
+struct JobResponse {
   kind @0 :UInt8;
   jobId @1 :Text;
   digest @2 :Data;
--- a/kumquatlift/ledger_frame.py
+++ b/kumquatlift/ledger_frame.py
@@ -167,7 +167,7 @@
     NO_RECORD = 2
 
 
-class JobReply(NamedTuple):
+class JobResponse(NamedTuple):
     """Reply about a job.
 
     Args:
@@ -186,7 +186,7 @@
 
     def to_bytes(self) -> bytes:
         """Encode for the process that asked."""
-        frame = _schema().JobReply.new_message(
+        frame = _schema().JobResponse.new_message(
             kind=int(self.kind),
             jobId=self.job_id,
             digest=self.digest,
@@ -197,13 +197,13 @@
         return bytes(frame.to_bytes())
 
     @classmethod
-    def from_bytes(cls, data: bytes) -> "JobReply":
+    def from_bytes(cls, data: bytes) -> "JobResponse":
         """Decode what ``to_bytes`` made.
 
         Raises:
             ValueError: The ledger's identity is not valid.
         """
-        with _schema().JobReply.from_bytes(data) as frame:
+        with _schema().JobResponse.from_bytes(data) as frame:
             place = Place(_ledger(frame.ledger), frame.key) if frame.ledger else None
             return cls(
                 ReplyKind(frame.kind), frame.jobId, bytes(frame.digest), bytes(frame.answer), place
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,12 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from kumquatlift.callers import JobReply
 from kumquatlift.codes import Ran, ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.job import TaskResult
-from kumquatlift.job_router import RoutedAnswer
-from tests.simulation import Cluster, expected_answer, request
+from tests.simulation import Cluster, expected_answer, no_callback_errors, request
 
+__all__ = ["no_callback_errors"]
 NODES = 4
 DIGESTS = {request(payload).digest: payload for payload in range(2)}
 
@@ -41,7 +42,7 @@
         self.expect((job_id, payload) not in self.not_run, f"{job_id} started after 'not run'")
         self.started[job_id] = payload
 
-    def check(self, payload: int | None, routed: RoutedAnswer) -> None:
+    def check(self, payload: int | None, routed: JobReply) -> None:
         job_id, answer = routed
         self.seen[answer.code] += 1
         ran = self.started.get(job_id)
@@ -131,9 +132,9 @@
             fut = self.cluster.nodes[name].router.cancel(job_id)
             fut.add_done_callback(lambda fut: self.naive.check(None, self.result(job_id, fut)))
 
-    def result(self, job_id: str, fut: object) -> RoutedAnswer:
+    def result(self, job_id: str, fut: object) -> JobReply:
         routed = fut.result()  # type: ignore[attr-defined]
-        assert isinstance(routed, RoutedAnswer)
+        assert isinstance(routed, JobReply)
         self.naive.expect(routed.job_id == job_id, f"{job_id}: answer with another id")
         return routed
 
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -1,16 +1,31 @@
 """What callers get from any entry process."""
 
 import threading
-from concurrent.futures import Future
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
 
+from kumquatlift.callers import JobReply
 from kumquatlift.claim import LedgerLimits
+from kumquatlift.clock import MonotonicClock
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.identity import LedgerId
-from kumquatlift.job_router import RoutedAnswer
-from kumquatlift.ledger_frame import JobReply, ReplyKind
-from tests.simulation import Cluster, Node, expected_answer, request
+from kumquatlift.job import JobAnswer, JobRequest
+from kumquatlift.job_router import JobRouter
+from kumquatlift.ledger_frame import JobResponse, ReplyKind
+from kumquatlift.settings import Address
+from kumquatlift.tcp_channel import TcpChannel
+from tests.fakes import FakeMembers, member
+from tests.simulation import (
+    Cluster,
+    Node,
+    StepExecutor,
+    expected_answer,
+    no_callback_errors,
+    request,
+)
 
+__all__ = ["no_callback_errors"]
 REQ, OTHER = request(0), request(1)
 
 
@@ -20,7 +35,7 @@
     def setup_method(self) -> None:
         self.starts: list[str] = []
         self.cluster = Cluster(4, lambda job_id, digest: self.starts.append(job_id))
-        ledger = self.cluster.nodes["a"].router.ticket()
+        ledger = LedgerId.parse(str(self.cluster.nodes["a"].router.ticket()))
         assert isinstance(ledger, LedgerId)
         self.ledger, self.id = ledger, f"{ledger}.k"
         self.others = sorted(set("abcd") - {"a", ledger.backup})
@@ -28,14 +43,14 @@
     def node(self, name: str) -> Node:
         return self.cluster.nodes[name]
 
-    def submit(self, name: str, job_id: str | None, req: object = REQ) -> Future[RoutedAnswer]:
+    def submit(self, name: str, job_id: str | None, req: object = REQ) -> Future[JobReply]:
         fut = self.node(name).router.submit(
             job_id, req, deadline_at=self.cluster.clock.now() + 60.0  # type: ignore[arg-type]
         )
         self.cluster.network.settle()
         return fut
 
-    def code(self, fut: Future[RoutedAnswer]) -> ResultCode:
+    def code(self, fut: Future[JobReply]) -> ResultCode:
         self.cluster.settle()
         return fut.result(timeout=0).answer.code
 
@@ -58,7 +73,7 @@
         assert self.code(self.submit("b", self.id, OTHER)) is ResultCode.ID_REUSED
 
     def test_a_job_without_an_id_gets_one(self) -> None:
-        fut = self.submit("a", None)
+        fut = self.submit("a", "")
         (job_id,) = self.starts
         self.node("a").executor.finish(job_id)
         assert fut.result(timeout=0) == (job_id, expected_answer(REQ))
@@ -149,7 +164,7 @@
 
     def test_a_reply_for_another_job_is_not_taken(self) -> None:
         asked = self.others[0]
-        foreign = JobReply(
+        foreign = JobResponse(
             ReplyKind.ANSWER, f"{self.ledger}.x", b"", expected_answer(REQ).to_bytes()
         )
         self.node("a").channel.handlers["job.submit"] = lambda sender, body: foreign.to_bytes()
@@ -195,3 +210,51 @@
             thread.join()
         self.cluster.network.settle()
         assert sorted(self.starts) == sorted({f"{self.ledger}.t{key}" for key in range(50)})
+
+
+class ThreadExecutor(StepExecutor):
+    """Ends every job in another thread soon after its start."""
+
+    pool = ThreadPoolExecutor(max_workers=4)
+
+    def run(self, job_id: str, req: JobRequest, *, deadline_at: float) -> Future[JobAnswer]:
+        self.on_start(job_id, req.digest)
+        return self.pool.submit(expected_answer, req)
+
+
+class TestJobRouterOverTcp:
+    """Guards against deadlocks between handlers, callbacks and callers' threads."""
+
+    def test_the_same_ids_submitted_everywhere_at_once_start_once(self) -> None:
+        starts: list[str] = []
+        members = [member(name, "z1") for name in "abc"]
+        channels: dict[str, TcpChannel] = {}
+        routers: list[JobRouter] = []
+        for me in members:
+            channels[me.name] = TcpChannel(
+                name=me.name,
+                address=Address("127.0.0.1", 0),
+                locate=lambda name: channels[name].address if name in channels else None,
+                workers=2,
+            )
+            router = JobRouter(
+                channel=channels[me.name],
+                members=FakeMembers(me=me, others=[m for m in members if m != me]),
+                clock=MonotonicClock(),
+                executor=ThreadExecutor(lambda job_id, digest: starts.append(job_id)),
+            )
+            routers.append(router)
+        tickets: list[str] = []
+        for router in routers:
+            while isinstance(ticket := router.ticket(), Failure):
+                time.sleep(0.01)
+            tickets.append(ticket)
+        ids = [f"{ticket}.k{key}" for key in range(20) for ticket in tickets]
+        with ThreadPoolExecutor(max_workers=9) as pool:
+            calls = [pool.submit(router.submit, id, REQ) for id in ids for router in routers]
+            replies = [call.result(timeout=20).result(timeout=20) for call in calls]
+        assert {reply.answer.code for reply in replies} == {ResultCode.COMPLETE}
+        assert sorted(starts) == sorted(ids)
+        assert all(router.drain(5.0) for router in routers)
+        for channel in channels.values():
+            channel.close()
