--- a/kumquatlift/register_rounds.py
+++ b/kumquatlift/register_rounds.py
@@ -99,8 +99,10 @@
             self._in_force.register = task.other_register
         if task.chosen is not None:
             self.note_contact()
-            if self._in_force.install(task.chosen):
+            # The others get it before this process syncs its own copy.
+            if task.chosen.version > self._in_force.version:
                 self._push(task.chosen)
+            self._in_force.install(task.chosen)
         return task
 
     def form(self, voters: Iterable[str]) -> Formation:
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -182,6 +182,27 @@
         settled = cluster.change("d", "c2", 2, 10)
         assert isinstance(settled, Change) and settled.version == 3
 
+    def test_two_of_three_disks_lost_blocks_until_the_operator_gives_up_the_third(
+        self, cluster: _Cluster
+    ) -> None:
+        # The steps are those of docs/notes/configuration.md.
+        cluster.change("a", "c1", 1, 9)
+        for name in ("b", "c"):
+            cluster.disks[name].wipe()
+            cluster.start(name)
+        cluster.poll()
+        assert _code(cluster.change("d", "c2", 2, 10)) is ResultCode.CHANGE_UNKNOWN
+        assert set(cluster.versions().values()) == {2}
+        cluster.stop("a")
+        cluster.disks["a"].write("voter", b"")
+        cluster.disks["a"].sync("voter")
+        cluster.disks["a"].sync_folder()
+        cluster.start("a")
+        cluster.poll()
+        assert set(cluster.versions().values()) == {2}
+        settled = cluster.change("d", "c2", 2, 10)
+        assert isinstance(settled, Change) and settled.version == 3
+
     def test_value_of_a_lost_register_never_replaces_a_later_change(
         self, cluster: _Cluster
     ) -> None:
