Compare the register of the base version, not only its number

A change made from version 4 of the former register got a conflict at version 2, and its resend took effect at version 4.

Raising the version above the one that a proposal names was ruled out: it helps only while the register's version is still lower. A proposal now carries the register of its base version; the console always sends it, and the API takes it as base_register, beside base_version. Left out, the check is by number alone, and a number above the newest version is malformed.

The console and the API also read version, register and document together. A version that went with another document could have lost a change.

--- a/kumquatlift/config_value.py
+++ b/kumquatlift/config_value.py
@@ -81,6 +81,8 @@
         document: The whole new document as JSON.
         operator: Name of the operator.
         at_ms: Wall-clock time, ms since 1970.
+        base_register: Register of the base version; empty to leave it unchecked. After the loss
+            of every disk the same version number may stand for another document.
     """
 
     id: str
@@ -88,16 +90,18 @@
     document: str
     operator: str = ""
     at_ms: int = 0
+    base_register: str = ""
 
     @property
     def digest(self) -> str:
         """Checksum by which a resend is told from another change with the same id."""
-        text = f"{self.base_version}\0{self.document}"
+        text = f"{self.base_register}\0{self.base_version}\0{self.document}"
         return blake2b(text.encode(), digest_size=16).hexdigest()
 
     def apply(self, base: Value) -> Value:
         """Return the value after the change; the base itself when it does not take effect."""
-        if base.change(self.id) is not None or base.version != self.base_version:
+        is_stale = self.base_register not in ("", base.register)
+        if is_stale or base.version != self.base_version or base.change(self.id) is not None:
             return base
         version = base.version + 1
         code = int(ResultCode.APPLIED)
@@ -108,6 +112,12 @@
     def outcome(self, chosen: Value) -> Change | Failure:
         """Tell from a value that a majority accepted what became of the change."""
         record = chosen.change(self.id)
+        if record is None and self.base_version > chosen.version and not self.base_register:
+            return Failure(
+                ResultCode.MALFORMED,
+                f"made from version {self.base_version}, which is not known; the newest version "
+                f"is {chosen.version}",
+            )
         if record is None:
             return Failure(
                 ResultCode.VERSION_CONFLICT,
--- a/kumquatlift/console.py
+++ b/kumquatlift/console.py
@@ -8,7 +8,7 @@
 from functools import cache
 from hashlib import sha256
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, quote, urlencode
 
 from kumquatlift.codes import ResultCode
@@ -30,10 +30,19 @@
 
 MAX_FORM_FIELDS = 100
 
-Submit = Callable[[Operator, str, int, Document], Change | Failure]
 Form = Mapping[str, str]
 
 
+class Base(NamedTuple):
+    """The version that a change was made from, and the register that accepted it."""
+
+    version: int
+    register: str
+
+
+Submit = Callable[[Operator, str, Base, Document], Change | Failure]
+
+
 class Console:
     """Answers browsers under ``/console``.
 
@@ -93,7 +102,7 @@
         return _redirect("/console", cookie_header(token))
 
     def _edit(self, req: ApiRequest, operator: Operator) -> ApiResponse:
-        place = find(self._mapping(), req.query.get("path", ""))
+        place = find(self._base()[1], req.query.get("path", ""))
         if place is None or (place.is_new and not _may_add(place)):
             return _message(operator, 404, "The document has no such table.")
         return self._form_page(operator, place, {}, {}, [])
@@ -109,14 +118,15 @@
         return _redirect(f"/console/edit?{urlencode({'path': f'{path}.{name}'})}")
 
     def _preview(self, form: Form, operator: Operator) -> ApiResponse:
-        current = self._mapping()
+        # One reading: a version that goes with another document would lose a change.
+        base, current = self._base()
         place = find(current, form.get("path", ""))
         if place is None or place.table is None or not place.path:
             return _message(operator, 404, "The document has no such table.")
         warnings = []
-        if form.get("base_version") != str(self._register.version):
+        if form.get("base_version") != str(base.version):
             warnings.append(
-                f"Version {self._register.version} is in force now; the form was opened from "
+                f"Version {base.version} is in force now; the form was opened from "
                 f"version {form.get('base_version', '?')[:20]}. The differences below are against "
                 "the version in force."
             )
@@ -135,14 +145,14 @@
             rows=rows,
             warnings=warnings,
             path=form["path"],
-            base_version=self._register.version,
+            base=base,
             change_id=secrets.token_hex(8),
             document=json.dumps(doc.to_mapping()),
         )
 
     def _apply(self, form: Form, operator: Operator) -> ApiResponse:
         try:
-            base_version = int(form.get("base_version", ""))
+            base = Base(int(form.get("base_version", "")), form.get("base_register", ""))
             source = json.loads(form.get("document", ""))
         except (ValueError, RecursionError):
             return _message(operator, 400, "The form is not complete; start from the overview.")
@@ -150,7 +160,7 @@
         change_id = form.get("change_id", "")[:64]
         if isinstance(doc, list) or not change_id:
             return _message(operator, 422, "The document is not valid; start from the overview.")
-        result = self._submit(operator, change_id, base_version, doc)
+        result = self._submit(operator, change_id, base, doc)
         is_conflict = isinstance(result, Failure) and result.code is ResultCode.VERSION_CONFLICT
         code = ResultCode(result.code)
         return _page(
@@ -160,9 +170,9 @@
             code=code,
             reason=result.reason if isinstance(result, Failure) else "",
             version=self._register.version,
-            rows=differences(self._mapping(), doc.to_mapping()) if is_conflict else [],
+            rows=differences(self._base()[1], doc.to_mapping()) if is_conflict else [],
             may_repeat=code is not ResultCode.APPLIED and code.resubmit.value == "same-id",
-            base_version=base_version,
+            base=base,
             change_id=change_id,
             document=json.dumps(doc.to_mapping()),
         )
@@ -195,9 +205,12 @@
             first_kind=form.get("first_kind", ""),
         )
 
-    def _mapping(self) -> dict[str, Any]:
-        doc = self._register.document
-        return {} if doc is None else doc.to_mapping()
+    def _base(self) -> tuple[Base, dict[str, Any]]:
+        current = self._register.current
+        if current is None:
+            return Base(0, ""), {}
+        value, doc = current
+        return Base(value.version, value.register), doc.to_mapping()
 
 
 def _may_add(place: Place) -> bool:
--- a/kumquatlift/in_force.py
+++ b/kumquatlift/in_force.py
@@ -3,6 +3,7 @@
 import json
 import threading
 from collections.abc import Callable
+from typing import NamedTuple
 
 from kumquatlift.config_codec import CodecError, decode, encode
 from kumquatlift.config_value import Value
@@ -16,6 +17,13 @@
 """Takes the version and the document; it must be quick and must not change the register."""
 
 
+class Current(NamedTuple):
+    """A value and its document, which belong together."""
+
+    value: Value
+    document: Document
+
+
 class InForce:
     """Holds the newest accepted value that this process knows, also across restarts.
 
@@ -27,34 +35,38 @@
         self._lock = threading.RLock()
         self._file = None if disk is None else DataFile(disk=disk, name=FILE_NAME)
         self._listeners: list[Listener] = []
-        self._value: Value | None = None
-        self._document: Document | None = None
+        self._current: Current | None = None
         self._unreadable = 0
         # Set once a majority of the voters was asked; values of other registers are then stale.
         self.register = ""
         self._load()
 
+    @property
+    def current(self) -> Current | None:
+        """The value in force with its document; None before the first one is known."""
+        return self._current
+
     @property
     def value(self) -> Value | None:
         """The value in force; None before the first one is known."""
-        return self._value
+        return None if self._current is None else self._current.value
 
     @property
     def document(self) -> Document | None:
         """The document in force; None before the first one is known."""
-        return self._document
+        return None if self._current is None else self._current.document
 
     @property
     def version(self) -> int:
         """The version in force; 0 before the first one is known."""
-        return 0 if self._value is None else self._value.version
+        return 0 if self._current is None else self._current.value.version
 
     def listen(self, listener: Listener) -> None:
         """Call a function for the document in force, if any, and for each later one."""
         with self._lock:
             self._listeners.append(listener)
-            if self._document is not None:
-                listener(self.version, self._document)
+            if self._current is not None:
+                listener(self._current.value.version, self._current.document)
 
     def install(self, value: Value) -> bool:
         """Put an accepted value in force unless it is older or stems from a former register.
@@ -79,13 +91,13 @@
                 get_logger().error("configuration_unreadable", version=value.version, problem=doc)
             self._unreadable = value.version
             return False
-        self._value, self._document = value, doc
+        self._current = Current(value, doc)
         return True
 
     def _tell(self, listener: Listener) -> None:
-        assert self._document is not None
+        assert self._current is not None
         try:
-            listener(self.version, self._document)
+            listener(self._current.value.version, self._current.document)
         except Exception as exc:
             # One part of the process must not keep the others from the new document.
             get_logger().error("configuration_listener_failed", error=repr(exc), exc_info=True)
--- a/kumquatlift/operators.py
+++ b/kumquatlift/operators.py
@@ -9,7 +9,7 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.config_diff import differences
 from kumquatlift.config_value import Change, Proposal
-from kumquatlift.console import Console
+from kumquatlift.console import Base, Console
 from kumquatlift.document import Document, Problem
 from kumquatlift.failure import Failure
 from kumquatlift.in_force import write_document
@@ -83,11 +83,13 @@
         )
 
     def submit(
-        self, operator: Operator, change_id: str, base_version: int, doc: Document
+        self, operator: Operator, change_id: str, base: Base, doc: Document
     ) -> Change | Failure:
         """Propose a change and wait for its outcome."""
+        now_ms = int(time.time() * 1000)
+        text = write_document(doc)
         proposal = Proposal(
-            change_id, base_version, write_document(doc), operator.name, int(time.time() * 1000)
+            change_id, base.version, text, operator.name, now_ms, base_register=base.register
         )
         try:
             return self._register.propose(proposal).result(timeout=ANSWER_TIMEOUT_S)
@@ -104,10 +106,9 @@
         doc = _read(fields.get("document"))
         if isinstance(doc, list):
             return _invalid(doc)
-        current = self._register.document
-        old = {} if current is None else current.to_mapping()
-        rows = [row._asdict() for row in differences(old, doc.to_mapping())]
-        return _json({"version": self._register.version, "differences": rows})
+        in_force = self._in_force()
+        rows = differences(in_force.pop("document"), doc.to_mapping())
+        return _json({**in_force, "differences": [row._asdict() for row in rows]})
 
     def _propose(self, req: ApiRequest, operator: Operator) -> ApiResponse:
         fields = req.json_object()
@@ -118,10 +119,14 @@
             return _malformed("change_id: 1 to 64 of A-Z, a-z, 0-9, _, . and - are needed")
         if type(base_version) is not int or base_version < 1:
             return _malformed("base_version: the version that the change was made from is needed")
+        base_register = fields.get("base_register", "")
+        if not isinstance(base_register, str):
+            return _malformed("base_register: the register that goes with base_version is needed")
         doc = _read(fields.get("document"))
         if isinstance(doc, list):
             return _invalid(doc)
-        return self._answer(self.submit(operator, change_id, base_version, doc))
+        base = Base(base_version, base_register)
+        return self._answer(self.submit(operator, change_id, base, doc))
 
     def _outcome(self, change_id: str) -> ApiResponse:
         if not _CHANGE_ID.fullmatch(change_id):
@@ -151,10 +156,14 @@
         return ApiResponse(200, self._metrics(), "text/plain; version=0.0.4")
 
     def _in_force(self) -> dict[str, Any]:
-        doc = self._register.document
+        current = self._register.current
+        if current is None:
+            return {"version": 0, "register": "", "document": {}}
+        value, doc = current
         return {
-            "version": self._register.version,
-            "document": None if doc is None else doc.to_mapping(),
+            "version": value.version,
+            "register": value.register,
+            "document": doc.to_mapping(),
         }
 
     def _state(self) -> dict[str, Any]:
--- a/kumquatlift/register.py
+++ b/kumquatlift/register.py
@@ -16,7 +16,7 @@
 from kumquatlift.data_file import Disk
 from kumquatlift.document import Document
 from kumquatlift.failure import Failure
-from kumquatlift.in_force import InForce, Listener, read_document
+from kumquatlift.in_force import Current, InForce, Listener, read_document
 from kumquatlift.log import get_logger
 from kumquatlift.membership import Members
 from kumquatlift.proposer import majority
@@ -84,6 +84,11 @@
         channel.handle(Topic.CONFIG_VALUE, self._handle_value)
         section.publish("state", self.state)
 
+    @property
+    def current(self) -> Current | None:
+        """The value in force here with its document, read at one time."""
+        return self._in_force.current
+
     @property
     def value(self) -> Value | None:
         """The value in force here."""
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -115,6 +115,16 @@
         assert isinstance(conflict, Failure) and conflict.code is ResultCode.VERSION_CONFLICT
         assert isinstance(reused, Failure) and reused.code is ResultCode.CHANGE_ID_REUSED
 
+    def test_version_of_a_former_register_never_counts(self) -> None:
+        # After the loss of every disk, version 1 may be another document (world seed 4093000).
+        value = _VALUE._replace(register="new")
+        change = Proposal("c1", 1, "x", base_register="old")
+        assert change.apply(value) is value
+        outcome = change.outcome(value)
+        assert isinstance(outcome, Failure) and outcome.code is ResultCode.VERSION_CONFLICT
+        unknown = Proposal("c1", 7, "x").outcome(value)
+        assert isinstance(unknown, Failure) and unknown.code is ResultCode.MALFORMED
+
     @given(st.integers(1, 2 * MAX_CHANGES + 5))
     def test_records_stay_bounded_and_a_forgotten_change_stays_without_effect(
         self, changes: int
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -157,7 +157,7 @@
     def test_preview_shows_the_difference_and_changes_nothing(self, site: _Site) -> None:
         res = site.api("POST", "/v1/configuration/preview", {"document": _changed(site, 9)})
         row = {"path": "services.s.slots", "old": "8", "new": "9"}
-        assert _json(res) == {"version": 1, "differences": [row]}
+        assert _json(res)["version"] == 1 and _json(res)["differences"] == [row]
         assert site.register.version == 1
 
     def test_bad_requests_say_what_is_wrong(self, site: _Site) -> None:
--- a/tools/fuzz_register.py
+++ b/tools/fuzz_register.py
@@ -108,8 +108,10 @@
         ids = [change.id for change in value.changes]
         assert len(set(ids)) == len(ids), "a change took effect twice"
         for change in value.changes:
-            base = self.bases.get(change.id, change.version - 1)
+            base = self.bases[change.id]
             assert base + 1 == change.version, f"{change.id}: took effect on another version"
+            # A change made before any version was known cannot take effect, as version 0 is none.
+            assert base > 0, f"{change.id}: took effect without a base"
             told = self.answers.get(change.id, change.version)
             assert told == change.version, f"{change.id}: told {told}, took effect"
 
@@ -248,7 +250,9 @@
     def _propose(self, process: Process) -> None:
         version = process.in_force.version if process.in_force else 0
         change_id = f"c{len(self.proposals)}"
-        proposal = Proposal(change_id, version, f"document of {change_id}")
+        base_register = process.in_force.register if process.in_force else ""
+        document = f"document of {change_id}"
+        proposal = Proposal(change_id, version, document, base_register=base_register)
         self.proposals.append(proposal)
         self.history.bases[change_id] = version
         self._start_round(process, proposal)
