Call the job router from the callers' application directly

Cause: the router now has the interface that the callers' application needs, so the adapter between them stood for nothing. Change: the adapter is removed; the dispatcher says how long a job may take. Ruled out: keeping the deadline rule in two places. Conclusion: a job's identity and deadline are decided in one place each.

--- a/kumquatlift/dispatcher.py
+++ b/kumquatlift/dispatcher.py
@@ -25,6 +25,8 @@
 MAX_ATTEMPTS_IN_FLIGHT = 256
 # Jobs that run or wait in one process; beyond it new jobs are refused.
 MAX_JOBS = 20_000
+# Deadline of a job whose kind is not configured here; it is refused before the deadline matters.
+UNKNOWN_KIND_DEADLINE_MS = 30_000
 
 
 class JobExecutor(Protocol):
@@ -126,6 +128,12 @@
         job.begin()
         return fut
 
+    def time_allowed_s(self, req: JobRequest) -> float:
+        """Return the seconds that a job may take: its own deadline, at most that of its kind."""
+        kind = find_kind(self._document(), req)
+        longest_ms = UNKNOWN_KIND_DEADLINE_MS if isinstance(kind, Failure) else kind.deadline_ms
+        return min(req.deadline_ms or longest_ms, longest_ms) / 1000
+
     def cancel(self, job_id: str) -> None:
         """Cancel a job; an unknown or finished one is left as it is."""
         with self._lock:
--- a/kumquatlift/entry.py
+++ b/kumquatlift/entry.py
@@ -22,7 +22,6 @@
 from kumquatlift.metrics import Metrics
 from kumquatlift.operators import Operators
 from kumquatlift.register import Register
-from kumquatlift.routed_jobs import RoutedJobs
 from kumquatlift.runner_client import RunnerClient
 from kumquatlift.server import HttpServer
 from kumquatlift.settings import Address, Settings
@@ -102,6 +101,7 @@
             members=self._members,
             clock=self._clock,
             executor=self._dispatcher,
+            time_allowed_s=self._dispatcher.time_allowed_s,
         )
         self._board.section("claims").publish("state", self._router.summary)
         self._board.section("channel").publish("state", self._channel.snapshot)
@@ -179,9 +179,8 @@
             threads=RUNNER_THREADS,
             name="runners",
         )
-        jobs = RoutedJobs(router=self._router, document=self.document, clock=self._clock)
         self._callers_server = HttpServer(
-            app=application(Callers(jobs=jobs, zone=self._settings.zone).handle),
+            app=application(Callers(jobs=self._router, zone=self._settings.zone).handle),
             address=Address.parse(self._settings.callers),
             threads=self.document().system.max_callers,
             name="callers",
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -67,7 +67,7 @@
         """See ``Channel.send``."""
         self.call(peer, topic, body, timeout_s=1.0)
 
-    def handle(self, topic: str, handler: Handler) -> None:
+    def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
         """See ``Channel.handle``."""
         self.handlers[topic] = handler
 
@@ -100,7 +100,7 @@
         """See ``Channel.send``."""
         self.channel.send(peer, topic, body)
 
-    def handle(self, topic: str, handler: Handler) -> None:
+    def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
         """See ``Channel.handle``."""
         self.channel.handle(topic, handler)
 
