--- a/kumquatlift/copies.py
+++ b/kumquatlift/copies.py
@@ -8,6 +8,7 @@
 from kumquatlift.identity import LedgerId
 from kumquatlift.ledger import LedgerCopy
 from kumquatlift.ledger_frame import Append, AppendReply, AppendStatus, Place
+from kumquatlift.log import get_logger
 from kumquatlift.membership import Members
 from kumquatlift.repair import Repair
 
@@ -92,6 +93,7 @@
                 elif not copy.is_repair and (copy.is_fenced or copy.id.writer not in live):
                     self._repair.start(copy.id, lambda copy=copy: self._snapshot(copy))  # type: ignore[misc]
         for ledger in notices:
+            get_logger().warning("ledger_fenced", ledger=str(ledger))
             self._channel.send(ledger.writer, Topic.LEDGER_FENCE, str(ledger).encode())
 
     def summary(self) -> dict[str, object]:
--- a/kumquatlift/job_authority.py
+++ b/kumquatlift/job_authority.py
@@ -15,6 +15,7 @@
 from kumquatlift.identity import JobId
 from kumquatlift.job import JobAnswer, JobRequest
 from kumquatlift.ledger_frame import JobAsk, JobResponse, Place, ReplyKind, Role
+from kumquatlift.log import get_logger
 
 
 class Verb(Enum):
@@ -169,6 +170,7 @@
             # The id stays free, so another attempt may still adopt it.
             answer = JobAnswer(ResultCode.OWNER_UNREACHABLE, f"not run here: {ledger.reason}")
             return _answer(ask.job_id, answer)
+        get_logger().info("job_adopted", job=ask.job_id, ledger=str(ledger))
         return Place(ledger, ask.job_id)
 
     def _join(self, job: _Job, ask: JobAsk, peer: str) -> JobResponse:
--- a/kumquatlift/job_router.py
+++ b/kumquatlift/job_router.py
@@ -17,6 +17,7 @@
 from kumquatlift.identity import JobId
 from kumquatlift.job import JobAnswer, JobRequest
 from kumquatlift.job_authority import JobAuthority, Verb
+from kumquatlift.job_search import JobSearch
 from kumquatlift.job_wait import JobWait, Stage
 from kumquatlift.ledger_frame import JobAsk, JobResponse, Place, ReplyKind, Role
 from kumquatlift.membership import Members
@@ -84,10 +85,10 @@
             executor=executor,
             publish=self._publish,
         )
+        self._job_search = JobSearch(channel=channel, members=members, authority=self._authority)
         for verb, topic in _TOPICS.items():
             channel.handle(topic, self._handler(verb))
         channel.handle(Topic.JOB_ANSWER, self._on_answer)
-        channel.handle(Topic.LEDGER_RESOLVE, self._on_resolve)
 
     def set_limits(self, limits: LedgerLimits) -> None:
         """Put other bounds in force."""
@@ -236,7 +237,9 @@
             return
         body = wait.ask.to_bytes(self._clock.now())
         fut = self._channel.call(peer, _TOPICS[verb], body, timeout_s=CALL_TIMEOUT_S)
-        fut.add_done_callback(lambda fut: self._on_reply(wait, attempt, peer, _reply(fut.result())))
+        fut.add_done_callback(
+            lambda fut: self._on_reply(wait, attempt, peer, JobResponse.read(fut.result()))
+        )
 
     def _on_reply(
         self, wait: JobWait, attempt: int, peer: str, reply: JobResponse | Failure
@@ -290,40 +293,17 @@
             self._call(wait, backup, wait.verb)
 
     def _search(self, wait: JobWait) -> None:
-        """Ask every live entry process for a copy or an adopted job."""
         wait.stage, wait.server = Stage.SEARCH, ""
         attempt = wait.begin_attempt()
-        me = self._members.me.name
-        peers = [member.name for member in self._members.live() if member.name != me]
-        replies: list[JobResponse | Failure] = [self._authority.resolve(wait.ask.job_id)]
-
-        def collect(reply: JobResponse | Failure) -> None:
-            with self._lock:
-                replies.append(reply)
-                is_last = len(replies) == len(peers) + 1
-            if is_last and wait.attempt == attempt:
-                self._conclude(wait, replies)
-
-        body = wait.ask.job_id.encode()
-        for peer in peers:
-            fut = self._channel.call(peer, Topic.LEDGER_RESOLVE, body, timeout_s=CALL_TIMEOUT_S)
-            fut.add_done_callback(lambda fut: collect(_reply(fut.result())))
-        if not peers:
-            self._conclude(wait, replies)
-
-    def _conclude(self, wait: JobWait, replies: list[JobResponse | Failure]) -> None:
-        found = [
-            reply
-            for reply in replies
-            if isinstance(reply, JobResponse)
-            and reply.kind is ReplyKind.ANSWER
-            and reply.job_id == wait.ask.job_id
-        ]
-        # An outcome outweighs a claim without one; codes from 5000 ask the client to come again.
-        found.sort(key=lambda reply: _rank(JobAnswer.from_bytes(reply.answer).code))
-        if found:
+        fut = self._job_search.find(wait.ask.job_id)
+        fut.add_done_callback(lambda fut: self._conclude(wait, attempt, fut.result()))
+
+    def _conclude(self, wait: JobWait, attempt: int, found: JobResponse | None) -> None:
+        if wait.attempt != attempt or wait.fut.done():
+            return
+        if found is not None:
             wait.waits_for_end = False
-            self._take_answer(wait, "", found[0])
+            self._take_answer(wait, "", found)
         elif wait.writer_lost and wait.backup_lost:
             reason = "no replica of the record is left; the job may have run"
             self._resolve(wait, JobAnswer(ResultCode.RECORD_LOST, reason))
@@ -367,9 +347,6 @@
         self._deliver(JobResponse.from_bytes(body), sender)
         return None
 
-    def _on_resolve(self, sender: str, body: bytes) -> bytes:
-        return self._authority.resolve(body.decode()).to_bytes()
-
     def _handler(self, verb: Verb) -> Callable[[str, bytes], bytes]:
         def handle(sender: str, body: bytes) -> bytes:
             ask = JobAsk.from_bytes(body, self._clock.now())
@@ -382,13 +359,3 @@
     fut: Future[JobReply] = Future()
     fut.set_result(JobReply(job_id, JobAnswer.from_failure(failure)))
     return fut
-
-
-def _reply(body: bytes | Failure) -> JobResponse | Failure:
-    return body if isinstance(body, Failure) else JobResponse.from_bytes(body)
-
-
-def _rank(code: ResultCode) -> int:
-    if code is ResultCode.PENDING:
-        return 1
-    return 0 if code < 5000 else 2
--- a/kumquatlift/ledger_frame.py
+++ b/kumquatlift/ledger_frame.py
@@ -209,6 +209,11 @@
                 ReplyKind(frame.kind), frame.jobId, bytes(frame.digest), bytes(frame.answer), place
             )
 
+    @classmethod
+    def read(cls, body: bytes | Failure) -> "JobResponse | Failure":
+        """Decode the result of a call, or pass its failure on."""
+        return body if isinstance(body, Failure) else cls.from_bytes(body)
+
 
 def _ledger(text: str) -> LedgerId:
     ledger = LedgerId.parse(text)
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -1,11 +1,9 @@
 """Entry processes on a network whose messages the test delivers, delays and loses."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from concurrent.futures import Future
 from typing import NamedTuple
 
-import pytest
-
 from kumquatlift.channel import Handler
 from kumquatlift.claim import LedgerLimits
 from kumquatlift.clock import ManualClock
@@ -19,14 +17,6 @@
 Reply = Future[bytes | Failure]
 
 
-@pytest.fixture(autouse=True)
-def no_callback_errors(caplog: pytest.LogCaptureFixture) -> Iterator[None]:
-    """Fail a test in which a callback raised; a future only logs that."""
-    yield
-    records = caplog.get_records("call")
-    assert [r.getMessage() for r in records if r.name == "concurrent.futures"] == []
-
-
 class Message(NamedTuple):
     """A request or an answer on its way."""
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -11,9 +11,9 @@
 from kumquatlift.codes import Ran, ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.job import TaskResult
-from tests.simulation import Cluster, expected_answer, no_callback_errors, request
+from tests.simulation import Cluster, expected_answer, request
 
-__all__ = ["no_callback_errors"]
+pytestmark = pytest.mark.usefixtures("no_callback_errors")
 NODES = 4
 DIGESTS = {request(payload).digest: payload for payload in range(2)}
 
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -4,6 +4,8 @@
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
 
+import pytest
+
 from kumquatlift.callers import JobReply
 from kumquatlift.claim import LedgerLimits
 from kumquatlift.clock import MonotonicClock
@@ -21,11 +23,10 @@
     Node,
     StepExecutor,
     expected_answer,
-    no_callback_errors,
     request,
 )
 
-__all__ = ["no_callback_errors"]
+pytestmark = pytest.mark.usefixtures("no_callback_errors")
 REQ, OTHER = request(0), request(1)
 
 
