Encode a submitted job once

Cause: a submission was encoded twice (payload and checksum) and decoded again by the process that had just encoded it. Change: the checksum is taken of the encoded payload, a local submission keeps its decoded request, and encoding builds plain dicts. RoutedAnswer is a name of the callers' JobReply again. An id that is not valid is answered under its own text. The measuring script follows the channel's protocol. Ruled out: hashing the fields without encoding them, because the payload has to be encoded anyway as soon as the job goes to another process.

--- a/kumquatlift/job.py
+++ b/kumquatlift/job.py
@@ -65,11 +65,12 @@
     @property
     def digest(self) -> bytes:
         """Checksum of the payload, 16 bytes; equal for equal requests."""
-        return blake2b(self.to_bytes(), digest_size=16).digest()
+        return digest_of(self.to_bytes())
 
     def to_bytes(self) -> bytes:
         """Encode for another entry process; equal requests give equal bytes."""
-        fields = {**self._asdict(), "tasks": [task._asdict() for task in self.tasks]}
+        tasks = [{"id": task.id, "body": task.body} for task in self.tasks]
+        fields = {**self._asdict(), "tasks": tasks}
         return json.dumps(fields, sort_keys=True, separators=(",", ":")).encode()
 
     @classmethod
@@ -137,6 +138,11 @@
         )
 
 
+def digest_of(data: bytes) -> bytes:
+    """Return the checksum of an encoded request, 16 bytes."""
+    return blake2b(data, digest_size=16).digest()
+
+
 def _read_tasks(source: Any) -> tuple[Task, ...] | Failure:
     if not isinstance(source, list) or not source:
         return Failure(ResultCode.MALFORMED, "tasks: a list with at least one task is needed")
--- a/kumquatlift/job_authority.py
+++ b/kumquatlift/job_authority.py
@@ -94,13 +94,16 @@
             return Failure(ResultCode.LEAVING, "this entry process is shutting down; use another")
         return self._executor.admit(req)
 
-    def serve(self, verb: Verb, ask: JobAsk, *, peer: str) -> JobResponse:
+    def serve(
+        self, verb: Verb, ask: JobAsk, *, peer: str, req: JobRequest | None = None
+    ) -> JobResponse:
         """Answer a question at once; ``PENDING`` when the final reply is to be published.
 
         Args:
             verb: What is asked.
             ask: The question.
             peer: Entry process that gets the final reply; empty for callers of this process.
+            req: The decoded request of a submission, to save decoding it again.
         """
         with self._lock:
             job = self._jobs.get(ask.job_id)
@@ -114,7 +117,7 @@
                 job.peers = {peer} - {""}
                 reply = None
         if reply is None:
-            self._begin(job, verb, ask)
+            self._begin(job, verb, ask, req)
             reply = job.reply or _pending(job)
         elif verb is Verb.CANCEL:
             self._cancel(job)
@@ -190,12 +193,12 @@
         if is_started:
             self._executor.cancel(job.id)
 
-    def _begin(self, job: _Job, verb: Verb, ask: JobAsk) -> None:
+    def _begin(self, job: _Job, verb: Verb, ask: JobAsk, given: JobRequest | None) -> None:
         req: JobRequest | Failure
         if verb is Verb.CANCEL:
             req = Failure(ResultCode.CANCELLED_BEFORE_START, "cancelled before it was submitted")
         else:
-            req = JobRequest.from_bytes(ask.request)
+            req = given or JobRequest.from_bytes(ask.request)
             if isinstance(req, JobRequest):
                 req = self.admit(req) or req
         record = Record(job.place.key, job.digest, job.deadline_at)
--- a/kumquatlift/job_router.py
+++ b/kumquatlift/job_router.py
@@ -15,7 +15,7 @@
 from kumquatlift.dispatcher import JobExecutor
 from kumquatlift.failure import Failure
 from kumquatlift.identity import JobId
-from kumquatlift.job import JobAnswer, JobRequest
+from kumquatlift.job import JobAnswer, JobRequest, digest_of
 from kumquatlift.job_authority import JobAuthority, Verb
 from kumquatlift.job_search import JobSearch
 from kumquatlift.job_wait import JobWait, Stage
@@ -127,10 +127,9 @@
             job_id = new_id
         if deadline_at is None:
             deadline_at = self._clock.now() + self._time_allowed_s(req)
-        expires_at = deadline_at + ANSWER_GRACE_S
-        return self._ask(
-            Verb.SUBMIT, job_id, req.digest, deadline_at, req.to_bytes(), expires_at, wait
-        )
+        data = req.to_bytes()
+        ask = _ask(job_id, digest_of(data), deadline_at, data)
+        return self._start(job_id, ask, Verb.SUBMIT, deadline_at + ANSWER_GRACE_S, wait, req)
 
     def get(self, job_id: str, wait_s: float = 0.0) -> Future[JobReply]:
         """Ask for a job's answer.
@@ -142,13 +141,13 @@
         expires_at = self._clock.now() + max(wait_s, CALL_TIMEOUT_S * MAX_HOPS)
         if wait_s > 0:
             expires_at = self._clock.now() + wait_s
-        return self._ask(Verb.GET, job_id, b"", 0.0, b"", expires_at, wait_s > 0)
+        return self._start(job_id, _ask(job_id), Verb.GET, expires_at, wait_s > 0)
 
     def cancel(self, job_id: str) -> Future[JobReply]:
         """Cancel a job; an id that was never used is used up and never runs."""
         now = self._clock.now()
-        expires_at = now + CALL_TIMEOUT_S * MAX_HOPS
-        return self._ask(Verb.CANCEL, job_id, b"", now, b"", expires_at, True)
+        ask = _ask(job_id, deadline_at=now)
+        return self._start(job_id, ask, Verb.CANCEL, now + CALL_TIMEOUT_S * MAX_HOPS, True)
 
     def leave(self) -> None:
         """Take no new work from now on; known jobs go on and answer."""
@@ -207,32 +206,28 @@
         ledger = refusal or self._claims.ticket()
         return ledger if isinstance(ledger, Failure) else str(JobId.generate(ledger))
 
-    def _ask(
+    def _start(
         self,
-        verb: Verb,
         text: str,
-        digest: bytes,
-        deadline_at: float,
-        request: bytes,
+        ask: JobAsk | Failure,
+        verb: Verb,
         expires_at: float,
         waits_for_end: bool,
+        req: JobRequest | None = None,
     ) -> Future[JobReply]:
-        job_id = JobId.parse(text)
-        if isinstance(job_id, Failure):
-            return _done(text, job_id)
-        place = Place(job_id.ledger, job_id.key)
-        ask = JobAsk(text, place, Role.WRITER, digest, deadline_at, request)
-        wait = JobWait(ask, verb, expires_at=expires_at, waits_for_end=waits_for_end)
+        if isinstance(ask, Failure):
+            return _done(text, ask)
+        wait = JobWait(ask, verb, expires_at=expires_at, waits_for_end=waits_for_end, req=req)
         with self._lock:
-            self._waits.setdefault(text, []).append(wait)
-        self._call(wait, job_id.ledger.writer, verb)
+            self._waits.setdefault(ask.job_id, []).append(wait)
+        self._call(wait, ask.place.ledger.writer, verb)
         return wait.fut
 
     def _call(self, wait: JobWait, peer: str, verb: Verb) -> None:
         """Send the question to a process, this one included."""
         attempt = wait.begin_attempt()
         if peer == self._members.me.name:
-            reply = self._authority.serve(verb, wait.ask, peer="")
+            reply = self._authority.serve(verb, wait.ask, peer="", req=wait.req)
             self._on_reply(wait, attempt, peer, reply)
             return
         body = wait.ask.to_bytes(self._clock.now())
@@ -355,6 +350,16 @@
         return handle
 
 
+def _ask(
+    text: str, digest: bytes = b"", deadline_at: float = 0.0, request: bytes = b""
+) -> JobAsk | Failure:
+    job_id = JobId.parse(text)
+    if isinstance(job_id, Failure):
+        return job_id
+    place = Place(job_id.ledger, job_id.key)
+    return JobAsk(text, place, Role.WRITER, digest, deadline_at, request)
+
+
 def _done(job_id: str, failure: Failure) -> Future[JobReply]:
     fut: Future[JobReply] = Future()
     fut.set_result(JobReply(job_id, JobAnswer.from_failure(failure)))
--- a/kumquatlift/job_wait.py
+++ b/kumquatlift/job_wait.py
@@ -4,9 +4,13 @@
 from enum import Enum
 
 from kumquatlift.callers import JobReply
+from kumquatlift.job import JobRequest
 from kumquatlift.job_authority import Verb
 from kumquatlift.ledger_frame import JobAsk, JobResponse
 
+RoutedAnswer = JobReply
+"""An answer and the text form of the job id that it belongs to."""
+
 
 class Stage(Enum):
     """Who is being asked."""
@@ -24,9 +28,19 @@
         verb: What is asked.
         expires_at: Monotonic seconds at which the caller gets what is known.
         waits_for_end: Whether ``PENDING`` is not yet an answer.
+        req: The request of a submission.
     """
 
-    def __init__(self, ask: JobAsk, verb: Verb, *, expires_at: float, waits_for_end: bool) -> None:
+    def __init__(
+        self,
+        ask: JobAsk,
+        verb: Verb,
+        *,
+        expires_at: float,
+        waits_for_end: bool,
+        req: JobRequest | None,
+    ) -> None:
+        self.req = req
         self.ask = ask
         self.verb = verb
         self.expires_at = expires_at
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -87,7 +87,7 @@
         if self.is_alive and target is not None:
             self._post(target, topic, body, Future())
 
-    def handle(self, topic: str, handler: Handler) -> None:
+    def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
         self.handlers[topic] = handler
 
     def _post(self, target: "SimulatedChannel", topic: str, body: bytes, fut: Reply) -> None:
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -79,6 +79,10 @@
         self.node("a").executor.finish(job_id)
         assert fut.result(timeout=0) == (job_id, expected_answer(REQ))
 
+    def test_an_id_that_is_not_valid_is_refused_under_its_own_text(self) -> None:
+        reply = self.submit("a", "no-id").result(timeout=0)
+        assert (reply.job_id, reply.answer.code) == ("no-id", ResultCode.BAD_JOB_ID)
+
     def test_a_caller_that_does_not_wait_gets_pending(self) -> None:
         fut = self.node("a").router.submit(self.id, REQ, deadline_at=1e6, wait=False)
         assert fut.result(timeout=0).answer.code is ResultCode.PENDING
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -102,7 +102,7 @@
 
     def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
         """See ``Channel.handle``."""
-        self.channel.handle(topic, handler)
+        self.channel.handle(topic, handler, workers=workers)
 
 
 def _delayed_channels(delay_s: float) -> dict[str, Channel]:
