--- a/kumquatlift/job_router.py
+++ b/kumquatlift/job_router.py
@@ -15,8 +15,9 @@
 from kumquatlift.dispatcher import JobExecutor
 from kumquatlift.failure import Failure
 from kumquatlift.identity import JobId
-from kumquatlift.job import JobAnswer, JobRequest
+from kumquatlift.job import JobAnswer, JobRequest, digest_of
 from kumquatlift.job_authority import JobAuthority, Verb
+from kumquatlift.job_search import JobSearch
 from kumquatlift.job_wait import JobWait, Stage
 from kumquatlift.ledger_frame import JobAsk, JobResponse, Place, ReplyKind, Role
 from kumquatlift.membership import Members
@@ -84,10 +85,10 @@
             executor=executor,
             publish=self._publish,
         )
+        self._job_search = JobSearch(channel=channel, members=members, authority=self._authority)
         for verb, topic in _TOPICS.items():
             channel.handle(topic, self._handler(verb))
         channel.handle(Topic.JOB_ANSWER, self._on_answer)
-        channel.handle(Topic.LEDGER_RESOLVE, self._on_resolve)
 
     def set_limits(self, limits: LedgerLimits) -> None:
         """Put other bounds in force."""
@@ -126,10 +127,9 @@
             job_id = new_id
         if deadline_at is None:
             deadline_at = self._clock.now() + self._time_allowed_s(req)
-        expires_at = deadline_at + ANSWER_GRACE_S
-        return self._ask(
-            Verb.SUBMIT, job_id, req.digest, deadline_at, req.to_bytes(), expires_at, wait
-        )
+        data = req.to_bytes()
+        ask = _ask(job_id, digest_of(data), deadline_at, data)
+        return self._start(job_id, ask, Verb.SUBMIT, deadline_at + ANSWER_GRACE_S, wait, req)
 
     def get(self, job_id: str, wait_s: float = 0.0) -> Future[JobReply]:
         """Ask for a job's answer.
@@ -141,13 +141,13 @@
         expires_at = self._clock.now() + max(wait_s, CALL_TIMEOUT_S * MAX_HOPS)
         if wait_s > 0:
             expires_at = self._clock.now() + wait_s
-        return self._ask(Verb.GET, job_id, b"", 0.0, b"", expires_at, wait_s > 0)
+        return self._start(job_id, _ask(job_id), Verb.GET, expires_at, wait_s > 0)
 
     def cancel(self, job_id: str) -> Future[JobReply]:
         """Cancel a job; an id that was never used is used up and never runs."""
         now = self._clock.now()
-        expires_at = now + CALL_TIMEOUT_S * MAX_HOPS
-        return self._ask(Verb.CANCEL, job_id, b"", now, b"", expires_at, True)
+        ask = _ask(job_id, deadline_at=now)
+        return self._start(job_id, ask, Verb.CANCEL, now + CALL_TIMEOUT_S * MAX_HOPS, True)
 
     def leave(self) -> None:
         """Take no new work from now on; known jobs go on and answer."""
@@ -206,37 +206,35 @@
         ledger = refusal or self._claims.ticket()
         return ledger if isinstance(ledger, Failure) else str(JobId.generate(ledger))
 
-    def _ask(
+    def _start(
         self,
-        verb: Verb,
         text: str,
-        digest: bytes,
-        deadline_at: float,
-        request: bytes,
+        ask: JobAsk | Failure,
+        verb: Verb,
         expires_at: float,
         waits_for_end: bool,
+        req: JobRequest | None = None,
     ) -> Future[JobReply]:
-        job_id = JobId.parse(text)
-        if isinstance(job_id, Failure):
-            return _done(text, job_id)
-        place = Place(job_id.ledger, job_id.key)
-        ask = JobAsk(text, place, Role.WRITER, digest, deadline_at, request)
-        wait = JobWait(ask, verb, expires_at=expires_at, waits_for_end=waits_for_end)
+        if isinstance(ask, Failure):
+            return _done(text, ask)
+        wait = JobWait(ask, verb, expires_at=expires_at, waits_for_end=waits_for_end, req=req)
         with self._lock:
-            self._waits.setdefault(text, []).append(wait)
-        self._call(wait, job_id.ledger.writer, verb)
+            self._waits.setdefault(ask.job_id, []).append(wait)
+        self._call(wait, ask.place.ledger.writer, verb)
         return wait.fut
 
     def _call(self, wait: JobWait, peer: str, verb: Verb) -> None:
         """Send the question to a process, this one included."""
         attempt = wait.begin_attempt()
         if peer == self._members.me.name:
-            reply = self._authority.serve(verb, wait.ask, peer="")
+            reply = self._authority.serve(verb, wait.ask, peer="", req=wait.req)
             self._on_reply(wait, attempt, peer, reply)
             return
         body = wait.ask.to_bytes(self._clock.now())
         fut = self._channel.call(peer, _TOPICS[verb], body, timeout_s=CALL_TIMEOUT_S)
-        fut.add_done_callback(lambda fut: self._on_reply(wait, attempt, peer, _reply(fut.result())))
+        fut.add_done_callback(
+            lambda fut: self._on_reply(wait, attempt, peer, JobResponse.read(fut.result()))
+        )
 
     def _on_reply(
         self, wait: JobWait, attempt: int, peer: str, reply: JobResponse | Failure
@@ -290,40 +288,17 @@
             self._call(wait, backup, wait.verb)
 
     def _search(self, wait: JobWait) -> None:
-        """Ask every live entry process for a copy or an adopted job."""
         wait.stage, wait.server = Stage.SEARCH, ""
         attempt = wait.begin_attempt()
-        me = self._members.me.name
-        peers = [member.name for member in self._members.live() if member.name != me]
-        replies: list[JobResponse | Failure] = [self._authority.resolve(wait.ask.job_id)]
-
-        def collect(reply: JobResponse | Failure) -> None:
-            with self._lock:
-                replies.append(reply)
-                is_last = len(replies) == len(peers) + 1
-            if is_last and wait.attempt == attempt:
-                self._conclude(wait, replies)
-
-        body = wait.ask.job_id.encode()
-        for peer in peers:
-            fut = self._channel.call(peer, Topic.LEDGER_RESOLVE, body, timeout_s=CALL_TIMEOUT_S)
-            fut.add_done_callback(lambda fut: collect(_reply(fut.result())))
-        if not peers:
-            self._conclude(wait, replies)
-
-    def _conclude(self, wait: JobWait, replies: list[JobResponse | Failure]) -> None:
-        found = [
-            reply
-            for reply in replies
-            if isinstance(reply, JobResponse)
-            and reply.kind is ReplyKind.ANSWER
-            and reply.job_id == wait.ask.job_id
-        ]
-        # An outcome outweighs a claim without one; codes from 5000 ask the client to come again.
-        found.sort(key=lambda reply: _rank(JobAnswer.from_bytes(reply.answer).code))
-        if found:
+        fut = self._job_search.find(wait.ask.job_id)
+        fut.add_done_callback(lambda fut: self._conclude(wait, attempt, fut.result()))
+
+    def _conclude(self, wait: JobWait, attempt: int, found: JobResponse | None) -> None:
+        if wait.attempt != attempt or wait.fut.done():
+            return
+        if found is not None:
             wait.waits_for_end = False
-            self._take_answer(wait, "", found[0])
+            self._take_answer(wait, "", found)
         elif wait.writer_lost and wait.backup_lost:
             reason = "no replica of the record is left; the job may have run"
             self._resolve(wait, JobAnswer(ResultCode.RECORD_LOST, reason))
@@ -367,9 +342,6 @@
         self._deliver(JobResponse.from_bytes(body), sender)
         return None
 
-    def _on_resolve(self, sender: str, body: bytes) -> bytes:
-        return self._authority.resolve(body.decode()).to_bytes()
-
     def _handler(self, verb: Verb) -> Callable[[str, bytes], bytes]:
         def handle(sender: str, body: bytes) -> bytes:
             ask = JobAsk.from_bytes(body, self._clock.now())
@@ -378,17 +350,17 @@
         return handle
 
 
+def _ask(
+    text: str, digest: bytes = b"", deadline_at: float = 0.0, request: bytes = b""
+) -> JobAsk | Failure:
+    job_id = JobId.parse(text)
+    if isinstance(job_id, Failure):
+        return job_id
+    place = Place(job_id.ledger, job_id.key)
+    return JobAsk(text, place, Role.WRITER, digest, deadline_at, request)
+
+
 def _done(job_id: str, failure: Failure) -> Future[JobReply]:
     fut: Future[JobReply] = Future()
     fut.set_result(JobReply(job_id, JobAnswer.from_failure(failure)))
     return fut
-
-
-def _reply(body: bytes | Failure) -> JobResponse | Failure:
-    return body if isinstance(body, Failure) else JobResponse.from_bytes(body)
-
-
-def _rank(code: ResultCode) -> int:
-    if code is ResultCode.PENDING:
-        return 1
-    return 0 if code < 5000 else 2
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -4,6 +4,8 @@
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
 
+import pytest
+
 from kumquatlift.callers import JobReply
 from kumquatlift.claim import LedgerLimits
 from kumquatlift.clock import MonotonicClock
@@ -21,11 +23,10 @@
     Node,
     StepExecutor,
     expected_answer,
-    no_callback_errors,
     request,
 )
 
-__all__ = ["no_callback_errors"]
+pytestmark = pytest.mark.usefixtures("no_callback_errors")
 REQ, OTHER = request(0), request(1)
 
 
@@ -78,6 +79,10 @@
         self.node("a").executor.finish(job_id)
         assert fut.result(timeout=0) == (job_id, expected_answer(REQ))
 
+    def test_an_id_that_is_not_valid_is_refused_under_its_own_text(self) -> None:
+        reply = self.submit("a", "no-id").result(timeout=0)
+        assert (reply.job_id, reply.answer.code) == ("no-id", ResultCode.BAD_JOB_ID)
+
     def test_a_caller_that_does_not_wait_gets_pending(self) -> None:
         fut = self.node("a").router.submit(self.id, REQ, deadline_at=1e6, wait=False)
         assert fut.result(timeout=0).answer.code is ResultCode.PENDING
