Let a formation void the nonces of an earlier one that broke off

The count of blocked worlds in the fuzz was not always 0, and in each of these worlds every disk was empty: no register could be formed any more. A formation that broke off left some nonces confirmed. The next one was refused by exactly these voters, which took new nonces, while the others confirmed; the one after that met the same in reverse, without end. A restart of one voter during the first start of a deployment is enough.

Voiding nonces at every status question was ruled out, since two voters that form at the same time would disturb each other for longer. A formation now voids the nonces that are bound to other evidence, collects the new ones and then shows them. Voters with the same nonces still form the same register.

--- a/kumquatlift/proposer.py
+++ b/kumquatlift/proposer.py
@@ -117,7 +117,9 @@
     """Finds out whether every voter has an empty disk at one time.
 
     Nonces are collected from every voter and then shown to every voter. A voter confirms only
-    while its nonce is the same, so all voters were empty at the end of the collection.
+    while its nonce is the same, so all voters were empty at the end of the collection. A nonce
+    that was confirmed for another formation is first made void, because that voter would refuse,
+    while the others confirmed, and the next formation would meet the same in reverse.
 
     Args:
         voters: All voters.
@@ -125,7 +127,7 @@
 
     def __init__(self, *, voters: Iterable[str]) -> None:
         self._voters = tuple(sorted(voters))
-        self._nonces: dict[str, str] = {}
+        self._statuses: dict[str, VoterStatus] = {}
         self._confirmed: set[str] = set()
         self._evidence: Evidence = ()
         self.is_refused = False
@@ -152,10 +154,21 @@
             self.is_refused = True
             self.register = status.register
         elif not self._evidence:
-            self._nonces[voter] = status.nonce
-            if len(self._nonces) == len(self._voters):
-                self._evidence = tuple(sorted(self._nonces.items()))
-                return [(other, self._evidence) for other in self._voters]
+            self._statuses[voter] = status
+            if len(self._statuses) == len(self._voters):
+                return self._show()
         elif status.confirmed == register_id(self._evidence):
             self._confirmed.add(voter)
         return []
+
+    def _show(self) -> list[tuple[str, Evidence]]:
+        evidence = tuple((voter, self._statuses[voter].nonce) for voter in self._voters)
+        register = register_id(evidence)
+        bound = [
+            voter for voter in self._voters if self._statuses[voter].confirmed not in ("", register)
+        ]
+        if not bound:
+            self._evidence = evidence
+            return [(voter, evidence) for voter in self._voters]
+        # Evidence of one voter alone is never that of this register, so it voids the nonce.
+        return [(voter, ((voter, self._statuses.pop(voter).nonce),)) for voter in bound]
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -26,11 +26,13 @@
 _VALUE = Value(1, "{}")
 
 
-def _acceptor(state: VoterState | None = None) -> tuple[Acceptor, list[VoterState]]:
+def _acceptor(
+    state: VoterState | None = None, name: str = "a"
+) -> tuple[Acceptor, list[VoterState]]:
     stored: list[VoterState] = []
     nonces = count(1)
     voter = Acceptor(
-        name="a", state=state, store=stored.append, new_nonce=lambda: f"n{next(nonces)}"
+        name=name, state=state, store=stored.append, new_nonce=lambda: f"n{next(nonces)}"
     )
     return voter, stored
 
@@ -98,6 +100,17 @@
         task.receive("b", full.status)
         assert task.is_refused and task.register == "r" and not task.register_formed
 
+    def test_nonce_of_a_broken_formation_does_not_block_the_next_one(self) -> None:
+        voters = {name: _acceptor(name=name)[0] for name in "ab"}
+        voters["a"].confirm((("a", voters["a"].status.nonce), ("b", "gone")))
+        task = Formation(voters=voters)
+        waiting = task.start()
+        while waiting and not task.is_over:
+            voter, evidence = waiting.pop(0)
+            voters[voter].confirm(evidence)
+            waiting += task.receive(voter, voters[voter].status)
+        assert task.register_formed
+
 
 class TestProposal:
     """Guards against a change that takes effect twice or on another version."""
--- a/tools/fuzz_register.py
+++ b/tools/fuzz_register.py
@@ -401,6 +401,7 @@
         """Check that a majority still holds the last accepted version."""
         last, register = self.history.latest, self.history.register
         held = [process.acceptor for process in self.processes.values()]
+        assert not all(acceptor.is_empty for acceptor in held), "no register can be formed"
         full = [acceptor.state for acceptor in held if acceptor.state.register == register]
         self.counts["blocked worlds"] += len(full) < majority(self.processes) and last is not None
         if last is not None and len(full) >= majority(self.processes):
