Honour Retry-After of a runner and probe it afterwards

Cause: a runner that refused everything for 8 s got 8 requests every 0.1 s.

Change: the pause after a refusal is the runner's Retry-After (0.1 s without one, 30 s at most), and then the runner gets one request at a time until one succeeds. For `REFUSED`, `run_s` of `finish` carries the Retry-After. The test of the short pause now passes 0 s and a second test passes 0.5 s.

--- a/kumquatlift/runner_pool.py
+++ b/kumquatlift/runner_pool.py
@@ -11,6 +11,8 @@
 """Nothing is granted for a runner whose announcements stayed away this long."""
 REFUSAL_PAUSE_S = 0.1
 """Pause after a refusal without Retry-After, which is about one run time."""
+LONGEST_PAUSE_S = 30.0
+"""Bound on the Retry-After of a runner."""
 _ORDER_VALID_S = 0.02
 """The order of preference is computed at most 50 times a second, which bounds its cost."""
 _SILENT_FACTOR = 8.0
@@ -73,6 +75,7 @@
         self.seen_at = now
         self.progress_at = now
         self.paused_until = 0.0
+        self.is_probed = False
         self.running: dict[str, RunningRequest] = {}
         self._foreign = offer.busy
         self._foreign_until = foreign_until
@@ -198,6 +201,9 @@
             return 0
         if self._is_stale(state, now):
             return 0
+        if state.is_probed:
+            # Until one request succeeds after a refusal, the runner gets one at a time.
+            return 0 if state.running else 1
         return max(0, left - state.foreign(now))
 
     def trial(self, now: float) -> RunnerState | None:
--- a/kumquatlift/scheduler.py
+++ b/kumquatlift/scheduler.py
@@ -16,6 +16,7 @@
 from kumquatlift.run_times import RunTimes
 from kumquatlift.runner_health import HealthPolicy
 from kumquatlift.runner_pool import (
+    LONGEST_PAUSE_S,
     REFUSAL_PAUSE_S,
     Ranked,
     RunnerOffer,
@@ -541,13 +542,15 @@
             average_s = run_s / self._run_times.slowness(name, now)
             self._finished += 1
             self._mean_s += max(1 / self._finished, 0.01) * (average_s - self._mean_s)
+            runner.is_probed = False
             was_out = runner.health.is_out
             runner.health.succeeded(grant_id)
             if was_out != runner.health.is_out:
                 self._pool.invalidate()
         elif outcome is AttemptOutcome.REFUSED:
             runner.health.unused(grant_id)
-            runner.paused_until = now + REFUSAL_PAUSE_S
+            runner.is_probed = True
+            runner.paused_until = now + min(max(run_s, REFUSAL_PAUSE_S), LONGEST_PAUSE_S)
         else:
             runner.health.failed(grant_id, now)
             self._pool.invalidate()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -250,13 +250,25 @@
         self.offer_all(scheduler, 1.8)
         assert "r1" not in self.names(scheduler, 6, 1.8)
 
-    def test_refusing_runner_gets_a_pause_and_keeps_its_trust(self) -> None:
+    def test_refusing_runner_is_left_alone_as_long_as_it_asks_and_then_probed(self) -> None:
         scheduler = make_scheduler()
         scheduler.offer(make_offer("r1"), 0.0)
         scheduler.enqueue(make_demand("d", 3), 0.0)
-        run(scheduler, scheduler.poll(0.0), 0.0, AttemptOutcome.REFUSED)
-        assert self.names(scheduler, 1, 0.31) == []
-        assert self.names(scheduler, 1, 0.5) == ["r1"]
+        for grant in scheduler.poll(0.0):
+            scheduler.finish(grant.id, AttemptOutcome.REFUSED, 0.5, 0.1)
+        assert self.names(scheduler, 1, 0.59) == []
+        assert self.names(scheduler, 8, 0.61) == ["r1"]
+        scheduler.enqueue(make_demand("e"), 0.7)
+        run(scheduler, scheduler.poll(0.7), 0.7, OK)
+        assert self.names(scheduler, 8, 1.1) == ["r1"] * 8
+
+    def test_refusal_without_retry_after_gets_a_short_pause(self) -> None:
+        scheduler = make_scheduler()
+        scheduler.offer(make_offer("r1"), 0.0)
+        scheduler.enqueue(make_demand("d"), 0.0)
+        scheduler.finish(scheduler.poll(0.0)[0].id, AttemptOutcome.REFUSED, 0.0, 0.1)
+        assert self.names(scheduler, 1, 0.19) == []
+        assert self.names(scheduler, 1, 0.21) == ["r1"]
 
     def test_snapshot_is_plain_data(self) -> None:
         scheduler = make_scheduler()
