--- a/kumquatlift/tcp_channel.py
+++ b/kumquatlift/tcp_channel.py
@@ -66,7 +66,8 @@
             topic: Name of the topic.
             handler: Runs in a thread of the topic; its exception ends the call as ``TIMED_OUT``,
                 and None as an answer becomes an empty body.
-            workers: Handlers that run at a time, when not the channel's default.
+            workers: Handlers that run at a time, when not the default of the channel; with one,
+                messages of the topic from one peer are handled in the order of their arrival.
         """
         self._lanes.register(topic, handler, workers)
 
