Let an entry process announce another address than it listens on

Cause: a fault-injecting proxy, or an address translation, between entry processes needs peers to use an address other than the one that is listened on, and a cut between two processes can be made only when the proxy can tell them apart. Change: a setting peers_announced, and connections to peers leave from the IP number of the settings. The state dump diagnoses peers with the evidence of the channel as well. Ruled out: one proxy a pair of processes, because a process announces a single address.

--- a/kumquatlift/_channel_loop.py
+++ b/kumquatlift/_channel_loop.py
@@ -168,7 +168,7 @@
     def _connect(self, link: Link, now: float) -> None:
         try:
             address = self._locate(link.peer)
-            sock = None if address is None else new_socket(address)
+            sock = None if address is None else new_socket(address, self.address.host)
         except Exception as exc:
             # No file descriptor left, or a fault in the lookup; neither may end the loop.
             get_logger().error("connect-fault", peer=link.peer, error=repr(exc))
--- a/kumquatlift/_sockets.py
+++ b/kumquatlift/_sockets.py
@@ -7,6 +7,7 @@
 from kumquatlift.settings import Address
 
 BACKLOG = 128
+WILDCARDS = ("0.0.0.0", "::")
 
 
 def listen(address: Address) -> socket.socket:
@@ -17,11 +18,19 @@
     return sock
 
 
-def new_socket(address: Address) -> socket.socket:
-    """Return a non-blocking TCP socket of an address's family."""
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+def new_socket(address: Address, source: str) -> socket.socket:
+    """Return a non-blocking TCP socket of an address's family.
+
+    Args:
+        address: Where the socket will connect to.
+        source: IP number to connect from, so that a machine with several shows peers the one of
+            its settings; a wildcard leaves the choice to the system.
+    """
+    is_v6 = ":" in address.host
+    sock = socket.socket(socket.AF_INET6 if is_v6 else socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
+    if source not in WILDCARDS and (":" in source) == is_v6:
+        sock.bind((source, 0))
     return sock
 
 
--- a/kumquatlift/entry.py
+++ b/kumquatlift/entry.py
@@ -67,10 +67,15 @@
             settings.zone,
             settings.callers,
             settings.runners,
-            settings.peers,
+            settings.peers_announced or settings.peers,
             incarnation,
         )
-        self._gossip = Gossip(me=me, seeds=settings.seeds, clock=self._clock)
+        self._gossip = Gossip(
+            me=me,
+            listen=Address.parse(settings.peers),
+            seeds=settings.seeds,
+            clock=self._clock,
+        )
         self._members = self._gossip.view
         self._channel = TcpChannel(
             name=settings.name,
@@ -105,7 +110,9 @@
         )
         self._board.section("claims").publish("state", self._router.summary)
         self._board.section("channel").publish("state", self._channel.snapshot)
-        self._board.section("membership").publish("state", self._gossip.snapshot)
+        self._board.section("membership").publish(
+            "state", lambda: self._gossip.snapshot(self._channel.evidence)
+        )
         self._servers: list[HttpServer] = []
 
     def document(self) -> Document:
--- a/kumquatlift/settings.py
+++ b/kumquatlift/settings.py
@@ -2,7 +2,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, NamedTuple
+from typing import Annotated, Literal, NamedTuple
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 
@@ -53,6 +53,8 @@
         runners: Address for runners' announcements.
         operators: Address for the console and the administration API.
         peers: Address for other entry processes, TCP and UDP.
+        peers_announced: Address at which other entry processes reach ``peers``, when a proxy or an
+            address translation stands between; empty for ``peers`` itself.
         seeds: Peer addresses of entry processes to ask first.
         data_folder: Folder for durable state; empty for an instance without a disk.
         first_document: Configuration file used only when no configuration exists anywhere.
@@ -65,6 +67,7 @@
     runners: AddressText
     operators: AddressText
     peers: AddressText
+    peers_announced: AddressText | Literal[""] = ""
     seeds: tuple[AddressText, ...] = ()
     data_folder: str = ""
     first_document: str = ""
