Drop the second name of the callers' JobReply

Cause: the adapter that imported RoutedAnswer is gone. Change: the name is removed. Conclusion: nothing of the ledger changes.

--- a/kumquatlift/job_wait.py
+++ b/kumquatlift/job_wait.py
@@ -8,9 +8,6 @@
 from kumquatlift.job_authority import Verb
 from kumquatlift.ledger_frame import JobAsk, JobResponse
 
-RoutedAnswer = JobReply
-"""An answer and the text form of the job id that it belongs to."""
-
 
 class Stage(Enum):
     """Who is being asked."""
