Give the start value of a new register a version of its own

A run with five real processes showed it: after the loss of two disks of three and the operator's steps, the register was formed from version 6 in memory, and no change could be made any more. Every process kept its version 6 of the former register, because the number was not higher, so the console sent the former register with each proposal and got 'made from version 6, but version 6 is in force'. Each process also ran a round a second that changed nothing.

Taking over a value with an equal version was ruled out: two documents could then have the same number in different processes. The start value from memory now gets the next version, and a value of a former register with an equal version is renumbered too.

--- a/kumquatlift/config_value.py
+++ b/kumquatlift/config_value.py
@@ -63,7 +63,7 @@
         Args:
             known: Value in force in the process that asks; may stem from a former register.
         """
-        if known is None or known.version <= self.version or known.register == self.register:
+        if known is None or known.version < self.version or known.register == self.register:
             return self
         return self._replace(version=known.version + 1)
 
--- a/kumquatlift/register_rounds.py
+++ b/kumquatlift/register_rounds.py
@@ -78,8 +78,11 @@
         """Return the value to keep or to change: the found one, or the first of a register."""
         if found is not None:
             return found.above(self._in_force.value)
-        if self._in_force.value is not None:
-            return self._in_force.value
+        value = self._in_force.value
+        if value is not None:
+            # A new register gets a new version, so that all processes take its value over and
+            # make their changes from it.
+            return value._replace(version=value.version + 1)
         assert self._first is not None  # Voters are known, so there is a document.
         return Value(1, write_document(self._first))
 
