Store the confirmation and the promises of a voter without a value

The fuzz ended a few worlds with one voter holding the first value and all others empty under new nonces: several voters had restarted between the accept of the first one and their own.

Resolving it by forming anew was ruled out, since such a voter cannot be told from the last one that holds an accepted value. A voter now stores its confirmation, and the promises it gives before it has a value, so that a restart is no longer the same as a lost disk.

--- a/kumquatlift/acceptor.py
+++ b/kumquatlift/acceptor.py
@@ -70,12 +70,23 @@
 
 
 class VoterState(NamedTuple):
-    """What a voter keeps on its disk."""
+    """What a voter keeps on its disk.
+
+    Args:
+        register: Register it votes in.
+        promised: Lowest ballot that it takes.
+        accepted: Ballot of the accepted value.
+        value: The accepted value.
+        nonce: Identity of the emptiness; empty when there is a value.
+        confirmed: Register that it may join; empty when there is a value.
+    """
 
     register: str = ""
     promised: Ballot = Ballot()
     accepted: Ballot = Ballot()
     value: Value | None = None
+    nonce: str = ""
+    confirmed: str = ""
 
 
 def register_id(evidence: Evidence) -> str:
@@ -88,9 +99,9 @@
     """One voter.
 
     A voter with an empty disk gives no votes until it has recovered from the other voters, or has
-    confirmed that every voter had an empty disk at one time. What it promises before its first
-    accepted value is kept in memory only: a restart then makes it a voter with an empty disk
-    again, under a new nonce, and the recovery allows for forgotten promises.
+    confirmed that every voter had an empty disk at one time. The confirmation and what it promises
+    before its first accepted value are stored too, so that a restart of several voters during a
+    formation does not leave one with a value and the others without a vote.
 
     Args:
         name: Name of the voter.
@@ -108,11 +119,9 @@
         new_nonce: Callable[[], str],
     ) -> None:
         self._name = name
-        self._state = state or VoterState()
+        self._state = state or VoterState(nonce=new_nonce())
         self._store = store
         self._new_nonce = new_nonce
-        self._nonce = new_nonce()
-        self._confirmed = ""
 
     @property
     def is_empty(self) -> bool:
@@ -128,7 +137,7 @@
     def status(self) -> VoterStatus:
         """What the voter tells about itself."""
         if self._state.value is None:
-            return VoterStatus("", Ballot(), 0, self._nonce, self._confirmed)
+            return VoterStatus("", Ballot(), 0, self._state.nonce, self._state.confirmed)
         state = self._state
         return VoterStatus(state.register, state.accepted, self._state.value.version, "", "")
 
@@ -159,15 +168,18 @@
 
         A nonce serves one piece of evidence. Another piece with the same nonce makes it void,
         so that of two registers formed at the same time at most one can get this vote.
+
+        Raises:
+            OSError: The confirmation could not be stored, so it is not given.
         """
-        if not self.is_empty or dict(evidence).get(self._name) != self._nonce:
+        if not self.is_empty or dict(evidence).get(self._name) != self._state.nonce:
             return
         register = register_id(evidence)
-        if self._confirmed in ("", register):
-            self._confirmed = register
-            return
-        self._nonce, self._confirmed = self._new_nonce(), ""
-        self._state = VoterState()
+        if self._state.confirmed == "":
+            self._keep(self._state._replace(confirmed=register))
+        elif self._state.confirmed != register:
+            # Not stored: a restart brings back the old nonce with its old confirmation.
+            self._state = VoterState(nonce=self._new_nonce())
 
     def recover(self, register: str, ballot: Ballot, value: Value) -> None:
         """Become a voter again after the loss of the disk.
@@ -186,12 +198,11 @@
 
     def _may_vote(self, register: str) -> bool:
         if self.is_empty:
-            return register != "" and register == self._confirmed
+            return register != "" and register == self._state.confirmed
         return register == self._state.register
 
     def _keep(self, state: VoterState) -> None:
-        if state.value is not None:
-            self._store(state)
+        self._store(state)
         self._state = state
 
     def _refusal(self) -> Refusal:
--- a/kumquatlift/config.capnp
+++ b/kumquatlift/config.capnp
@@ -28,6 +28,8 @@
   promised @1 :Ballot;
   accepted @2 :Ballot;
   value @3 :Value;
+  nonce @4 :Text;
+  confirmed @5 :Text;
 }
 
 struct Prepare {
--- a/kumquatlift/config_codec.py
+++ b/kumquatlift/config_codec.py
@@ -175,6 +175,11 @@
     "readAnswer": _read_answer,
     "value": _some_value,
     "voterState": lambda r: VoterState(
-        r.register, _ballot(r.promised), _ballot(r.accepted), _value(r.value)
+        r.register,
+        _ballot(r.promised),
+        _ballot(r.accepted),
+        _value(r.value),
+        r.nonce,
+        r.confirmed,
     ),
 }
--- a/kumquatlift/voter.py
+++ b/kumquatlift/voter.py
@@ -52,8 +52,10 @@
     def read(self, msg: Read, in_force: Value | None) -> ReadAnswer:
         """Confirm the evidence and return the status, with a value that the asker needs."""
         with self._lock:
-            if msg.evidence:
+            try:
                 self._acceptor.confirm(msg.evidence)
+            except OSError as exc:
+                get_logger().error("voter_disk_failed", error=str(exc))
             return ReadAnswer(self._acceptor.status, newer(in_force, msg.newer_than))
 
     def recover(self, register: str, ballot: Ballot, value: Value) -> None:
