Avoid runners that fail some of their tasks

Change: a runner's failure rate costs preference by 8 + 24 x `message_weight` instead of 4 x `message_weight`, and fades with a half-life of 30 s, since an avoided runner gets no chance to succeed. The first quarantine is 0.5 s x 16^`message_weight`. The experiments have the case flaky.

--- a/kumquatlift/bench_cases.py
+++ b/kumquatlift/bench_cases.py
@@ -23,6 +23,7 @@
 REFUSING_S, RETRY_AFTER_S = 8.0, 1.0
 OUTAGE_S = 1.0
 POISON_SHARE = 0.1
+FLAKY_SHARE = 0.2
 MEAN_TASK_S = (1.0 - 0.05) / math.log(20) * 0.99 + 4.0 * 0.01
 MEAN_JOB_TASKS = 63 / math.log(64)
 
@@ -36,6 +37,7 @@
         speed: Work done per second; a task of size 1 s takes 1 / speed.
         fails_from: From when on every task fails at once, in seconds.
         fails_until: Until when.
+        fail_share: Share of tasks that fail at once.
         refuses_from: From when on every task is refused for ``REFUSING_S``, in seconds.
         stalls_at: Start of a stall of ``STALL_S``, in seconds.
     """
@@ -45,6 +47,7 @@
     speed: float
     fails_from: float = math.inf
     fails_until: float = math.inf
+    fail_share: float = 0.0
     refuses_from: float = math.inf
     stalls_at: float = math.inf
 
@@ -111,6 +114,7 @@
         has_burst: Whether arrivals rise to ``BURST_LOAD`` times the capacity for ``BURST_S``.
         has_cancels: Whether half of the jobs in progress are cancelled at ``CANCEL_AT_S``.
         failing: Whether one runner in eight fails everything.
+        flaky: Whether one runner in eight fails ``FLAKY_SHARE`` of its tasks.
         stalled: Whether one runner in eight stalls.
         refusing: Whether one runner in eight refuses everything for ``REFUSING_S``.
         outage: Whether every runner fails everything for ``OUTAGE_S``.
@@ -127,6 +131,7 @@
     has_burst: bool = False
     has_cancels: bool = False
     failing: bool = False
+    flaky: bool = False
     stalled: bool = False
     refusing: bool = False
     outage: bool = False
@@ -160,6 +165,8 @@
             runner = CaseRunner(f"r{i}", ZONES[i % len(ZONES)], speed)
             if self.failing:
                 runner = runner._replace(fails_from=at)
+            if self.flaky and i < len(ZONES):
+                runner = runner._replace(fail_share=FLAKY_SHARE)
             if self.stalled:
                 runner = runner._replace(stalls_at=at)
             if self.refusing:
@@ -210,6 +217,7 @@
     "burst": lambda load: Case("burst", load, has_burst=True),
     "wrong sizes": lambda load: Case("wrong sizes", load, declared_ms=(3600, 36), is_uniform=False),
     "failing": lambda load: Case("failing", load, failing=True),
+    "flaky": lambda load: Case("flaky", load, flaky=True),
     "stalled": lambda load: Case("stalled", load, stalled=True),
     "refusing": lambda load: Case("refusing", load, refusing=True),
     "outage": lambda load: Case("outage", load, outage=True),
--- a/kumquatlift/bench_harness.py
+++ b/kumquatlift/bench_harness.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import random
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
@@ -91,6 +92,7 @@
         self._events = events
         self._running: set[int] = set()
         self._queue: deque[_Task] = deque()
+        self._random = random.Random(spec.name)
 
     @property
     def busy(self) -> int:
@@ -116,7 +118,8 @@
     def _start(self, task: _Task) -> None:
         self._running.add(id(task))
         now = self._events.now
-        if self.spec.fails(now) or task.job.arrival.kind == "poison":
+        is_poison = task.job.arrival.kind == "poison"
+        if is_poison or self.spec.fails(now) or self._random.random() < self.spec.fail_share:
             self._events.at(now + FAIL_AFTER_S, self._end, task, AttemptOutcome.FAILED, now)
         else:
             ends_at = self.spec.end_of(now, task.size_s)
--- a/kumquatlift/runner_health.py
+++ b/kumquatlift/runner_health.py
@@ -7,7 +7,9 @@
 LONGEST_OUT_S = 30.0
 _RATE_GAIN = 0.1
 """Weight of the latest request in the failure rate."""
-_RATE_AFTER_TRIAL = 0.1
+_RATE_HALF_LIFE_S = 30.0
+"""A runner that is avoided for its failures gets no chance to succeed, so they fade with time."""
+_RATE_AFTER_TRIAL = 0.02
 """Bound on the failure rate after a successful trial; the failures before it were of one fault."""
 
 
@@ -24,6 +26,11 @@
     growth: float = 2.0
     failures_to_out: int = FAILURES_TO_OUT
 
+    @classmethod
+    def for_weight(cls, message_weight: float) -> "HealthPolicy":
+        """Return the parameters for a weight of messages: 0.5 s at 0 to 8 s at 1."""
+        return cls(first_out_s=0.5 * 16.0**message_weight)
+
 
 class RunnerHealth:
     """Failures of one runner.
@@ -39,7 +46,8 @@
         self._out_until = 0.0
         self._is_out = False
         self._trial: str = ""
-        self.failure_rate = 0.0
+        self._rate = 0.0
+        self._rate_at = 0.0
 
     @property
     def is_out(self) -> bool:
@@ -64,16 +72,20 @@
         """Record that a request is this runner's trial."""
         self._trial = grant_id
 
-    def succeeded(self, grant_id: str) -> None:
+    def failure_rate(self, now: float) -> float:
+        """Return the recent share of failures, which fades while the runner is not used."""
+        return float(self._rate * 0.5 ** (max(0.0, now - self._rate_at) / _RATE_HALF_LIFE_S))
+
+    def succeeded(self, grant_id: str, now: float) -> None:
         """Record a success; a successful trial readmits the runner.
 
         A success of a request that started before the quarantine proves nothing about now.
         """
-        self.failure_rate -= _RATE_GAIN * self.failure_rate
+        self._count(0.0, now)
         if self._is_out and grant_id != self._trial:
             return
         if self._is_out:
-            self.failure_rate = min(self.failure_rate, _RATE_AFTER_TRIAL)
+            self._rate = min(self._rate, _RATE_AFTER_TRIAL)
         self._trial = ""
         self._is_out = False
         self._failures = 0
@@ -82,7 +94,7 @@
     def failed(self, grant_id: str, now: float) -> None:
         """Record a failure."""
         self._failures += 1
-        self.failure_rate += _RATE_GAIN * (1 - self.failure_rate)
+        self._count(1.0, now)
         if self._is_out and grant_id != self._trial:
             return
         is_trial = grant_id == self._trial and bool(grant_id)
@@ -97,3 +109,8 @@
         """Record that a request never reached the runner, so that it proved nothing."""
         if grant_id == self._trial:
             self._trial = ""
+
+    def _count(self, value: float, now: float) -> None:
+        rate = self.failure_rate(now)
+        self._rate = rate + _RATE_GAIN * (value - rate)
+        self._rate_at = now
--- a/kumquatlift/runner_pool.py
+++ b/kumquatlift/runner_pool.py
@@ -17,6 +17,9 @@
 """The order of preference is computed at most 50 times a second, which bounds its cost."""
 _SILENT_FACTOR = 8.0
 """Preference lost by a stalled runner: it counts as this many times slower."""
+FAILURE_PRICE, FAILURE_MESSAGE_PRICE = 8.0, 24.0
+"""Preference lost by failures: a rate of 10% counts as 1.8 times slower at message weight 0 and as
+4.2 times slower at 1. Failures end jobs whose kind is not repeatable, so they cost at 0 too."""
 _SETTLED_S = 0.1
 """A request that was started this long ago is included in the runner's own count of busy slots."""
 
@@ -135,14 +138,10 @@
     Args:
         service: Configuration of the service.
         run_times: Learned run times.
-        health_policy: Parameters of quarantine.
     """
 
-    def __init__(
-        self, *, service: Service, run_times: RunTimes, health_policy: HealthPolicy
-    ) -> None:
+    def __init__(self, *, service: Service, run_times: RunTimes) -> None:
         self.service = service
-        self.health_policy = health_policy
         self._run_times = run_times
         self._states: dict[str, RunnerState] = {}
         self._order: list[Ranked] = []
@@ -156,6 +155,13 @@
     def __iter__(self) -> Iterator[RunnerState]:
         return iter(self._states.values())
 
+    def reconfigure(self, service: Service) -> None:
+        """Apply another configuration."""
+        self.service = service
+        for state in self:
+            state.health.policy = HealthPolicy.for_weight(service.message_weight)
+        self.invalidate()
+
     def offer(self, offer: RunnerOffer, now: float) -> None:
         """Add or refresh a runner."""
         state = self._states.get(offer.runner)
@@ -167,7 +173,7 @@
         longest_s = max(kind.lease_ms for kind in self.service.kinds.values()) / 1000 + 1
         self._states[offer.runner] = RunnerState(
             offer=offer,
-            health=RunnerHealth(policy=self.health_policy),
+            health=RunnerHealth(policy=HealthPolicy.for_weight(self.service.message_weight)),
             now=now,
             foreign_until=now + longest_s,
         )
@@ -239,7 +245,7 @@
                 "foreign": state.foreign(now),
                 "is_leaving": state.offer.is_leaving,
                 "is_out": state.health.is_out,
-                "failure_rate": round(state.health.failure_rate, 3),
+                "failure_rate": round(state.health.failure_rate(now), 3),
                 "slowness": round(self._slowness(state, now), 3),
                 "age_s": round(now - state.seen_at, 3),
             }
@@ -274,6 +280,7 @@
         slowness = self._run_times.slowness(state.offer.runner, now)
         if state.is_silent(slowness, now):
             slowness *= _SILENT_FACTOR
-        rate = min(state.health.failure_rate, 0.9)
-        # 1 / (1 - rate) attempts are needed on average; their messages count by their weight.
-        return slowness / (1 - rate) * (1 + 4 * self.service.message_weight * rate)
+        rate = min(state.health.failure_rate(now), 0.9)
+        # 1 / (1 - rate) attempts are needed on average; the rest is the price of the wasted ones.
+        price = FAILURE_PRICE + FAILURE_MESSAGE_PRICE * self.service.message_weight
+        return slowness / (1 - rate) * (1 + price * rate)
--- a/kumquatlift/scheduler.py
+++ b/kumquatlift/scheduler.py
@@ -14,7 +14,6 @@
 from kumquatlift.failure import Failure
 from kumquatlift.fair_queue import Entry, FairQueue
 from kumquatlift.run_times import RunTimes
-from kumquatlift.runner_health import HealthPolicy
 from kumquatlift.runner_pool import (
     LONGEST_PAUSE_S,
     REFUSAL_PAUSE_S,
@@ -148,7 +147,6 @@
         total_slots: Slots of the service in all zones; a zone grants each team the share of its
             quota that the zone has of the slots. 0 applies the whole quota here.
         grant_prefix: Start of grant ids.
-        health_policy: Parameters of quarantine.
     """
 
     def __init__(
@@ -158,7 +156,6 @@
         teams: Mapping[str, Team],
         total_slots: int = 0,
         grant_prefix: str = "g",
-        health_policy: HealthPolicy | None = None,
     ) -> None:
         self._service = service
         self._teams = teams
@@ -168,7 +165,6 @@
         self._pool = RunnerPool(
             service=service,
             run_times=self._run_times,
-            health_policy=health_policy or HealthPolicy(),
         )
         self._queue: FairQueue[Demand] = FairQueue()
         self._entries: dict[str, Entry[Demand]] = {}
@@ -311,8 +307,7 @@
         """Apply another configuration; what waits and runs is kept."""
         self._service = service
         self._teams = teams
-        self._pool.service = service
-        self._pool.invalidate()
+        self._pool.reconfigure(service)
 
     def set_total_slots(self, total_slots: int) -> None:
         """Set the slots of the service in all zones."""
@@ -544,7 +539,7 @@
             self._mean_s += max(1 / self._finished, 0.01) * (average_s - self._mean_s)
             runner.is_probed = False
             was_out = runner.health.is_out
-            runner.health.succeeded(grant_id)
+            runner.health.succeeded(grant_id, now)
             if was_out != runner.health.is_out:
                 self._pool.invalidate()
         elif outcome is AttemptOutcome.REFUSED:
--- a/tests/test_policy_parts.py
+++ b/tests/test_policy_parts.py
@@ -60,9 +60,9 @@
         assert health.may_try(1.0)
         health.try_with("g3")
         assert not health.may_try(1.0)
-        health.succeeded("g0")
+        health.succeeded("g0", 1.0)
         assert health.is_out, "a request from before the quarantine proves nothing"
-        health.succeeded("g3")
+        health.succeeded("g3", 1.0)
         assert not health.is_out
 
     def test_quarantine_grows_to_a_bound(self) -> None:
@@ -77,6 +77,11 @@
             health.failed(f"t{number}", now)
         assert lengths == [1, 2, 4, 8, 16, LONGEST_OUT_S, LONGEST_OUT_S, LONGEST_OUT_S]
 
+    def test_failures_fade_while_a_runner_is_avoided(self) -> None:
+        health = RunnerHealth(policy=HealthPolicy())
+        health.failed("a", 0.0)
+        assert health.failure_rate(0.0) > 4 * health.failure_rate(90.0) > 0
+
     def test_trial_that_was_not_sent_is_tried_again(self) -> None:
         health = RunnerHealth(policy=HealthPolicy())
         health.failed("a", 0.0)
