--- a/kumquatlift/bench_cases.py
+++ b/kumquatlift/bench_cases.py
@@ -225,3 +225,6 @@
     "cancel": lambda load: Case("cancel", load, is_uniform=False, has_cancels=True),
 }
 LOADS = (0.3, 0.5, 0.7)
+EXTRA_CASES = frozenset({"flaky", "refusing", "outage", "poison"})
+"""Cases that a full run measures at ``EXTRA_LOAD`` only, to stay under two minutes."""
+EXTRA_LOAD = 0.5
