Limit faults of the proxy to clients with one IP number

Cause: a proxy stands before one entry process and all the others connect through it, so a cut of a zone or of one link has to tell its clients apart. Ruled out: a proxy for each pair of processes, because a process announces a single address. Change: every command but stats takes "from IP"; the faults for everybody and those for a source are combined to the worse of both. Conclusion: one proxy a process is enough for cuts between zones and in one direction of a link.

--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -14,6 +14,13 @@
 
 WAIT_S = 10.0
 ANY = Address("127.0.0.1", 0)
+CONTROL_LINES = (
+    ("delay 20 up", "ok delay"),
+    ("cut sideways", "error"),
+    ("cut from nowhere", "error"),
+    ("melt", "error"),
+    ("", "error"),
+)
 Calls = Callable[[float], bytes | Failure]
 
 
@@ -61,11 +68,24 @@
         results = [call(WAIT_S) for _ in range(2)]
         assert results[-1] == b"x"
 
+    def test_source(self, proxy: FaultProxy, call: Calls) -> None:
+        """Guards against a fault of one source that reaches others, or that a heal leaves."""
+        assert call(WAIT_S) == b"x"
+        proxy.command("cut from 127.0.0.9")
+        proxy.command("freeze from 127.0.0.9")
+        assert call(WAIT_S) == b"x"
+        assert proxy.command("cut up from 127.0.0.1") == "ok cut"
+        assert _code(call(0.5)) is ResultCode.TIMED_OUT
+        proxy.command("pass from 127.0.0.9")
+        assert _code(call(0.5)) is ResultCode.TIMED_OUT
+        proxy.command("pass from 127.0.0.1")
+        assert call(WAIT_S) == b"x"
+
     def test_control(self, proxy: FaultProxy) -> None:
         """Guards against commands that are taken wrongly, or in silence."""
         with socket.create_connection(proxy.control, timeout=WAIT_S) as sock:
             lines = sock.makefile("rw")
-            for command, answer in (("delay 20 up", "ok delay"), ("melt", "error"), ("", "error")):
+            for command, answer in CONTROL_LINES:
                 lines.write(command + "\n")
                 lines.flush()
                 assert lines.readline().startswith(answer)
--- a/tools/fault_proxy.py
+++ b/tools/fault_proxy.py
@@ -11,9 +11,12 @@
     reset                  reset the open TCP connections
     pass                   end drop, delay and cut
     stats                  numbers of open connections, bytes and datagrams
+
+All but stats take "from IP" at the end, which limits them to clients with that IP number.
 """
 
 import argparse
+import ipaddress
 import random
 import socket
 import struct
@@ -22,6 +25,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from kumquatlift.settings import Address
 
@@ -30,15 +34,16 @@
 POLL_S = 0.05
 CHUNK = 65536
 DIRECTIONS = ("up", "down")
+ANY = ""
+Client = tuple[str, int]
 
 
-@dataclass
-class Fault:
-    """Faults of one direction."""
+class Fault(NamedTuple):
+    """Faults of one direction; the delay is in ms."""
 
     drop: float = 0.0
-    delay_s: float = 0.0
-    is_cut: bool = False
+    delay: float = 0.0
+    cut: float = 0.0
 
 
 @dataclass
@@ -47,6 +52,7 @@
 
     client: socket.socket
     target: socket.socket
+    source: str
     is_frozen: bool = False
     is_closed: threading.Event = field(default_factory=threading.Event)
 
@@ -78,12 +84,12 @@
     ) -> None:
         self._target = target
         self._rng = random.Random(seed)
-        self._faults = {direction: Fault() for direction in DIRECTIONS}
+        self._faults: dict[tuple[str, str], Fault] = {}
         self._pairs: list[Pair] = []
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._counts = {"bytes": 0, "datagrams": 0, "lost": 0}
-        self._clients: dict[tuple[str, int], socket.socket] = {}
+        self._clients: dict[Client, socket.socket] = {}
         self._tcp = socket.create_server(listen)
         self.address = Address(*self._tcp.getsockname())
         self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -107,23 +113,30 @@
         self._stopped.set()
         for sock in (self._tcp, self._udp, self._control, *self._clients.values()):
             sock.close()
-        self._close_pairs(reset=False)
+        for pair in self._pairs_of(ANY):
+            pair.close(reset=False)
         self._executor.shutdown()
 
     def _run(self, words: list[str]) -> str:
+        source = ANY
+        if words[-2:-1] == ["from"]:
+            source = str(ipaddress.ip_address(words[-1]))
+            words = words[:-2]
         name, args = words[0], words[1:]
-        if name in ("drop", "delay", "cut"):
-            amount = 0.0 if name == "cut" else float(args.pop(0))
+        if name in Fault._fields:
+            amount = 1.0 if name == "cut" else float(args.pop(0))
             for direction in args or DIRECTIONS:
-                self._set(self._faults[direction], name, amount)
+                key = (source, DIRECTIONS[DIRECTIONS.index(direction)])
+                self._faults[key] = self._faults.get(key, Fault())._replace(**{name: amount})
         elif name == "freeze":
-            with self._lock:
-                for pair in self._pairs:
-                    pair.is_frozen = True
+            for pair in self._pairs_of(source):
+                pair.is_frozen = True
         elif name == "reset":
-            self._close_pairs(reset=True)
+            for pair in self._pairs_of(source):
+                pair.close(reset=True)
         elif name == "pass":
-            self._faults = {direction: Fault() for direction in DIRECTIONS}
+            kept = [key for key in self._faults if source not in (ANY, key[0])]
+            self._faults = {key: self._faults[key] for key in kept}
         elif name == "stats":
             counts = {"connections": len(self._pairs), **self._counts}
             return " ".join(f"{key}={value}" for key, value in counts.items())
@@ -131,20 +144,14 @@
             raise ValueError(f"unknown command {name}")
         return name
 
-    @staticmethod
-    def _set(fault: Fault, name: str, amount: float) -> None:
-        if name == "drop":
-            fault.drop = amount
-        elif name == "delay":
-            fault.delay_s = amount / 1000
-        else:
-            fault.is_cut = True
+    def _fault(self, source: str, direction: str) -> Fault:
+        """Return the worst of the faults for everybody and those for one source."""
+        keys = ((ANY, direction), (source, direction))
+        return Fault(*map(max, *(self._faults.get(key, Fault()) for key in keys)))
 
-    def _close_pairs(self, *, reset: bool) -> None:
+    def _pairs_of(self, source: str) -> list[Pair]:
         with self._lock:
-            pairs, self._pairs = self._pairs, []
-        for pair in pairs:
-            pair.close(reset=reset)
+            return [pair for pair in self._pairs if source in (ANY, pair.source)]
 
     def _accept(self, server: socket.socket, serve: Callable[[socket.socket], None]) -> None:
         server.settimeout(POLL_S)
@@ -174,11 +181,12 @@
 
     def _open_pair(self, client: socket.socket) -> None:
         try:
+            source = client.getpeername()[0]
             target = socket.create_connection(self._target, timeout=1.0)
         except OSError:
             client.close()
             return
-        pair = Pair(client, target)
+        pair = Pair(client, target, source)
         for sock in (client, target):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(POLL_S)
@@ -206,7 +214,7 @@
             self._pairs.remove(pair)
 
     def _pass(self, pair: Pair, sink: socket.socket, direction: str, data: bytes) -> None:
-        pair.is_closed.wait(self._faults[direction].delay_s)
+        pair.is_closed.wait(self._fault(pair.source, direction).delay / 1000)
         self._wait(pair, direction)
         view = memoryview(data)
         while view and not pair.is_closed.is_set():
@@ -216,7 +224,7 @@
             self._counts["bytes"] += len(data)
 
     def _wait(self, pair: Pair, direction: str) -> None:
-        while pair.is_frozen or self._faults[direction].is_cut:
+        while pair.is_frozen or self._fault(pair.source, direction).cut:
             if self._stopped.is_set() or pair.is_closed.wait(POLL_S):
                 return
 
@@ -231,9 +239,10 @@
                 return
             upstream = self._upstream(client)
             if upstream is not None:
-                self._datagram(data, upstream, self._target, "up")
+                fault = self._fault(client[0], "up")
+                self._datagram(data, upstream, self._target, fault)
 
-    def _upstream(self, client: tuple[str, int]) -> socket.socket | None:
+    def _upstream(self, client: Client) -> socket.socket | None:
         """Return the socket that stands for a client towards the target."""
         if client not in self._clients:
             if len(self._clients) >= MAX_CLIENTS:
@@ -245,7 +254,7 @@
             self._executor.submit(self._pump_datagrams_down, client, sock)
         return self._clients[client]
 
-    def _pump_datagrams_down(self, client: tuple[str, int], upstream: socket.socket) -> None:
+    def _pump_datagrams_down(self, client: Client, upstream: socket.socket) -> None:
         while not self._stopped.is_set():
             try:
                 data = upstream.recv(CHUNK)
@@ -253,25 +262,20 @@
                 continue
             except OSError:
                 return
-            self._datagram(data, self._udp, client, "down")
+            self._datagram(data, self._udp, client, self._fault(client[0], "down"))
 
-    def _datagram(
-        self, data: bytes, sock: socket.socket, to: tuple[str, int], direction: str
-    ) -> None:
-        fault = self._faults[direction]
+    def _datagram(self, data: bytes, sock: socket.socket, to: Client, fault: Fault) -> None:
         with self._lock:
             self._counts["datagrams"] += 1
-            if fault.is_cut or self._rng.random() < fault.drop:
+            if fault.cut or self._rng.random() < fault.drop:
                 self._counts["lost"] += 1
                 return
-        if fault.delay_s:
-            self._executor.submit(self._send_late, data, sock, to, fault.delay_s)
+        if fault.delay:
+            self._executor.submit(self._send_late, data, sock, to, fault.delay / 1000)
         else:
             self._send_late(data, sock, to, 0.0)
 
-    def _send_late(
-        self, data: bytes, sock: socket.socket, to: tuple[str, int], delay_s: float
-    ) -> None:
+    def _send_late(self, data: bytes, sock: socket.socket, to: Client, delay_s: float) -> None:
         self._stopped.wait(delay_s)
         with suppress(OSError):
             sock.sendto(data, to)
@@ -279,9 +283,8 @@
 
 def main() -> None:
     """Run one proxy until interrupted."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
+    raw = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
     for name in ("listen", "target", "control"):
         parser.add_argument(name, type=Address.parse)
     args = parser.parse_args()
