Cut off a zone in a behave scenario with real processes

Cause: partitions were tested with simulated peers only. Ruled out: further processes for the proxies; they run in threads of the test. Change: FaultNetwork holds a proxy for each entry process of a cluster, whose processes then have IP numbers of their own. The scenario submits jobs under the same ids on both sides of a cut.

--- a/features/environment.py
+++ b/features/environment.py
@@ -4,6 +4,7 @@
 
 from behave.model import Feature, Scenario, Status
 
+from features.fault_world import FaultWorld
 from features.world import World
 
 
@@ -11,7 +12,7 @@
     # Scenarios that leave every process alive share one set of processes.
     context.shared = None
     if "shared" in feature.tags:
-        context.shared = World()
+        context.shared = FaultWorld() if "proxied" in feature.tags else World()
         context.add_cleanup(context.shared.close)
         context.shared.start()
 
--- a/features/world.py
+++ b/features/world.py
@@ -3,7 +3,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
@@ -16,6 +16,7 @@
 SERVICE = "work"
 # Runners of one process each; the last one, in the other zone, shows that zones help each other.
 RUNNERS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+DOCUMENT = Path(__file__).with_name("document.toml")
 ANSWER_BOUND_S = 20.0
 
 
@@ -32,17 +33,32 @@
 
 
 class World:
-    """Three entry processes in two zones, their runners, and callers in the background."""
-
-    def __init__(self) -> None:
+    """Entry processes, their runners, and callers in the background.
+
+    Args:
+        document: Configuration document.
+        zones: Availability zone of each entry process.
+        voters: Names of the entry processes with a disk.
+        is_proxied: Whether faults can be injected between the entry processes.
+    """
+
+    def __init__(
+        self,
+        *,
+        document: Path = DOCUMENT,
+        zones: Sequence[str] = ("north", "north", "south"),
+        voters: Sequence[str] = ("north-1", "north-2", "south-1"),
+        is_proxied: bool = False,
+    ) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="kumquatlift-")
         self._executor = ThreadPoolExecutor(max_workers=32)
         self._last_readings: dict[str, dict[str, Any]] = {}
         self.cluster = Cluster(
             folder=Path(self._folder.name),
-            document=Path(__file__).with_name("document.toml"),
-            zones=("north", "north", "south"),
-            voters=("north-1", "north-2", "south-1"),
+            document=document,
+            zones=zones,
+            voters=voters,
+            is_proxied=is_proxied,
         )
 
     def start(self, *runners: str) -> None:
@@ -57,7 +73,11 @@
 
     def start_runner(self, name: str) -> None:
         """Start one runner."""
-        self.cluster.start_runners(name, service=SERVICE, zone=RUNNERS.get(name, "north"))
+        zone = RUNNERS.get(name, "north")
+        places = self.cluster.entries.values()
+        # A cut between zones also separates runners from the entry processes of other zones.
+        through = [place.name for place in places if place.zone == zone and place.peers_announced]
+        self.cluster.start_runners(name, service=SERVICE, zone=zone, through=through)
 
     def callers(self, entry: str) -> str:
         """Address for callers of an entry process."""
@@ -65,11 +85,15 @@
 
     def submit(self, entry: str, kind: str, count: int, run_ms: int, **extra: Any) -> Job:
         """Take a ticket and submit a job in the background, without any resubmission."""
+        return self.resubmit(self.prepare(entry, kind, count, run_ms, **extra), entry)
+
+    def prepare(self, entry: str, kind: str, count: int, run_ms: int, **extra: Any) -> Job:
+        """Take a ticket for a job that is submitted later."""
         ticket = call(self.callers(entry), "POST", "/v1/tickets", payload={})
         assert not isinstance(ticket, Failure), ticket
         fields = {**_fields(kind, count, run_ms), **extra}
         fields["id"] = f"{ticket['ledger']}.{time.monotonic_ns()}"
-        return self.resubmit(Job(fields, Future()), entry)
+        return Job(fields, Future())
 
     def resubmit(self, job: Job, entry: str) -> Job:
         """Send a job as it is to an entry process, once, in the background."""
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -1,7 +1,9 @@
 """Starts and ends entry processes and runner stand-ins on loopback ports that are free."""
 
 import hashlib
+import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -10,12 +12,13 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import tomli_w
 
 from kumquatlift.client import call
 from kumquatlift.failure import Failure
+from tools.fault_network import FaultNetwork
 
 ROOT = Path(__file__).resolve().parent.parent
 TOKEN = "local-operator-token"
@@ -52,6 +55,7 @@
     runners: str
     operators: str
     peers: str
+    peers_announced: str = ""
 
 
 class Cluster:
@@ -61,6 +65,8 @@
         folder: Folder for settings, data and logs.
         document: Configuration document.
         zones: Availability zone of each entry process; names are made of them.
+        is_proxied: Whether each entry process gets an IP number of its own and a proxy before its
+            peers port, so that ``network`` can inject faults.
         command: How to run the executable.
     """
 
@@ -71,6 +77,7 @@
         document: Path,
         zones: Sequence[str],
         voters: Sequence[str] = (),
+        is_proxied: bool = False,
         command: Sequence[str] = (sys.executable, "-m", "kumquatlift"),
     ) -> None:
         self._folder = folder
@@ -79,13 +86,21 @@
         self._pending_entries: list[EntryPlace] = []
         self._pending_runners: list[tuple[str, int]] = []
         self.runners: dict[str, str] = {}
-        ports = iter(_free_ports(4 * len(zones)))
+        # Clusters that run at the same time differ in the third number.
+        subnet = f"127.0.{1 + os.getpid() % 250}"
+        ports = iter(_free_ports(4 * len(zones), f"{subnet}.1"))
         self.entries: dict[str, EntryPlace] = {}
         for number, zone in enumerate(zones):
             name = f"{zone}-{1 + list(zones[:number]).count(zone)}"
+            host = f"{subnet}.{2 + number}" if is_proxied else "127.0.0.1"
             self.entries[name] = EntryPlace(
-                name, zone, *(f"127.0.0.1:{next(ports)}" for _ in range(4))
+                name, zone, *(f"{host}:{next(ports)}" for _ in range(4))
             )
+        peers = {name: place.peers for name, place in self.entries.items()} if is_proxied else {}
+        self.network = FaultNetwork(peers=peers, host=f"{subnet}.1")
+        for name in peers:
+            announced = self.network.address(name)
+            self.entries[name] = self.entries[name]._replace(peers_announced=announced)
         for place in self.entries.values():
             self._write_settings(place, document, has_disk=place.name in voters)
 
@@ -107,10 +122,20 @@
             self._pending_entries.append(place)
 
     def start_runners(
-        self, name: str, *, service: str, zone: str, copies: int = 1, speeds: Sequence[float] = (1,)
+        self,
+        name: str,
+        *,
+        service: str,
+        zone: str,
+        copies: int = 1,
+        speeds: Sequence[float] = (1,),
+        through: Sequence[str] = (),
     ) -> None:
-        """Start a process with runners; several are called name-1, name-2 and so on."""
-        entries = [place.runners for place in self.entries.values()]
+        """Start a process with runners; several are called name-1, name-2 and so on.
+
+        They announce themselves through the named entry processes, all of them without names.
+        """
+        entries = [self.entries[entry].runners for entry in through or self.entries]
         # Each process begins with another entry process, as behind a load balancer.
         first = len(self._processes) % len(entries)
         arguments = [name, "--service", service, "--zone", zone, "--copies", str(copies)]
@@ -147,6 +172,16 @@
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def lose_disk(self, name: str) -> None:
+        """Kill an entry process and delete its data folder."""
+        self.kill(name)
+        shutil.rmtree(self._data_folder(name))
+
+    def ask_operators(self, name: str, method: str, path: str, payload: Any = None) -> Any:
+        """Send a request to an entry process's operators' port; return the answer or a failure."""
+        address = self.entries[name].operators
+        return call(address, method, path, payload=payload, token=TOKEN, timeout_s=15)
+
     def is_running(self, name: str) -> bool:
         """Whether a process has not ended."""
         return self._processes[name].poll() is None
@@ -165,6 +200,10 @@
 
     def close(self, *, at_once: bool = False) -> None:
         """End every process by its id, with SIGTERM first unless ``at_once``."""
+        self._end_processes(at_once)
+        self.network.close()
+
+    def _end_processes(self, at_once: bool) -> None:
         if at_once:
             for process in self._processes.values():
                 process.kill()
@@ -201,13 +240,16 @@
         answer = call(place.callers, "POST", "/v1/tickets", payload={}, timeout_s=1)
         return not isinstance(answer, Failure)
 
+    def _data_folder(self, name: str) -> Path:
+        return self._folder / f"{name}.data"
+
     def _write_settings(self, place: EntryPlace, document: Path, *, has_disk: bool) -> None:
-        peers = [other.peers for other in self.entries.values()]
+        peers = [other.peers_announced or other.peers for other in self.entries.values()]
         fields = {
             **place._asdict(),
             "seeds": peers,
             "first_document": str(document),
-            "data_folder": str(self._folder / f"{place.name}.data") if has_disk else "",
+            "data_folder": str(self._data_folder(place.name)) if has_disk else "",
             "operator_tokens": [
                 {"name": "operator", "sha256": hashlib.sha256(TOKEN.encode()).hexdigest()}
             ],
@@ -216,22 +258,22 @@
         path.write_text(tomli_w.dumps(fields), encoding="utf-8")
 
 
-def _free_ports(count: int) -> list[int]:
-    """Return ports that are free for both TCP and UDP on loopback."""
+def _free_ports(count: int, host: str) -> list[int]:
+    """Return ports that are free for both TCP and UDP on 127.0.0.1 and another IP number."""
     found: list[int] = []
     candidates = iter(random.sample(_PORTS, len(_PORTS)))
     while len(found) < count:
         port = next(candidates)
-        if _is_free(port):
+        if _is_free("127.0.0.1", port) and _is_free(host, port):
             found.append(port)
     return found
 
 
-def _is_free(port: int) -> bool:
+def _is_free(host: str, port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as sock:
             try:
-                sock.bind(("127.0.0.1", port))
+                sock.bind((host, port))
             except OSError:
                 return False
     return True
