Let each process catch up before the fuzz checks that it can make a change

The register was whole: the observer still had the value of a former register, because the simulation has no polls, by which a real process learns the register of a majority, and the rounds of the others had outbid its own.

The check now gives each process rounds of its own first, which stand for the polls, and still demands that a change made from what it has in force takes effect.

--- a/tools/fuzz_register.py
+++ b/tools/fuzz_register.py
@@ -428,15 +428,22 @@
             return
         self.is_faulty = False
         for process in self.processes.values():
+            # Rounds of its own stand for the polls by which a process learns the register.
+            self._run_rounds(process, None)
             self._propose(process)
-            # The first rounds may be outbid by higher ballots.
-            for _ in range(4):
-                while self.flight:
-                    self._receive(self.flight.pop(0))
-                self._start_round(process, self.proposals[-1])
+            self._run_rounds(process, self.proposals[-1])
             change_id = self.proposals[-1].id
             assert self.history.answers.get(change_id), f"{process.name} cannot make a change"
 
+    def _run_rounds(self, process: Process, proposal: Proposal | None) -> None:
+        """Run rounds of one process to their end; the first ones may be outbid."""
+        for _ in range(4):
+            while self.flight:
+                self._receive(self.flight.pop(0))
+            self._start_round(process, proposal)
+        while self.flight:
+            self._receive(self.flight.pop(0))
+
 
 def run(*, seed: int, steps: int) -> Counter[str]:
     """Run worlds until the number of steps is reached.
