--- a/tests/test_policy_parts.py
+++ b/tests/test_policy_parts.py
@@ -5,7 +5,7 @@
 from kumquatlift.retry_budget import RetryBudget
 from kumquatlift.run_times import MAX_KINDS, MAX_RUNNERS, RunTimes
 from kumquatlift.runner_health import LONGEST_OUT_S, HealthPolicy, RunnerHealth
-from kumquatlift.zone_choice import FreeSlots, ZoneLoad, choose_zones
+from kumquatlift.zone_choice import FreeSlots, ZoneLoad, choose_moves, choose_zones
 
 
 class TestRunTimes:
@@ -129,6 +129,13 @@
     def test_no_usable_slots_anywhere(self) -> None:
         assert choose_zones(3, "a", {"b": ZoneLoad(0, 0, 0, 0.0, 0.0)}, 0.3) == {"a": 3}
 
+    def test_waiting_requests_move_to_free_slots_and_only_then(self) -> None:
+        crowded = load(0, 64)
+        assert choose_moves({"a": 10}, {"a": crowded, "b": load(64)}, 0.3) == {"a": 10}
+        assert choose_moves({"a": 10}, {"a": load(0, 10), "b": load(4)}, 0.3) == {"a": 4}
+        assert choose_moves({"a": 10}, {"a": crowded, "b": load(0, 1)}, 0.3) == {}
+        assert choose_moves({"a": 1}, {"a": load(0, 1), "b": load(64)}, 0.3) == {}
+
     def test_load_after_placing_matches_what_is_left(self) -> None:
         after = load(10).after(14)
         assert (after.free, after.queued, after.free_slots) == (0, 4, ())
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -160,6 +160,21 @@
         assert len(scheduler.poll(0.5)) == 1
         assert scheduler.cancel("d1", 0.5) == 0
 
+    def test_part_of_a_demand_is_taken_back(self) -> None:
+        scheduler = make_scheduler()
+        scheduler.enqueue(make_demand("d1", 5), 0.0)
+        assert scheduler.cancel("d1", 0.0, 2) == 2
+        scheduler.offer(make_offer("r1"), 0.0)
+        assert len(scheduler.poll(0.0)) == 3
+        assert scheduler.cancel("d1", 0.0, 2) == 0
+
+    def test_demand_that_waited_elsewhere_keeps_its_place(self) -> None:
+        scheduler = make_scheduler()
+        scheduler.enqueue(make_demand("new"), 0.0)
+        scheduler.enqueue(make_demand("moved")._replace(waited_s=1.0), 0.0)
+        scheduler.offer(make_offer("r1", slots=1), 0.0)
+        assert [grant.demand_id for grant in scheduler.poll(0.0)] == ["moved"]
+
     def test_demand_past_its_deadline_gets_no_grant(self) -> None:
         scheduler = make_scheduler()
         scheduler.enqueue(make_demand("d1", deadline_at=1.0), 0.0)
