Grant each zone its share of a team's quota, and flatten the state dump

Cause: a team's quota held in each zone by itself, so three zones together gave three times as much; the dump nested some sections in a key of their own; code 6003 was never given. Change: requesters tell owners the slots of all zones once a second, and each zone applies its share; every view adds to its section directly; 6003 is gone. Ruled out: one counter of a team for all zones, which a cut would stop.

--- a/features/fault_world.py
+++ b/features/fault_world.py
@@ -38,7 +38,7 @@
 
     def members_seen(self, entry: str) -> dict[str, bool]:
         """Other entry processes that one of them knows, and whether it takes them for live."""
-        rows = self.dump(entry)["membership"]["state"]["members"]
+        rows = self.dump(entry)["membership"]["members"]
         return {row["name"]: row["live"] for row in rows if row["name"] != entry}
 
     def views_agree(self) -> bool:
@@ -54,7 +54,7 @@
     def versions(self, *entries: str) -> dict[str, int]:
         """Version of the configuration in force in each entry process."""
         names = entries or self.cluster.entries
-        return {name: self.dump(name)["config"]["state"]["version"] for name in names}
+        return {name: self.dump(name)["config"]["version"] for name in names}
 
     def propose(self, entry: str, change_id: str, expected_ms: int) -> dict[str, Any]:
         """Change one field of the configuration that is in force in an entry process."""
--- a/kumquatlift/blackboard.py
+++ b/kumquatlift/blackboard.py
@@ -19,7 +19,7 @@
         self.owner = owner
         self._lock = lock
         self._values: dict[str, Any] = {}
-        self._views: dict[str, Callable[[], Any]] = {}
+        self._views: list[Callable[[], dict[str, Any]]] = []
 
     def put(self, key: str, value: Any) -> None:
         """Store a plain value under a key."""
@@ -36,18 +36,19 @@
         with self._lock:
             return self._values.get(key, default)
 
-    def publish(self, key: str, view: Callable[[], Any]) -> None:
+    def publish(self, view: Callable[[], dict[str, Any]]) -> None:
         """Register a function that returns state too large to copy on every change."""
         with self._lock:
-            self._views[key] = view
+            self._views.append(view)
 
     def snapshot(self) -> dict[str, Any]:
         """Return all values and the results of all views, as plain data."""
         with self._lock:
             values = dict(self._values)
-            views = dict(self._views)
+            views = list(self._views)
         # Views take their owner's lock, so they run outside the blackboard's lock.
-        values.update({key: view() for key, view in views.items()})
+        for view in views:
+            values.update(view())
         return values
 
 
--- a/kumquatlift/codes.py
+++ b/kumquatlift/codes.py
@@ -69,7 +69,6 @@
     APPLIED = 6000
     INVALID_DOCUMENT = 6001
     VERSION_CONFLICT = 6002
-    NO_MAJORITY = 6003
     UNAUTHORIZED = 6004
     CHANGE_UNKNOWN = 6005
     CHANGE_ID_REUSED = 6006
@@ -150,7 +149,6 @@
     _C.APPLIED: _Meaning(Ran.YES, _NEVER, 200, "the change is accepted by a majority"),
     _C.INVALID_DOCUMENT: _Meaning(Ran.NO, _FIX, 422, "the configuration document is not valid"),
     _C.VERSION_CONFLICT: _Meaning(Ran.NO, _FIX, 409, "the change was made from an old version"),
-    _C.NO_MAJORITY: _Meaning(Ran.NO, _SAME, 503, "no majority of voters was reached"),
     _C.UNAUTHORIZED: _Meaning(Ran.NO, _FIX, 401, "the operator token is missing or not valid"),
     _C.CHANGE_UNKNOWN: _Meaning(Ran.MAYBE, _SAME, 503, "ask again with the same change id"),
     _C.CHANGE_ID_REUSED: _Meaning(Ran.NO, _FIX, 409, "the change id belongs to another change"),
--- a/kumquatlift/dispatcher.py
+++ b/kumquatlift/dispatcher.py
@@ -89,7 +89,7 @@
         self._attempts = ThreadPoolExecutor(
             max_workers=MAX_ATTEMPTS_IN_FLIGHT, thread_name_prefix="attempt"
         )
-        section.publish("jobs", lambda: len(self._jobs))
+        section.publish(lambda: {"jobs": len(self._jobs)})
 
     def admit(self, req: JobRequest) -> Failure | None:
         """Check a job against the configuration; see ``JobExecutor.admit``."""
--- a/kumquatlift/entry.py
+++ b/kumquatlift/entry.py
@@ -108,10 +108,10 @@
             executor=self._dispatcher,
             time_allowed_s=self._dispatcher.time_allowed_s,
         )
-        self._board.section("claims").publish("state", self._router.summary)
-        self._board.section("channel").publish("state", self._channel.snapshot)
+        self._board.section("claims").publish(self._router.summary)
+        self._board.section("channel").publish(self._channel.snapshot)
         self._board.section("membership").publish(
-            "state", lambda: self._gossip.snapshot(self._channel.evidence)
+            lambda: self._gossip.snapshot(self._channel.evidence)
         )
         self._servers: list[HttpServer] = []
 
--- a/kumquatlift/register.py
+++ b/kumquatlift/register.py
@@ -82,7 +82,7 @@
         channel.handle(Topic.CONFIG_ACCEPT, self._handle_accept)
         channel.handle(Topic.CONFIG_READ, self._handle_read)
         channel.handle(Topic.CONFIG_VALUE, self._handle_value)
-        section.publish("state", self.state)
+        section.publish(self.state)
 
     @property
     def current(self) -> Current | None:
--- a/kumquatlift/slot_client.py
+++ b/kumquatlift/slot_client.py
@@ -147,7 +147,7 @@
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="slots")
         # One worker keeps the messages of an owner in order.
         channel.handle(Topic.SLOTS_GRANT, self._handle_grants, workers=1)
-        section.publish("requester", self._snapshot)
+        section.publish(self._snapshot)
 
     def start(self) -> None:
         """Send changes as they come, from one executor thread."""
@@ -367,8 +367,12 @@
             change.full,
             held,
             change.asks_load,
+            self._total_slots(service) if change.full else 0,
         )
 
+    def _total_slots(self, service: str) -> int:
+        return sum(load.slots for (name, _), load in self._loads.items() if name == service)
+
     def _send(self, msg: SlotDemands) -> None:
         owner = slot_owner_of(msg.service, msg.zone, self._members)
         if owner is None:
--- a/kumquatlift/slot_messages.py
+++ b/kumquatlift/slot_messages.py
@@ -62,6 +62,8 @@
         held: With ``full``, identities of the grants that the requester holds.
         asks_load: Whether the owner answers with the load, also when it grants nothing; a message
             with ``full`` always asks.
+        total_slots: With ``full``, slots of the service in all zones as far as they are known, so
+            that each zone grants a team its share of the quota; 0 when nothing is known.
     """
 
     service: str
@@ -72,11 +74,16 @@
     full: bool = False
     held: tuple[str, ...] = ()
     asks_load: bool = False
+    total_slots: int = 0
 
     def to_bytes(self) -> bytes:
         """Encode as a Cap'n Proto message."""
         msg = _schema().SlotDemands.new_message(
-            service=self.service, zone=self.zone, full=self.full, asksLoad=self.asks_load
+            service=self.service,
+            zone=self.zone,
+            full=self.full,
+            asksLoad=self.asks_load,
+            totalSlots=self.total_slots,
         )
         for row, demand in zip(msg.init("demands", len(self.demands)), self.demands, strict=True):
             row.id, row.kind, row.team = demand.id, demand.kind, demand.team
@@ -127,6 +134,7 @@
                 msg.full,
                 tuple(msg.held),
                 msg.asksLoad,
+                msg.totalSlots,
             )
 
 
--- a/kumquatlift/slot_owner.py
+++ b/kumquatlift/slot_owner.py
@@ -134,6 +134,7 @@
             self._reduce(cancel, now)
         if msg.full:
             self._reconcile(requester, msg, now)
+            self._scheduler.set_total_slots(msg.total_slots)
         return [
             SlotRefusal(demand.id, failure)
             for demand in msg.demands
@@ -272,7 +273,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._services: dict[tuple[str, str], ServiceSlots] = {}
-        section.publish("services", self._snapshot)
+        section.publish(self._snapshot)
 
     def announce(
         self, ann: Announcement, *, is_released: bool = False
@@ -367,10 +368,11 @@
     def _snapshot(self) -> dict[str, Any]:
         now = self._clock.now()
         with self._lock:
-            return {
+            services = {
                 f"{service}@{zone}": slots.snapshot(now)
                 for (service, zone), slots in sorted(self._services.items())
             }
+        return {"services": services}
 
 
 def _offer(ann: Announcement) -> RunnerOffer:
--- a/kumquatlift/slots.capnp
+++ b/kumquatlift/slots.capnp
@@ -10,6 +10,7 @@
   full @5 :Bool;
   held @6 :List(Text);
   asksLoad @7 :Bool;
+  totalSlots @8 :UInt32;
 
   struct Demand {
     id @0 :Text;
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,136 @@
+"""Dispatcher on slots and runners that the test controls."""
+
+from collections.abc import Iterator
+from concurrent.futures import wait
+
+import pytest
+
+from kumquatlift.blackboard import Blackboard
+from kumquatlift.clock import MonotonicClock
+from kumquatlift.codes import ResultCode
+from kumquatlift.dispatcher import Dispatcher
+from kumquatlift.document import Document
+from kumquatlift.job import JobRequest, Task
+from kumquatlift.runner_client import AttemptEnd, AttemptResult, RunnerClient, RunRequest
+from kumquatlift.scheduler import AttemptOutcome
+from kumquatlift.slot_client import GrantedSlot, SlotListener
+from kumquatlift.slot_messages import SlotRequest
+from kumquatlift.timer import Timer
+
+DOC = Document.from_mapping(
+    {"system": {"voters": ["a"]}, "services": {"s": {"kinds": {"k": {"max_tasks": 5}}}}}
+)
+assert isinstance(DOC, Document)
+JOB = JobRequest("s", "k", "", 0, (Task("t1", 1), Task("t2", 2)))
+
+
+class Slots:
+    """Keeps wishes and records what came back."""
+
+    def __init__(self) -> None:
+        self.wishes: dict[str, tuple[SlotRequest, SlotListener]] = {}
+        self.finished: list[AttemptOutcome] = []
+
+    def request(self, service: str, wish: SlotRequest, listener: SlotListener) -> None:
+        self.wishes[wish.id] = (wish, listener)
+
+    def cancel(self, demand_id: str) -> None:
+        self.wishes.pop(demand_id, None)
+
+    def finish(self, slot: GrantedSlot, outcome: AttemptOutcome, run_s: float) -> None:
+        self.finished.append(outcome)
+
+
+class Runners(RunnerClient):
+    """Answers every request at once and keeps it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests: list[RunRequest] = []
+
+    def run(self, address: str, req: RunRequest) -> AttemptResult:
+        self.requests.append(req)
+        return AttemptResult(AttemptEnd.OK, None, dict(req.tasks), 0.1, True)
+
+
+class World:
+    """A dispatcher and what surrounds it."""
+
+    def __init__(self) -> None:
+        self.clock = MonotonicClock()
+        self.timer = Timer(clock=self.clock)
+        self.slots, self.runners = Slots(), Runners()
+        self.dispatcher = Dispatcher(
+            document=lambda: DOC,  # type: ignore[arg-type, return-value]
+            slots=self.slots,
+            client=self.runners,
+            timer=self.timer,
+            clock=self.clock,
+            section=Blackboard().section("dispatcher"),
+        )
+
+    def grant(self, wish_id: str, use_by: float | None = None) -> None:
+        """Grant one slot of a wish."""
+        slot = GrantedSlot("g", ("s", "z"), "r", "127.0.0.1:9", use_by or self.clock.now() + 60)
+        self.slots.wishes[wish_id][1].slot_granted(slot)
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    made = World()
+    yield made
+    made.dispatcher.close()
+    made.timer.close()
+
+
+class TestDispatcher:
+    """Guards against lost jobs, work after a cancellation and slots that are kept."""
+
+    def test_job_is_complete_after_a_grant_for_each_request(self, world: World) -> None:
+        fut = world.dispatcher.run("j", JOB, deadline_at=world.clock.now() + 60)
+        world.grant("j/1")
+        world.grant("j/1")
+        answer = fut.result(timeout=10)
+        assert [row.result for row in answer.results] == [1, 2]
+        assert world.slots.finished == [AttemptOutcome.OK] * 2
+
+    def test_wave_of_cancellations_frees_queue_places_and_starts_nothing(
+        self, world: World
+    ) -> None:
+        deadline_at = world.clock.now() + 60
+        futures = [
+            world.dispatcher.run(f"j{number}", JOB, deadline_at=deadline_at)
+            for number in range(2000)
+        ]
+        listeners = [listener for _, listener in world.slots.wishes.values()]
+        for number in range(2000):
+            world.dispatcher.cancel(f"j{number}")
+        assert not world.slots.wishes
+        assert world.dispatcher.is_idle
+        assert {fut.result().code for fut in futures} == {ResultCode.CANCELLED_BEFORE_START}
+        late = GrantedSlot("g", ("s", "z"), "r", "127.0.0.1:9", deadline_at)
+        listeners[0].slot_granted(late)
+        while not world.slots.finished:
+            wait([], timeout=0.01)
+        assert world.slots.finished == [AttemptOutcome.UNUSED]
+        assert not world.runners.requests
+
+    def test_slot_that_comes_too_late_is_given_back_and_asked_for_again(self, world: World) -> None:
+        fut = world.dispatcher.run("j", JOB, deadline_at=world.clock.now() + 60)
+        world.grant("j/1", use_by=world.clock.now() - 1)
+        world.grant("j/1")
+        while "j/2" not in world.slots.wishes:
+            wait([fut], timeout=0.01)
+        world.grant("j/2")
+        assert fut.result(timeout=10).is_complete
+        assert AttemptOutcome.UNUSED in world.slots.finished
+
+    def test_job_without_slots_fails_at_its_deadline_as_not_run(self, world: World) -> None:
+        fut = world.dispatcher.run("j", JOB, deadline_at=world.clock.now() + 0.05)
+        assert fut.result(timeout=10).code is ResultCode.DEADLINE_UNREACHABLE
+
+    def test_job_that_can_never_run_is_refused_at_once(self, world: World) -> None:
+        large = JOB._replace(tasks=tuple(Task(f"t{number}", 0) for number in range(6)))
+        refusal = world.dispatcher.admit(large)
+        assert refusal is not None
+        assert refusal.code is ResultCode.NEVER_FITS
