Check the built executable with as many entry processes as its document has voters

The check started one of three voters. Since entry processes agree on the configuration, one alone has no majority and never serves, so make build failed after 30 s. It now starts all three; the check of the existing file passes.

--- a/tools/check_build.py
+++ b/tools/check_build.py
@@ -1,4 +1,4 @@
-"""Checks the built executable: it runs an entry process and a runner from it and submits a job."""
+"""Checks the built executable: it runs entry processes and a runner from it and submits a job."""
 
 import sys
 import tempfile
@@ -18,8 +18,8 @@
         Cluster(
             folder=Path(scratch),
             document=ROOT / "features" / "document.toml",
-            zones=["north"],
-            voters=["north-1"],
+            zones=["north", "north", "south"],
+            voters=["north-1", "north-2", "south-1"],
             command=[str(EXECUTABLE)],
         ) as cluster,
     ):
