--- a/features/fault_world.py
+++ b/features/fault_world.py
@@ -31,8 +31,10 @@
         """End every fault, start what was killed, and wait until all see each other."""
         cluster = self.cluster
         cluster.network.heal()
-        cluster.start_entries(*(name for name in cluster.entries if not cluster.is_running(name)))
-        cluster.wait_until_started()
+        missing = [name for name in cluster.entries if not cluster.is_running(name)]
+        if missing:
+            cluster.start_entries(*missing)
+            cluster.wait_until_started()
         wait_for(lambda: self.views_agree(), "all see each other", bound_s=10)
         wait_for(lambda: len(set(self.versions().values())) == 1, "one version", bound_s=10)
 
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -224,6 +224,8 @@
                 process.stdout.close()
 
     def _start(self, name: str, *arguments: str) -> subprocess.Popen[str]:
+        if name in self._processes and self.is_running(name):
+            raise ValueError(f"{name} runs already, and would not be ended at the close")
         with (self._folder / f"{name}.log").open("a", encoding="utf-8") as log:
             self._processes[name] = subprocess.Popen(
                 [*self._command, *arguments],
