Measure recovery from faults under load

Cause: how long service is gone after a fault, and what callers lose, was not measured. Ruled out: the gap over all answers together, because answers through other entry processes would hide one that is not served; the longest gap of any survivor counts. Change: tools/measure_recovery.py and make recovery.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The stamp carries the checksum of the lock file, so that a changed lock file is installed anew.
 STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock 2>/dev/null | cut -c1-16)
 
-.PHONY: setup test format check unit features demo build bench lock clean fuzz docs
+.PHONY: setup test format check unit features demo build bench lock clean fuzz docs recovery
 
 setup: $(STAMP)
 
@@ -46,6 +46,10 @@
 bench: setup
 	$(PY) -m kumquatlift.bench
 
+# Two repetitions of seven faults take about four and a half minutes.
+recovery: setup
+	$(PY) -m tools.measure_recovery
+
 # The wheel is named by its path, so that no index can offer another package of that name.
 build: setup
 	rm -rf build/lib build/bdist.* build/wheel build/kumquatlift
--- /dev/null
+++ b/tools/measure_recovery.py
@@ -0,0 +1,301 @@
+"""Measure how the service recovers from faults, with real processes behind fault proxies.
+
+Run from the root of the project: ``python -m tools.measure_recovery [--repetitions N] [FAULT ...]``
+A steady load of jobs that are not repeatable runs through all entry processes and is resubmitted
+when an answer is lost, while one fault is injected.
+"""
+
+import argparse
+import json
+import signal
+import statistics
+import tempfile
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from itertools import pairwise
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import tomli_w
+from rich.console import Console
+from rich.table import Table
+
+from kumquatlift.client import Client, Submission
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.load import RunnerReadings
+from tools.cluster import Cluster, wait_for
+
+ZONES = ("north", "north", "south", "east")
+VOTERS = ("north-1", "south-1", "east-1")
+SERVICE, KIND = "work", "once"
+# Two runners in every zone, so that a zone that is cut off can go on.
+RUNNERS = tuple((f"{zone}-{letter}", zone) for zone in sorted(set(ZONES)) for letter in "ab")
+SLOTS = 4
+RUN_MS = 50
+TASKS = 4
+JOBS_PER_S = 16
+BEFORE_S = 1.5
+AFTER_S = 5.0
+# Longer than the 3 s within which a dead member is detected.
+FAULT_S = 4.0
+RECOVERY_BOUND_S = 15.0
+ANSWER_TIMEOUT_S = 2.0
+GIVE_UP_S = 30.0
+
+
+class Answered(NamedTuple):
+    """A submitted job: the entry process used first, when it ended, and how."""
+
+    entry: str
+    at_s: float
+    submission: Submission
+
+
+class Load:
+    """Submits jobs at a steady rate, in turn through each entry process first."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._stop = threading.Event()
+        self._executor = ThreadPoolExecutor(max_workers=128)
+        self._pacer = ThreadPoolExecutor(max_workers=1)
+        self.answered: list[Answered] = []
+        self._running = self._pacer.submit(self._pace)
+
+    def finish(self) -> None:
+        """Submit nothing more, and wait for the end of every job."""
+        self._stop.set()
+        self._running.result()
+        self._executor.shutdown()
+        self._pacer.shutdown()
+
+    def _pace(self) -> None:
+        names, number, started = list(self._cluster.entries), 0, time.monotonic()
+        while not self._stop.wait(max(0.0, started + number / JOBS_PER_S - time.monotonic())):
+            self._executor.submit(self._submit, names[number % len(names)], number % len(names))
+            number += 1
+
+    def _submit(self, entry: str, first: int) -> None:
+        client = Client(
+            entries=self._cluster.callers,
+            first=first,
+            answer_timeout_s=ANSWER_TIMEOUT_S,
+            give_up_s=GIVE_UP_S,
+        )
+        tasks = [{"id": f"t{number}", "body": {"run_ms": RUN_MS}} for number in range(TASKS)]
+        submission = client.submit({"service": SERVICE, "kind": KIND, "tasks": tasks})
+        self.answered.append(Answered(entry, time.monotonic(), submission))
+
+
+class Fault(NamedTuple):
+    """A fault to inject, and the entry processes that it leaves alone."""
+
+    inject: Callable[[Cluster], None]
+    survivors: tuple[str, ...]
+
+
+def _kill_entry(cluster: Cluster) -> None:
+    cluster.kill("north-1")
+
+
+def _freeze_entry(cluster: Cluster) -> None:
+    cluster.signal("north-1", signal.SIGSTOP)
+    time.sleep(FAULT_S)
+    cluster.signal("north-1", signal.SIGCONT)
+
+
+def _restart_all(cluster: Cluster) -> None:
+    for name in cluster.entries:
+        cluster.kill(name)
+    _start(cluster, *cluster.entries)
+
+
+def _cut_zone(cluster: Cluster) -> None:
+    cluster.network.isolate(["north-1", "north-2"])
+    time.sleep(FAULT_S)
+    cluster.network.heal()
+
+
+def _lose_disk(cluster: Cluster) -> None:
+    cluster.lose_disk("south-1")
+    _start(cluster, "south-1")
+    wait_for(lambda: _has_recovered(cluster, "south-1"), "recovery", bound_s=RECOVERY_BOUND_S)
+
+
+def _lose_second(cluster: Cluster) -> None:
+    _lose_disk(cluster)
+    cluster.lose_disk("east-1")
+
+
+def _kill_runner(cluster: Cluster) -> None:
+    cluster.kill("north-a")
+
+
+NAMES = ("north-1", "north-2", "south-1", "east-1")
+FAULTS = {
+    "entry process killed": Fault(_kill_entry, NAMES[1:]),
+    "entry process frozen 4 s": Fault(_freeze_entry, NAMES[1:]),
+    "all entry processes restarted": Fault(_restart_all, NAMES),
+    "zone cut off 4 s": Fault(_cut_zone, NAMES),
+    "disk of a voter lost": Fault(_lose_disk, ("north-1", "north-2", "east-1")),
+    "second voter lost after repair": Fault(_lose_second, ("north-1", "north-2")),
+    "runner killed": Fault(_kill_runner, NAMES),
+}
+
+
+def measure(fault: Fault) -> dict[str, Any]:
+    """Inject one fault into a new cluster under load; return the figures."""
+    with tempfile.TemporaryDirectory(prefix="kumquatlift-") as folder:
+        document = Path(folder) / "document.toml"
+        document.write_text(tomli_w.dumps(_document()))
+        with Cluster(
+            folder=Path(folder), document=document, zones=ZONES, voters=VOTERS, is_proxied=True
+        ) as cluster:
+            _start_cluster(cluster)
+            figures = _run(cluster, fault)
+            # The state that is left has no use, so an orderly stop would only take time.
+            cluster.close(at_once=True)
+    return figures
+
+
+def _run(cluster: Cluster, fault: Fault) -> dict[str, Any]:
+    readings = RunnerReadings(list(cluster.runners.values()))
+    if fault.inject is _kill_runner:
+        # What it starts between this reading and its end is missing from the figures.
+        warm_up = Load(cluster)
+        time.sleep(BEFORE_S)
+        warm_up.finish()
+        readings.remember(cluster.runners["north-a"])
+    load = Load(cluster)
+    time.sleep(BEFORE_S)
+    injected_at = time.monotonic()
+    fault.inject(cluster)
+    time.sleep(AFTER_S)
+    until = time.monotonic()
+    load.finish()
+    totals = readings.since_start(repeatable=())
+    return _figures(load.answered, fault, injected_at, until, totals)
+
+
+def _figures(
+    answered: list[Answered], fault: Fault, since: float, until: float, totals: dict[str, int]
+) -> dict[str, Any]:
+    gaps = [_longest_gap(answered, name, since, until) for name in fault.survivors]
+    codes = Counter(f"{int(row.submission.code)} {row.submission.code.label}" for row in answered)
+    return {
+        "resumed_s": round(max(gaps), 2),
+        "jobs": len(answered),
+        "answers": dict(codes),
+        "answers_lost": sum(row.submission.lost for row in answered),
+        "without_final_answer": sum(
+            isinstance(row.submission.answer, Failure) and row.submission.sent > 0
+            for row in answered
+        ),
+        "never_accepted": sum(row.submission.sent == 0 for row in answered),
+        "last_answers": [
+            row.submission.answer.reason
+            for row in answered
+            if isinstance(row.submission.answer, Failure)
+        ],
+        "doubled_starts": totals.get("doubled", 0),
+        "messages_per_task": round(totals["requests"] / max(1, totals["completed"]), 3),
+    }
+
+
+def _longest_gap(answered: list[Answered], entry: str, since: float, until: float) -> float:
+    """Longest time without a complete answer among the jobs that an entry process got first."""
+    times = sorted(
+        row.at_s
+        for row in answered
+        if row.entry == entry and row.submission.code is ResultCode.COMPLETE
+    )
+    # The last complete answer before the fault begins the first gap.
+    start = max((at for at in times if at <= since), default=since)
+    marks = [start, *(at for at in times if since < at <= until), until]
+    return max(after - before for before, after in pairwise(marks))
+
+
+def _start_cluster(cluster: Cluster) -> None:
+    cluster.start_entries()
+    for name, zone in RUNNERS:
+        through = [place.name for place in cluster.entries.values() if place.zone == zone]
+        cluster.start_runners(name, service=SERVICE, zone=zone, through=through)
+    cluster.wait_until_started()
+    for address in cluster.callers:
+        client = Client(entries=[address], give_up_s=GIVE_UP_S)
+        tasks = [{"id": "t", "body": {"run_ms": 1}}]
+        if isinstance(
+            client.submit({"service": SERVICE, "kind": KIND, "tasks": tasks}).answer, Failure
+        ):
+            raise RuntimeError(f"no job is complete through {address}")
+
+
+def _start(cluster: Cluster, *names: str) -> None:
+    cluster.start_entries(*names)
+    cluster.wait_until_started()
+
+
+def _has_recovered(cluster: Cluster, name: str) -> bool:
+    dump = cluster.ask_operators(name, "GET", "/v1/dump")
+    if isinstance(dump, Failure):
+        return False
+    state = dump["config"]["state"]
+    return bool(state["is_voter"]) and not state["is_recovering"]
+
+
+def _document() -> dict[str, Any]:
+    kind = {
+        "repeatable": False,
+        "expected_ms": RUN_MS,
+        "lease_ms": 2_000,
+        "deadline_ms": 8_000,
+    }
+    return {
+        "system": {"voters": list(VOTERS)},
+        "services": {SERVICE: {"slots": SLOTS, "connections": 16, "kinds": {KIND: kind}}},
+    }
+
+
+def _show(results: dict[str, list[dict[str, Any]]]) -> None:
+    table = Table(
+        "fault", "service resumes, s", "answers lost", "no final answer", "doubled", "messages/task"
+    )
+    for name, runs in results.items():
+        table.add_row(
+            name,
+            _spread([run["resumed_s"] for run in runs]),
+            _spread([run["answers_lost"] for run in runs]),
+            str(sum(run["without_final_answer"] for run in runs)),
+            str(sum(run["doubled_starts"] for run in runs)),
+            _spread([run["messages_per_task"] for run in runs]),
+        )
+    Console(width=120).print(table)
+
+
+def _spread(values: list[float]) -> str:
+    """Return median, lowest and highest."""
+    return f"{statistics.median(values):g} ({min(values):g} to {max(values):g})"
+
+
+def main() -> int:
+    """Measure every fault several times; return 1 when a job was lost or started twice."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--repetitions", type=int, default=2)
+    parser.add_argument("faults", nargs="*", default=list(FAULTS), metavar="FAULT")
+    args = parser.parse_args()
+    results: dict[str, list[dict[str, Any]]] = {name: [] for name in args.faults}
+    for _ in range(args.repetitions):
+        for name, runs in results.items():
+            runs.append(measure(FAULTS[name]))
+            print(json.dumps({"fault": name, **runs[-1]}), flush=True)
+    _show(results)
+    all_runs = [run for runs in results.values() for run in runs]
+    return int(any(run["without_final_answer"] or run["doubled_starts"] for run in all_runs))
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
