Read the flat state dump in the fault scenarios and the recovery tool

Cause: the dump has one flat section for each controller now, and two readers used the former key. Change: the key is dropped in both. Ruled out: keeping both forms in the dump. Conclusion: readers and dump agree.

--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -202,7 +202,7 @@
 @then("within {seconds:d} s voter {entry} has recovered")
 def check_recovered(context: Any, seconds: int, entry: str) -> None:
     def has_recovered() -> bool:
-        state = context.world.dump(entry)["config"]["state"]
+        state = context.world.dump(entry)["config"]
         return state["is_voter"] and not state["is_recovering"]
 
     wait_for(has_recovered, f"{entry} has recovered", bound_s=seconds)
--- a/tools/measure_recovery.py
+++ b/tools/measure_recovery.py
@@ -243,7 +243,7 @@
     dump = cluster.ask_operators(name, "GET", "/v1/dump")
     if isinstance(dump, Failure):
         return False
-    state = dump["config"]["state"]
+    state = dump["config"]
     return bool(state["is_voter"]) and not state["is_recovering"]
 
 
