--- /dev/null
+++ b/kumquatlift/placement.py
@@ -0,0 +1,88 @@
+"""The choice of a runner for a waiting demand."""
+
+from kumquatlift.demand import Demand
+from kumquatlift.fair_queue import Entry
+from kumquatlift.run_estimate import RunEstimate
+from kumquatlift.runner_pool import Ranked, RunnerPool, RunnerState
+
+TRIAL_OF_LAST_RESORT_S = 5.0
+"""A trial overdue by this time may use a request that is not repeatable."""
+CLEARLY_SLOWER = 1.5
+"""Smaller differences between runners may be errors of the estimate, and no reason to wait."""
+
+
+class FreeRunner:
+    """A runner with free slots.
+
+    Args:
+        ranked: The runner in the order of preference.
+        free: Slots that are free.
+    """
+
+    __slots__ = ("free", "ranked")
+
+    def __init__(self, ranked: Ranked, free: int) -> None:
+        self.ranked = ranked
+        self.free = free
+
+
+class Placement:
+    """Chooses runners by preference, free slots and due trials.
+
+    Args:
+        pool: The runners.
+        estimate: Expected run times.
+    """
+
+    def __init__(self, *, pool: RunnerPool, estimate: RunEstimate) -> None:
+        self._pool = pool
+        self._estimate = estimate
+
+    def free_runners(self, now: float) -> list[FreeRunner]:
+        """Return runners with free slots, the most preferred one last."""
+        free = (
+            FreeRunner(ranked, self._pool.free(ranked.state, now))
+            for ranked in reversed(self._pool.order(now))
+        )
+        return [item for item in free if item.free]
+
+    def choose(
+        self, free: list[FreeRunner], entry: Entry[Demand], ahead: int, now: float
+    ) -> RunnerState | None:
+        """Choose the runner for one request of a demand and take its slot from ``free``.
+
+        Args:
+            free: Runners with free slots, the most preferred one last.
+            entry: The demand.
+            ahead: Requests that wait for faster runners and go before the demand.
+            now: Monotonic seconds.
+
+        Returns:
+            The runner; None when there is none or the demand rather waits for a faster one.
+        """
+        trial = self._pool.trial(now)
+        if trial is not None and self._may_be_trial(entry, trial, now):
+            return trial
+        if not free or not self._is_worth_it(free[-1].ranked, entry, ahead):
+            return None
+        best = free[-1]
+        best.free -= 1
+        if not best.free:
+            free.pop()
+        return best.ranked.state
+
+    def _may_be_trial(self, entry: Entry[Demand], trial: RunnerState, now: float) -> bool:
+        kind = self._pool.service.kinds.get(entry.item.kind)
+        is_repeatable = kind is not None and kind.repeatable
+        return is_repeatable or now >= trial.health.out_until + TRIAL_OF_LAST_RESORT_S
+
+    def _is_worth_it(self, ranked: Ranked, entry: Entry[Demand], ahead: int) -> bool:
+        """Whether a free slot ends the demand sooner than waiting for the faster, full runners."""
+        if not ranked.faster_slots:
+            return True
+        faster_slowness = ranked.faster_slots / ranked.faster_speed
+        if ranked.slowness < CLEARLY_SLOWER * faster_slowness:
+            return True
+        expected_s = self._estimate.expected_s(entry.item)
+        wait_s = (ahead + entry.left) * self._estimate.mean_s / ranked.faster_speed
+        return expected_s * ranked.slowness <= wait_s + expected_s * faster_slowness
--- /dev/null
+++ b/kumquatlift/run_estimate.py
@@ -0,0 +1,48 @@
+"""Expected run times of requests on the runners of one service in one zone."""
+
+from kumquatlift.demand import Demand
+from kumquatlift.run_times import RunTimes
+from kumquatlift.runner_pool import RunnerPool
+
+
+class RunEstimate:
+    """Estimates from the learned run times and the speed of the runners.
+
+    Args:
+        pool: The runners.
+        run_times: Learned run times.
+    """
+
+    def __init__(self, *, pool: RunnerPool, run_times: RunTimes) -> None:
+        self.mean_s = 0.0
+        self._pool = pool
+        self._run_times = run_times
+        self._finished = 0
+
+    def observe(self, demand: Demand, runner: str, run_s: float, now: float) -> None:
+        """Learn from the run time in seconds of a request that ended well."""
+        self._run_times.observe(demand.kind, runner, demand.expected_s, run_s, now)
+        average_s = run_s / self._run_times.slowness(runner, now)
+        self._finished += 1
+        self.mean_s += max(1 / self._finished, 0.01) * (average_s - self.mean_s)
+
+    def is_learned(self, kind: str) -> bool:
+        """Whether the run time of a kind was observed."""
+        return self._run_times.is_learned(kind)
+
+    def expected_s(self, demand: Demand) -> float:
+        """Return the expected run time of one request on an average runner."""
+        return self._run_times.expected_s(demand.kind, demand.expected_s)
+
+    def drain_s(self, count: int, now: float) -> float:
+        """Return the time in which all runners together run ``count`` mean requests.
+
+        Infinity when there is no usable runner.
+        """
+        speed = self._pool.speed(now)
+        return count * self.mean_s / speed if speed > 0 else float("inf")
+
+    def alone_s(self, demand: Demand, now: float) -> float:
+        """Return the expected response time of a demand that has all runners for itself."""
+        share_s = self.drain_s(demand.count, now) if self._pool.speed(now) > 0 else 0.0
+        return self.expected_s(demand) + share_s
