Split the bench harness by responsibility

Change: `bench_events` has the event loop, `bench_runner` the fake runner, `bench_jobs` jobs, tasks and results, `bench_zone_loads` what zones know of each other, and `bench_experiment` the run. Behaviour is unchanged; the order in which events are added is the same, since it decides between events of one time.

Conclusion: a change of structure only.

--- /dev/null
+++ b/kumquatlift/bench_runner.py
@@ -0,0 +1,70 @@
+"""A fake runner on the clock of an experiment."""
+
+import random
+from collections import deque
+
+from kumquatlift.bench_cases import CONNECTIONS, FAIL_AFTER_S, RETRY_AFTER_S, SLOTS, CaseRunner
+from kumquatlift.bench_events import Events
+from kumquatlift.bench_jobs import Task
+from kumquatlift.scheduler import AttemptOutcome
+
+
+class BenchRunner:
+    """A fake runner: slots, a queue as long as its connections allow, and faults.
+
+    Args:
+        events: Events of the experiment.
+        spec: Speed, zone and faults.
+    """
+
+    def __init__(self, *, events: Events, spec: CaseRunner) -> None:
+        self.spec = spec
+        self._events = events
+        self._running: set[int] = set()
+        self._queue: deque[Task] = deque()
+        self._random = random.Random(spec.name)
+
+    @property
+    def busy(self) -> int:
+        """Slots in use."""
+        return len(self._running)
+
+    def receive(self, task: Task) -> None:
+        """Start, queue or refuse a task."""
+        if self.spec.refuses(self._events.now):
+            task.answer(AttemptOutcome.REFUSED, RETRY_AFTER_S)
+        elif len(self._running) < SLOTS:
+            self._start(task)
+        elif len(self._queue) < CONNECTIONS - SLOTS:
+            self._queue.append(task)
+        else:
+            task.answer(AttemptOutcome.REFUSED, 0.0)
+
+    def cancel(self, task: Task) -> None:
+        """Drop a task without an answer."""
+        if task in self._queue:
+            self._queue.remove(task)
+        elif id(task) in self._running:
+            self._running.discard(id(task))
+            self._next()
+
+    def _start(self, task: Task) -> None:
+        self._running.add(id(task))
+        now = self._events.now
+        is_poison = task.job.arrival.kind == "poison"
+        if is_poison or self.spec.fails(now) or self._random.random() < self.spec.fail_share:
+            self._events.at(now + FAIL_AFTER_S, self._end, task, AttemptOutcome.FAILED, now)
+        else:
+            ends_at = self.spec.end_of(now, task.size_s)
+            self._events.at(ends_at, self._end, task, AttemptOutcome.OK, now)
+
+    def _end(self, task: Task, outcome: AttemptOutcome, started_at: float) -> None:
+        if id(task) not in self._running:
+            return
+        self._running.discard(id(task))
+        task.answer(outcome, self._events.now - started_at)
+        self._next()
+
+    def _next(self) -> None:
+        if self._queue:
+            self._start(self._queue.popleft())
--- /dev/null
+++ b/kumquatlift/bench_zone_loads.py
@@ -0,0 +1,61 @@
+"""What each zone knows of the load of the others in an experiment."""
+
+from collections.abc import Mapping
+
+from kumquatlift.baselines import SlotPolicy
+from kumquatlift.bench_cases import ZONES, Case
+from kumquatlift.bench_events import Events
+from kumquatlift.scheduler import Scheduler
+from kumquatlift.zone_choice import ZoneLoad, choose_moves, choose_zones
+
+HOP_S = 0.00025
+"""One-way message delay within a zone."""
+
+
+class ZoneLoads:
+    """Loads that zones tell each other, and the choices that follow from them.
+
+    Args:
+        case: The case.
+        events: Events of the experiment.
+        policies: A policy by zone.
+    """
+
+    def __init__(self, *, case: Case, events: Events, policies: Mapping[str, SlotPolicy]) -> None:
+        self._case = case
+        self._events = events
+        self._policies = policies
+        self._loads: dict[str, dict[str, ZoneLoad]] = {zone: {} for zone in ZONES}
+
+    def delay_s(self, zone: str, other: str) -> float:
+        """Return the one-way message delay between two zones, in seconds."""
+        return HOP_S if zone == other else self._case.delay_s
+
+    def publish(self) -> None:
+        """Send the load of each zone to every zone."""
+        for zone in ZONES:
+            for other in ZONES:
+                delay_s = self.delay_s(zone, other)
+                load = self._load(zone)._replace(delay_s=delay_s)
+                self._events.at(self._events.now + delay_s, self._learn, other, zone, load)
+
+    def split(self, zone: str, count: int) -> dict[str, int]:
+        """Return how many of ``count`` requests a zone sends to each zone, and note them there."""
+        loads = self._loads[zone]
+        loads[zone] = self._load(zone)._replace(delay_s=HOP_S)
+        split = choose_zones(count, zone, loads, self._case.message_weight)
+        for other, part in split.items():
+            loads[other] = loads[other].after(part)
+        return split
+
+    def moves(self, zone: str, waiting: Mapping[str, int]) -> dict[str, int]:
+        """Return how many of the waiting requests a zone takes back from each zone."""
+        return choose_moves(waiting, self._loads[zone], self._case.message_weight)
+
+    def _load(self, zone: str) -> ZoneLoad:
+        policy = self._policies[zone]
+        assert isinstance(policy, Scheduler)
+        return policy.zone_load(self._events.now)
+
+    def _learn(self, zone: str, other: str, load: ZoneLoad) -> None:
+        self._loads[zone][other] = load
