Bind the owner lease to the answer that a runner echoes

Cause: after a freeze of the owner of a zone's slots, runners had 3 and 4 requests at a time where the document allows 2. The resumed process read announcements that had waited in its socket buffers and took them for new, so it granted beside the new owner. Change: each answer to a runner carries its time, the runner echoes it, and the owner lease counts from that time; what lapsed is taken back before anything is granted. Ruled out: a timer that expires runners first, because messages that waited are handled before it. Conclusion: a lease must start from something that its holder sent, not from an arrival.

--- a/kumquatlift/slot_owner.py
+++ b/kumquatlift/slot_owner.py
@@ -24,8 +24,8 @@
 )
 from kumquatlift.zone_choice import ZoneLoad
 
-# An owner grants nothing for a runner whose announcements have not reached it for this long, so a
-# new owner that waits as long never grants beside the former one.
+# An owner grants nothing for a runner this long after the last answer that the runner has echoed.
+# So a new owner that waits as long never grants beside the former one, even after that one froze.
 OWNER_LEASE_S = 2.0
 # After a release only the grants that are on their way to requesters have to be waited for.
 RELEASED_WAIT_S = 1.0
@@ -40,8 +40,19 @@
 
 
 class _Registration(NamedTuple):
+    """A runner as it last announced itself.
+
+    Args:
+        announcement: The announcement.
+        heard_at: When it arrived.
+        lease_from: Start of the owner lease: when the answer was given that the runner echoes, so
+            that an announcement that lay in a buffer extends nothing.
+        grants_from: When the lease of a former owner has ended.
+    """
+
     announcement: Announcement
     heard_at: float
+    lease_from: float
     grants_from: float
 
 
@@ -80,6 +91,7 @@
         self._held: dict[str, _Held] = {}
         self._open: dict[str, _OpenDemand] = {}
         self._heard: dict[str, float] = {}
+        self._next_lapse_at = float("inf")
 
     def reconfigure(self, doc: Document) -> None:
         """Apply a new configuration."""
@@ -98,10 +110,11 @@
             now: Monotonic seconds.
             is_released: Whether the former owner has stopped granting.
         """
+        issued_at = self._issued_at(ann.owner)
         known = self._runners.get(ann.runner)
         is_new_run = known is None or known.announcement.incarnation != ann.incarnation
         if known is None or is_new_run:
-            foreign = ann.owner not in ("", self._owner)
+            foreign = ann.owner != "" and issued_at is None
             wait_s = RELEASED_WAIT_S if is_released else OWNER_LEASE_S
             grants_from = now + (wait_s if foreign else 0.0)
             get_logger().info(
@@ -109,12 +122,14 @@
             )
         else:
             grants_from = known.grants_from
-        self._runners[ann.runner] = _Registration(ann, now, grants_from)
-        confirmed = ann.owner == self._owner
-        if confirmed and now >= grants_from:
+        is_confirmed = issued_at is not None and now - issued_at < OWNER_LEASE_S
+        lease_from = issued_at if issued_at is not None else now - OWNER_LEASE_S
+        self._runners[ann.runner] = _Registration(ann, now, lease_from, grants_from)
+        if is_confirmed and now >= grants_from:
             self._scheduler.offer(_offer(ann), now)
-        renew_ms = RENEW_MS if confirmed else CONFIRM_MS
-        return AnnouncementAnswer(self._owner, renew_ms)
+            self._next_lapse_at = min(self._next_lapse_at, lease_from + OWNER_LEASE_S)
+        renew_ms = RENEW_MS if is_confirmed else CONFIRM_MS
+        return AnnouncementAnswer(f"{self._owner}.{int(now * 1000)}", renew_ms)
 
     def release(self, runner: str, now: float) -> None:
         """Stop granting a runner's slots, because another process owns them now."""
@@ -147,6 +162,9 @@
         Returns:
             New grants by requester.
         """
+        if now >= self._next_lapse_at:
+            # After a freeze, messages that waited are handled before any timer.
+            self._end_leases(now)
         grants: dict[str, list[SlotGrant]] = {}
         for grant in self._scheduler.poll(now):
             self._scheduler.started(grant.id, now)
@@ -171,6 +189,23 @@
                 del self._heard[requester]
                 self._drop_demands(requester, set(), now)
 
+    def _end_leases(self, now: float) -> None:
+        """Take back the slots of runners whose owner lease has ended."""
+        self._next_lapse_at = float("inf")
+        for name, reg in self._runners.items():
+            lapses_at = reg.lease_from + OWNER_LEASE_S
+            if now >= lapses_at:
+                self._scheduler.withdraw(name, now)
+            else:
+                self._next_lapse_at = min(self._next_lapse_at, lapses_at)
+
+    def _issued_at(self, echo: str) -> float | None:
+        """Return when this process gave the answer that a runner echoes; None for another's."""
+        owner, _, issued_ms = echo.rpartition(".")
+        if owner != self._owner or not issued_ms.isdecimal():
+            return None
+        return int(issued_ms) / 1000
+
     def load(self, now: float) -> ZoneLoad:
         """Return what other zones need to know for their choice."""
         return self._scheduler.zone_load(now)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -75,6 +75,11 @@
             self.channel.send(requester, Topic.SLOTS_GRANT, msg.to_bytes())
 
 
+def token_of(process: Process, clock: ManualClock) -> str:
+    """Return what a runner echoes that got an answer of a process just now."""
+    return f"{process.owner._token}.{int(clock.now() * 1000)}"
+
+
 def announcement(
     echo: str, *, busy: int = 0, leaving: bool = False, slots: int = 4
 ) -> Announcement:
@@ -114,7 +119,7 @@
             requester.client.request("s", wish(f"w{number}", 4), listener)
         for step in range(3000):
             clock.advance(0.05)
-            owner.owner.announce(announcement(owner.owner._token, busy=len(running)))
+            owner.owner.announce(announcement(token_of(owner, clock), busy=len(running)))
             if step % 20 == 0:
                 requester.client.send_state()
             requester.client.flush()
@@ -137,12 +142,12 @@
         listener = Listener()
         process.client.request("s", wish("w", 4), listener)
         process.client.flush()
-        process.owner.announce(announcement("other-9"))
+        process.owner.announce(announcement("other-9.0"))
         for _ in range(int(OWNER_LEASE_S / 0.5)):
             assert not listener.slots
-            process.owner.announce(announcement(process.owner._token))
+            process.owner.announce(announcement(token_of(process, clock)))
             clock.advance(0.5)
-        process.owner.announce(announcement(process.owner._token))
+        process.owner.announce(announcement(token_of(process, clock)))
         assert len(listener.slots) == 4
 
     def test_new_owner_waits_only_for_grants_on_their_way_after_a_release(self) -> None:
@@ -151,11 +156,11 @@
         listener = Listener()
         process.client.request("s", wish("w", 4), listener)
         process.client.flush()
-        process.owner.announce(announcement("other-9"), is_released=True)
-        process.owner.announce(announcement(process.owner._token))
+        process.owner.announce(announcement("other-9.0"), is_released=True)
+        process.owner.announce(announcement(token_of(process, clock)))
         assert not listener.slots
         clock.advance(RELEASED_WAIT_S)
-        process.owner.announce(announcement(process.owner._token))
+        process.owner.announce(announcement(token_of(process, clock)))
         assert len(listener.slots) == 4
 
     def test_new_owner_leaves_slots_alone_that_are_busy_for_the_former_one(self) -> None:
@@ -164,11 +169,11 @@
         listener = Listener()
         process.client.request("s", wish("w", 4), listener)
         process.client.flush()
-        process.owner.announce(announcement("other-9", busy=3))
+        process.owner.announce(announcement("other-9.0", busy=3))
         for _ in range(6):
             clock.advance(0.5)
             busy = 3 + len(listener.slots)
-            process.owner.announce(announcement(process.owner._token, busy=busy))
+            process.owner.announce(announcement(token_of(process, clock), busy=busy))
         assert len(listener.slots) == 1
 
     def test_nothing_is_granted_before_the_runner_has_chosen_the_owner(self) -> None:
@@ -183,12 +188,26 @@
         process.owner.announce(announcement(answer.owner))
         assert len(listener.slots) == 1
 
+    def test_announcement_that_lay_in_a_buffer_during_a_freeze_grants_nothing(self) -> None:
+        clock = ManualClock()
+        process, _ = pair(FakeNetwork(), clock)
+        stale = announcement(token_of(process, clock))
+        process.owner.announce(stale)
+        clock.advance(OWNER_LEASE_S)
+        listener = Listener()
+        process.client.request("s", wish("w", 1), listener)
+        process.owner.announce(stale)
+        process.client.flush()
+        assert not listener.slots
+        process.owner.announce(announcement(token_of(process, clock)))
+        assert len(listener.slots) == 1
+
     def test_leaving_or_silent_runner_gets_nothing(self) -> None:
         for leaving in (True, False):
             clock = ManualClock()
             process, _ = pair(FakeNetwork(), clock)
             listener = Listener()
-            token = process.owner._token
+            token = token_of(process, clock)
             process.owner.announce(announcement(token))
             if leaving:
                 process.owner.announce(announcement(token, leaving=True))
@@ -204,8 +223,7 @@
         north, south = member("a", "z"), member("b", "y")
         with_runner = Process(north, [south], network, clock)
         without = Process(south, [north], network, clock)
-        token = with_runner.owner._token
-        with_runner.owner.announce(announcement(token))
+        with_runner.owner.announce(announcement(token_of(with_runner, clock)))
         listener = Listener()
         without.client.request("s", wish("w", 2), listener)
         without.client.flush()
@@ -220,7 +238,7 @@
     def test_slots_of_a_vanished_wish_are_given_back(self) -> None:
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
-        process.owner.announce(announcement(process.owner._token))
+        process.owner.announce(announcement(token_of(process, clock)))
         cancelled, other = Listener(), Listener()
         process.client.request("s", wish("first", 4), cancelled)
         process.client.cancel("first")
