End a job of unknown claim after its deadline when the backup is lost too

Cause: when an entry process was killed, claims that other writers had just sent to it as their backup stayed unknown. The writer never runs such a job and pointed to the backup, which was gone, so callers were told to ask again until the ledger expired, after an hour. Ruled out: a final answer before the deadline, because the backup may have adopted the job and may return; a "not run", because that cannot be known. Conclusion: the design's rule for claimed jobs without an outcome holds for unknown claims too.

--- a/kumquatlift/job_authority.py
+++ b/kumquatlift/job_authority.py
@@ -250,7 +250,9 @@
         self, standing: Standing, claim: Claim | None, ask: JobAsk, place: Place
     ) -> JobResponse:
         if standing is Standing.ASK_BACKUP:
-            return JobResponse(ReplyKind.ASK_BACKUP, ask.job_id, place=place)
+            return JobResponse(
+                ReplyKind.ASK_BACKUP, ask.job_id, answer=self._without_backup(claim), place=place
+            )
         if standing in (Standing.NO_RECORD, Standing.ADOPTED):
             return JobResponse(ReplyKind.NO_RECORD, ask.job_id)
         if claim is not None and ask.digest and claim.digest and claim.digest != ask.digest:
@@ -260,6 +262,12 @@
             return JobResponse(ReplyKind.ANSWER, ask.job_id, digest, _kept_answer(claim))
         return _answer(ask.job_id, self._unfinished(standing), digest)
 
+    def _without_backup(self, claim: Claim | None) -> bytes:
+        """Return the final answer if the backup is lost too; empty while it may still tell more."""
+        if claim is None or self._clock.now() < claim.deadline_at:
+            return b""
+        return self._unfinished(Standing.LOST).to_bytes()
+
     def _unfinished(self, standing: Standing) -> JobAnswer:
         if standing is Standing.FREE:
             reason = "no claim under this id yet; submit or cancel it"
--- a/kumquatlift/job_router.py
+++ b/kumquatlift/job_router.py
@@ -250,6 +250,7 @@
         elif reply.kind is ReplyKind.ASK_BACKUP and reply.place is not None:
             wait.hops += 1
             wait.writer_lost = True
+            wait.without_backup = reply.answer
             wait.ask = wait.ask._replace(place=reply.place)
             self._to_backup(wait)
         elif reply.kind is ReplyKind.NO_RECORD:
@@ -302,6 +303,8 @@
         elif wait.writer_lost and wait.backup_lost:
             reason = "no replica of the record is left; the job may have run"
             self._resolve(wait, JobAnswer(ResultCode.RECORD_LOST, reason))
+        elif wait.without_backup:
+            self._resolve(wait, JobAnswer.from_bytes(wait.without_backup))
         else:
             reason = "not run here; the processes that know the job cannot be reached"
             self._resolve(wait, JobAnswer(ResultCode.OWNER_UNREACHABLE, reason))
--- a/kumquatlift/job_wait.py
+++ b/kumquatlift/job_wait.py
@@ -51,6 +51,7 @@
         self.is_pending = False
         self.writer_lost = False
         self.backup_lost = False
+        self.without_backup = b""
 
     def begin_attempt(self) -> int:
         """Make replies to earlier attempts void and return the number of the new one."""
--- a/kumquatlift/ledger_frame.py
+++ b/kumquatlift/ledger_frame.py
@@ -174,7 +174,7 @@
         kind: What it carries.
         job_id: Text form of the identity of the job that it belongs to.
         digest: Checksum of that job's payload; empty when unknown.
-        answer: Encoded answer.
+        answer: Encoded answer; with ``ASK_BACKUP`` the one to give when the backup is lost as well.
         place: Whose backup to ask.
     """
 
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -122,6 +122,17 @@
         assert self.code(self.submit(self.others[0], self.id)) is ResultCode.OWNER_LOST
         assert self.starts == [self.id]
 
+    def test_an_unknown_claim_ends_after_its_deadline_when_the_backup_is_lost(self) -> None:
+        """Guards against a caller that is told to ask again until the ledger expires."""
+        self.cluster.crash(self.ledger.backup)
+        asked = self.others[0]
+        assert self.code(self.submit("a", self.id)) is ResultCode.OWNER_UNREACHABLE
+        assert self.code(self.submit(asked, self.id)) is ResultCode.OWNER_UNREACHABLE
+        self.cluster.advance(61.0)
+        assert self.code(self.submit(asked, self.id)) is ResultCode.OWNER_LOST
+        assert self.code(self.submit("a", self.id)) is ResultCode.OWNER_LOST
+        assert not self.starts
+
     def test_a_lost_record_is_told_from_an_unreachable_owner(self) -> None:
         self.submit("a", self.id)
         self.cluster.crash("a")
