Move requests away from a zone whose owner is not heard

Change: an owner that was asked for its load and is silent for 1.5 s counts as having no slots; what waits there moves to zones that have some. Ruled out: a time limit on every load, because a service that is used rarely would lose all its loads. Seen: the new test fails with the rule switched off and passes with it; 29 slot tests pass.

--- a/kumquatlift/slot_client.py
+++ b/kumquatlift/slot_client.py
@@ -29,6 +29,8 @@
 STATE_INTERVAL_S = 1.0
 # While requests wait, loads are asked for and waiting requests moved this often.
 REBALANCE_INTERVAL_S = 0.25
+# An owner that was asked for its load and said nothing for this long cannot send grants either.
+SILENT_AFTER_S = 1.5
 # Zones of a service that had no request for this long are not asked for their load any more.
 INTEREST_S = 30.0
 ZONE_DELAY_S = 0.001
@@ -141,6 +143,7 @@
         self._held: dict[str, GrantedSlot] = {}
         self._changes: dict[Place, _Changes] = {}
         self._loads: dict[Place, ZoneLoad] = {}
+        self._unanswered: dict[Place, float] = {}
         self._interest: dict[str, float] = {}
         self._changed = threading.Event()
         self._closed = False
@@ -191,6 +194,7 @@
         refused: list[tuple[SlotListener, int, Failure]] = []
         with self._lock:
             self._loads[place] = msg.load
+            self._unanswered.pop(place, None)
             for grant in msg.grants:
                 slot = GrantedSlot(grant.id, place, grant.runner, grant.address, now + GRANT_USE_S)
                 listener = self._accept(grant.demand, slot)
@@ -283,7 +287,13 @@
         zones = {zone: self._zone_load(entry.service, zone) for zone in self._zones()}
         usable = {zone: load for zone, load in zones.items() if zone not in entry.refused}
         waiting = {zone: count for zone, count in entry.by_zone.items() if count > 0}
-        moves = choose_moves(waiting, usable, self._message_weight(entry.service))
+        silent = {
+            zone: count for zone, count in waiting.items() if self._is_silent(entry.service, zone)
+        }
+        if silent and any(load.slots for load in usable.values()):
+            moves = silent
+        else:
+            moves = choose_moves(waiting, usable, self._message_weight(entry.service))
         for zone, count in moves.items():
             entry.by_zone[zone] -= count
             change = self._at((entry.service, zone))
@@ -292,8 +302,14 @@
         if moves:
             self._place(entry, sum(moves.values()))
 
+    def _is_silent(self, service: str, zone: str) -> bool:
+        asked_at = self._unanswered.get((service, zone))
+        return asked_at is not None and self._clock.now() - asked_at > SILENT_AFTER_S
+
     def _zone_load(self, service: str, zone: str) -> ZoneLoad:
         load = self._loads.get((service, zone), NO_LOAD)
+        if self._is_silent(service, zone):
+            load = NO_LOAD
         delay = 0.0 if zone == self._members.me.zone else ZONE_DELAY_S
         return load._replace(delay_s=delay)
 
@@ -350,6 +366,8 @@
         now = self._clock.now()
         ids = change.demands
         held: tuple[str, ...] = ()
+        if change.full or change.asks_load:
+            self._unanswered.setdefault(place, now)
         if change.full:
             ids = [key for key, wish in self._wishes.items() if wish.service == service]
             held = tuple(key for key, slot in self._held.items() if slot.place == place)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -235,6 +235,32 @@
         assert len(listener.slots) == 2
         assert {slot.place for slot in listener.slots} == {("s", "z")}
 
+    def test_wish_moves_away_from_an_owner_whose_grants_do_not_arrive(self) -> None:
+        clock, network = ManualClock(), FakeNetwork()
+        members = [member("a", "z"), member("b", "y")]
+        near, far = (
+            Process(me, [other for other in members if other != me], network, clock)
+            for me in members
+        )
+        listener = Listener()
+        far.owner.announce(announcement(token_of(far, clock))._replace(zone="y"))
+        near.client.request("s", wish("first", 1), listener)
+        near.client.flush()
+        near.client.send_state()
+        near.client.flush()
+        network.lost = lambda sender, receiver: sender == "b"
+        near.client.request("s", wish("second", 2), listener)
+        near.client.flush()
+        granted = len(listener.slots)
+        near.owner.announce(announcement(token_of(near, clock)))
+        for _ in range(8):
+            clock.advance(REBALANCE_INTERVAL_S)
+            near.owner.announce(announcement(token_of(near, clock)))
+            near.client.rebalance()
+            near.client.flush()
+        assert len(listener.slots) >= granted + 2
+        assert {slot.place for slot in listener.slots[-2:]} == {("s", "z")}
+
     def test_slots_of_a_vanished_wish_are_given_back(self) -> None:
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
