Do not count requests that never left as attempts

Change: a request that never left is tried again after a growing pause until the deadline, without using up the attempts of its kind. Ruled out: more attempts for all ends, which would send more messages to runners in trouble. Seen: the new test fails on the former code after two attempts; it and the dispatcher's tests pass.

--- a/kumquatlift/job_run.py
+++ b/kumquatlift/job_run.py
@@ -10,6 +10,8 @@
 from kumquatlift.job import JobAnswer, JobRequest, Task, TaskResult
 from kumquatlift.runner_client import DELIVERY_MARGIN_S, AttemptEnd, AttemptResult, RunRequest
 
+UNSENT_PAUSE_S = 0.05
+
 
 class Batch(NamedTuple):
     """Consecutive tasks that travel to a runner in one request."""
@@ -72,6 +74,7 @@
         self._batches = split(req, kind)
         self._waiting = deque(self._batches)
         self._attempts = [0] * len(self._batches)
+        self._unsent = [0] * len(self._batches)
         self._done: dict[int, dict[str, Any]] = {}
         self._running: set[str] = set()
         self._has_run = False
@@ -133,6 +136,7 @@
             if len(self._done) == len(self._batches):
                 self.answer = self._complete()
             return None
+        self._unsent[attempt.batch.number] += not result.sent
         not_before = self._retry_time(attempt, result, now)
         if not_before is None:
             assert result.failure is not None
@@ -185,9 +189,14 @@
 
     def _retry_time(self, attempt: Attempt, result: AttemptResult, now: float) -> float | None:
         """Return when the batch may start again, or None when it may not."""
-        if attempt.number >= self.kind.max_attempts:
+        unsent = self._unsent[attempt.batch.number]
+        if attempt.number - unsent >= self.kind.max_attempts:
             return None
-        if result.end is AttemptEnd.NOT_RUN:
+        if not result.sent:
+            # A dead runner keeps its slots until its owner drops it, so requests that never left
+            # are tried again until the deadline and do not count as attempts.
+            not_before = now + UNSENT_PAUSE_S * unsent
+        elif result.end is AttemptEnd.NOT_RUN:
             retry_after_ms = result.failure.retry_after_ms if result.failure else 0
             not_before = now + retry_after_ms / 1000
         elif not self.kind.repeatable:
--- a/tests/test_job_run.py
+++ b/tests/test_job_run.py
@@ -69,6 +69,21 @@
         assert run.end(begin(run, 0.2), ended(AttemptEnd.NOT_RUN), 0.3) is None
         assert run.answer is not None
 
+    def test_requests_that_never_left_do_not_use_up_the_attempts(self) -> None:
+        run = make(tasks=1, max_attempts=2)
+        unsent = ended(AttemptEnd.NOT_RUN)._replace(sent=False)
+        now = 0.0
+        for _ in range(10):
+            retry = run.end(begin(run, now), unsent, now)
+            assert retry is not None
+            assert retry.not_before > now
+            now = retry.not_before
+            run.requeue(retry.batch)
+        attempt = begin(run, now)
+        run.end(attempt, ok(attempt), now)
+        assert run.answer is not None
+        assert run.answer.is_complete
+
     def test_refused_attempt_is_not_repeated_with_an_empty_budget(self) -> None:
         req = JobRequest("s", "k", "", 0, (Task("t", 1),))
         run = JobRun(job_id="j", req=req, kind=Kind(), deadline_at=100.0, take_retry=lambda: False)
