--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The stamp carries the checksum of the lock file, so that a changed lock file is installed anew.
 STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock 2>/dev/null | cut -c1-16)
 
-.PHONY: setup test format check unit features demo build bench lock clean fuzz docs recovery
+.PHONY: setup test format check unit features demo build bench lock clean fuzz docs recovery capacity
 
 setup: $(STAMP)
 
@@ -43,6 +43,10 @@
 demo: setup
 	$(PY) -m tools.demo
 
+# Writes build/capacity/capacity.json and capacity.png; see docs/CAPACITY.md.
+capacity: setup
+	$(PY) -m tools.measure_capacity
+
 bench: setup
 	$(PY) -m kumquatlift.bench
 
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -18,6 +18,9 @@
     SlotGrants,
     SlotRequest,
 )
+from tests.simulated_gossip import SimulatedGossip
+from tools.measure_claims import measure_memory
+from tools.measure_entry import entry_slopes
 from tools.slopes import Slope, measure, write
 
 FOLDER = Path("build/capacity")
@@ -182,9 +185,53 @@
     ]
 
 
+def _gossip_bytes_per_s(members: int) -> float:
+    """Return the bytes that a node sends and receives a second, without losses."""
+    sim = SimulatedGossip(count=members, seed=1, loss=0.0)
+    sim.run(8.0)
+    sim.bytes_per_s(1.0)
+    sim.run(10.0)
+    return sum(sim.bytes_per_s(10.0))
+
+
+def ledger_slopes() -> list[Slope]:
+    """Measure what the writer and the backup remember of a submission."""
+    sizes = [5_000, 20_000, 80_000]
+    return [
+        measure(
+            "ledger: memory of the writer, by claims",
+            "bytes/claim",
+            sizes,
+            lambda size: measure_memory(size)[0] * size,
+            repeats=2,
+        ),
+        measure(
+            "ledger: memory of the backup, by claims",
+            "bytes/claim",
+            sizes,
+            lambda size: measure_memory(size)[1] * size,
+            repeats=2,
+        ),
+    ]
+
+
+def gossip_slopes() -> list[Slope]:
+    """Measure the traffic of membership."""
+    return [
+        measure(
+            "gossip: bytes a second of a node, both ways, by members",
+            "bytes/s per member",
+            [3, 7, 14, 28],
+            _gossip_bytes_per_s,
+            repeats=1,
+        )
+    ]
+
+
 def main() -> None:
     """Run all measurements."""
-    write(scheduler_slopes(), FOLDER)
+    slopes = [*scheduler_slopes(), *ledger_slopes(), *gossip_slopes(), *entry_slopes()]
+    write(slopes, FOLDER)
 
 
 if __name__ == "__main__":
--- a/tools/measure_entry.py
+++ b/tools/measure_entry.py
@@ -15,6 +15,8 @@
 from tools.slopes import Slope
 
 RUN_S = 4.0
+IDLE_S = 5.0
+SETTLE_S = 3.0
 CLIENTS = 8
 TASKS_PER_JOB = 64
 RUN_MS = 1
@@ -81,9 +83,11 @@
                 cluster.start_runners(
                     f"r{number}", service="s", zone="a", copies=RUNNERS_PER_PROCESS
                 )
+            cluster.wait_until_started()
             address = cluster.callers[0]
             wait_for(lambda: _run_one(address), "a job is complete")
             pid = cluster.pid("a-1")
+            slopes = [_idle_slope(cluster, pid)]
             for size in BATCHES:
                 before, start = _cpu_s(pid), time.monotonic()
                 tasks = _run_clients(address, f"batch-{size}") * TASKS_PER_JOB
@@ -100,7 +104,25 @@
                         }
                     )
                 )
-    return [Slope.fit("entry: processor time a task", "us/request", points)]
+    return [*slopes, Slope.fit("entry: processor time a task, by requests", "us/request", points)]
+
+
+def _idle_slope(cluster: Cluster, pid: int) -> Slope:
+    """Measure the processor time of an entry process that only keeps its runners, by runners."""
+    points: list[tuple[float, float]] = []
+    for added in (0, 12, 24):
+        if added:
+            cluster.start_runners(f"idle-{added}", service="s", zone="a", copies=added)
+            cluster.wait_until_started()
+            time.sleep(SETTLE_S)
+        before, start = _cpu_s(pid), time.monotonic()
+        time.sleep(IDLE_S)
+        share = (_cpu_s(pid) - before) / (time.monotonic() - start)
+        points.append((len(cluster.runners), share * 100))
+    for name in ("idle-12", "idle-24"):
+        cluster.kill(name)
+    time.sleep(SETTLE_S)
+    return Slope.fit("entry: idle processor time, by runners", "% of a core per runner", points)
 
 
 def _run_one(address: str) -> bool:
