--- a/kumquatlift/_channel_loop.py
+++ b/kumquatlift/_channel_loop.py
@@ -138,7 +138,7 @@
             self._drop(conn, exc, now)
         except Exception as exc:
             # The loop serves all peers, so a fault met with one of them must not end it.
-            get_logger().error("channel-fault", peer=conn.peer, error=repr(exc))
+            get_logger().error("channel_fault", peer=conn.peer, error=repr(exc))
             self._drop(conn, exc, now)
 
     def _write_dirty(self, now: float) -> None:
@@ -171,7 +171,7 @@
             sock = None if address is None else new_socket(address, self.address.host)
         except Exception as exc:
             # No file descriptor left, or a fault in the lookup; neither may end the loop.
-            get_logger().error("connect-fault", peer=link.peer, error=repr(exc))
+            get_logger().error("connect_fault", peer=link.peer, error=repr(exc))
             address = sock = None
         if address is None or sock is None:
             link.note_failed(ConnectOutcome.NONE, "no address or no socket", now)
@@ -313,7 +313,7 @@
 
     def _retire(self, conn: Connection, now: float) -> None:
         """Replace a silent connection; its calls may still be answered on it."""
-        get_logger().warning("connection-silent", peer=conn.peer, calls=len(conn.calls))
+        get_logger().warning("connection_silent", peer=conn.peer, calls=len(conn.calls))
         conn.phase = Phase.RETIRED
         conn.outbox = Outbox()
         link = self._links.find(conn.peer)
--- a/kumquatlift/_lanes.py
+++ b/kumquatlift/_lanes.py
@@ -96,7 +96,7 @@
         try:
             reply = self._handler(sender, body)
         except Exception as exc:
-            get_logger().error("handler-failed", topic=self._topic, peer=sender, error=repr(exc))
+            get_logger().error("handler_failed", topic=self._topic, peer=sender, error=repr(exc))
             answer(Kind.FAILED, repr(exc)[:200].encode())
         else:
             answer(Kind.ANSWER, reply or b"")
--- a/kumquatlift/config_codec.py
+++ b/kumquatlift/config_codec.py
@@ -1,9 +1,8 @@
 """Bytes of the register's messages and of its stored state, by ``config.capnp``."""
 
-from functools import cache
-from pathlib import Path
 from typing import Any, NamedTuple, TypeVar, cast
 
+from kumquatlift._schema import load_schema
 from kumquatlift.acceptor import (
     Accept,
     Accepted,
@@ -51,11 +50,11 @@
 def encode(message: Message) -> bytes:
     """Encode a message."""
     if isinstance(message, Value):
-        builder = _schema().Message.new_message()
+        builder = load_schema("config").Message.new_message()
         _write_value(builder.init("value"), message)
         return cast(bytes, builder.to_bytes())
     name, fields = _fields(message)
-    builder = _schema().Message.new_message(**{name: fields})
+    builder = load_schema("config").Message.new_message(**{name: fields})
     value = getattr(message, "value", None)
     if value is not None:
         _write_value(getattr(builder, name).init("value"), value)
@@ -86,19 +85,13 @@
     return message
 
 
-@cache
-def _schema() -> Any:
-    import capnp
-
-    capnp.remove_import_hook()
-    return capnp.load(str(Path(__file__).with_name("config.capnp")))
-
-
 def _decode(data: bytes) -> Message:
     import capnp
 
     try:
-        with _schema().Message.from_bytes(data, traversal_limit_in_words=_MAX_WORDS) as reader:
+        with load_schema("config").Message.from_bytes(
+            data, traversal_limit_in_words=_MAX_WORDS
+        ) as reader:
             name = str(reader.which())
             return cast(Message, _READERS[name](getattr(reader, name)))
     except (capnp.KjException, KeyError, TypeError, ValueError) as exc:
--- a/kumquatlift/demand.py
+++ b/kumquatlift/demand.py
@@ -5,7 +5,7 @@
 
 
 class Demand(NamedTuple):
-    """A wish for slots.
+    """A request for slots.
 
     Args:
         id: Chosen by the requester, unique.
--- a/kumquatlift/dispatcher.py
+++ b/kumquatlift/dispatcher.py
@@ -17,8 +17,8 @@
 from kumquatlift.retry_budget import RetryBudget
 from kumquatlift.runner_client import AttemptEnd, AttemptResult, RunnerClient
 from kumquatlift.scheduler import AttemptOutcome
-from kumquatlift.slot_client import GrantedSlot, SlotSource
-from kumquatlift.slot_messages import SlotRequest
+from kumquatlift.slot_messages import SlotDemand
+from kumquatlift.slot_source import GrantedSlot, SlotSource
 from kumquatlift.timer import Timer, TimerHandle
 
 # Attempts in flight in one process; each holds a thread while its runner works.
@@ -202,8 +202,8 @@
         self._run = run
         self._fut = fut
         self._lock = threading.Lock()
-        self._wishes = itertools.count(1)
-        self._open_wishes: list[str] = []
+        self._numbers = itertools.count(1)
+        self._open_demands: list[str] = []
         self._deadline: TimerHandle | None = None
         self._is_settled = False
         self._is_forgotten = False
@@ -235,14 +235,14 @@
         self._settle()
 
     def _ask(self, count: int) -> None:
-        wish_id = f"{self._run.job_id}/{next(self._wishes)}"
+        demand_id = f"{self._run.job_id}/{next(self._numbers)}"
         with self._lock:
             if self._run.answer is not None:
                 return
-            self._open_wishes.append(wish_id)
+            self._open_demands.append(demand_id)
         kind = self._run.kind
-        wish = SlotRequest(
-            id=wish_id,
+        demand = SlotDemand(
+            id=demand_id,
             kind=self._run.req.kind,
             team=self._run.req.team,
             count=count,
@@ -250,7 +250,7 @@
             deadline_s=self._run.deadline_at - self._clock.now(),
             expected_s=kind.expected_ms * kind.tasks_per_request / 1000,
         )
-        self._slots.request(self._run.req.service, wish, self)
+        self._slots.request(self._run.req.service, demand, self)
 
     def _use(self, slot: GrantedSlot) -> None:
         now = self._clock.now()
@@ -268,7 +268,7 @@
         outcome = _outcome(result)
         run_s = result.run_s
         if outcome is AttemptOutcome.REFUSED and result.failure is not None:
-            # The scheduler takes the runner's own wish for a pause in place of a run time.
+            # The scheduler takes the runner's own demand for a pause in place of a run time.
             run_s = result.failure.retry_after_ms / 1000
         self._slots.finish(slot, outcome, run_s)
         self._end(attempt, slot, result)
@@ -315,12 +315,12 @@
             self._is_settled = True
             is_last = self._run.is_idle and not self._is_forgotten
             self._is_forgotten = self._is_forgotten or is_last
-            wishes, self._open_wishes = self._open_wishes, []
+            demands, self._open_demands = self._open_demands, []
         if is_first:
             if self._deadline is not None:
                 self._deadline.cancel()
-            for wish_id in wishes:
-                self._slots.cancel(wish_id)
+            for demand_id in demands:
+                self._slots.cancel(demand_id)
             self._fut.set_result(answer)
         if is_last:
             self._dispatcher.forget(self._run.job_id, answer)
--- a/kumquatlift/gossip.py
+++ b/kumquatlift/gossip.py
@@ -217,7 +217,7 @@
             self._counts["bad"] += 1
         except Exception as exc:
             # Without this thread the process would count as dead everywhere.
-            get_logger().error("gossip-fault", error=repr(exc))
+            get_logger().error("gossip_fault", error=repr(exc))
 
     def _round(self) -> None:
         for address, message in self._rounds.next():
@@ -246,7 +246,7 @@
         if not came and not left:
             return
         get_logger().info(
-            "members-changed",
+            "members_changed",
             came=[member.name for member in came],
             left=[member.name for member in left],
         )
--- a/kumquatlift/ledger_frame.py
+++ b/kumquatlift/ledger_frame.py
@@ -1,10 +1,9 @@
 """Frames about ledgers and jobs that entry processes exchange."""
 
 from enum import IntEnum
-from functools import cache
-from pathlib import Path
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
+from kumquatlift._schema import load_schema
 from kumquatlift.claim import Batch, Record
 from kumquatlift.failure import Failure
 from kumquatlift.identity import LedgerId
@@ -45,7 +44,7 @@
             }
             for record in self.batch.records
         ]
-        frame = _schema().Append.new_message(
+        frame = load_schema("ledger").Append.new_message(
             ledger=self.ledger, opens=self.opens, seal=self.batch.seal, records=records
         )
         return bytes(frame.to_bytes())
@@ -53,7 +52,7 @@
     @classmethod
     def from_bytes(cls, data: bytes, now: float) -> "Append":
         """Decode what ``to_bytes`` made."""
-        with _schema().Append.from_bytes(data) as frame:
+        with load_schema("ledger").Append.from_bytes(data) as frame:
             records = [
                 Record(
                     row.key,
@@ -82,7 +81,7 @@
 
     def to_bytes(self) -> bytes:
         """Encode for the writer."""
-        frame = _schema().AppendReply.new_message(
+        frame = load_schema("ledger").AppendReply.new_message(
             status=int(self.status), fenced=self.fenced, refused=sorted(self.refused)
         )
         return bytes(frame.to_bytes())
@@ -90,7 +89,7 @@
     @classmethod
     def from_bytes(cls, data: bytes) -> "AppendReply":
         """Decode what ``to_bytes`` made."""
-        with _schema().AppendReply.from_bytes(data) as frame:
+        with load_schema("ledger").AppendReply.from_bytes(data) as frame:
             return cls(AppendStatus(frame.status), frame.fenced, frozenset(frame.refused))
 
 
@@ -129,7 +128,7 @@
 
     def to_bytes(self, now: float) -> bytes:
         """Encode; the deadline travels as the time that remains."""
-        frame = _schema().JobAsk.new_message(
+        frame = load_schema("ledger").JobAsk.new_message(
             jobId=self.job_id,
             ledger=str(self.place.ledger),
             key=self.place.key,
@@ -147,7 +146,7 @@
         Raises:
             ValueError: The ledger's identity is not valid.
         """
-        with _schema().JobAsk.from_bytes(data) as frame:
+        with load_schema("ledger").JobAsk.from_bytes(data) as frame:
             return cls(
                 frame.jobId,
                 Place(_ledger(frame.ledger), frame.key),
@@ -186,7 +185,7 @@
 
     def to_bytes(self) -> bytes:
         """Encode for the process that asked."""
-        frame = _schema().JobResponse.new_message(
+        frame = load_schema("ledger").JobResponse.new_message(
             kind=int(self.kind),
             jobId=self.job_id,
             digest=self.digest,
@@ -203,7 +202,7 @@
         Raises:
             ValueError: The ledger's identity is not valid.
         """
-        with _schema().JobResponse.from_bytes(data) as frame:
+        with load_schema("ledger").JobResponse.from_bytes(data) as frame:
             place = Place(_ledger(frame.ledger), frame.key) if frame.ledger else None
             return cls(
                 ReplyKind(frame.kind), frame.jobId, bytes(frame.digest), bytes(frame.answer), place
@@ -224,11 +223,3 @@
 
 def _remaining_ms(deadline_at: float, now: float) -> int:
     return round((deadline_at - now) * 1000)
-
-
-@cache
-def _schema() -> Any:
-    # The library takes several MB, so it is loaded with the first frame.
-    import capnp
-
-    return capnp.load(str(Path(__file__).with_name("ledger.capnp")))
--- /dev/null
+++ b/kumquatlift/service_slots.py
@@ -0,0 +1,285 @@
+"""The slots of one service in one zone: runners' leases, demands and grants."""
+
+from typing import Any, NamedTuple
+
+from kumquatlift.announcement import CONFIRM_MS, RENEW_MS, Announcement, AnnouncementAnswer
+from kumquatlift.document import Document
+from kumquatlift.failure import Failure
+from kumquatlift.log import get_logger
+from kumquatlift.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
+from kumquatlift.slot_messages import (
+    SlotCancel,
+    SlotDemand,
+    SlotDemands,
+    SlotFinish,
+    SlotGrant,
+    SlotRefusal,
+)
+from kumquatlift.zone_choice import ZoneLoad
+
+# An owner grants nothing for a runner this long after the last answer that the runner has echoed.
+# So a new owner that waits as long never grants beside the former one, even after that one froze.
+OWNER_LEASE_S = 2.0
+# After a release only the grants that are on their way to requesters have to be waited for.
+RELEASED_WAIT_S = 1.0
+# Requesters send their whole state every second; a silent one is gone or cut off.
+REQUESTER_TIMEOUT_S = 5.0
+# A grant younger than this may cross the requester's state message on the way.
+GRANT_CROSSING_S = 1.0
+OUTCOMES = tuple(AttemptOutcome)
+
+
+class _Registration(NamedTuple):
+    """A runner as it last announced itself.
+
+    Args:
+        announcement: The announcement.
+        heard_at: When it arrived.
+        lease_from: Start of the owner lease: when the answer was given that the runner echoes, so
+            that an announcement that lay in a buffer extends nothing.
+        grants_from: When the lease of a former owner has ended.
+    """
+
+    announcement: Announcement
+    heard_at: float
+    lease_from: float
+    grants_from: float
+
+
+class _Held(NamedTuple):
+    requester: str
+    granted_at: float
+
+
+class _OpenDemand(NamedTuple):
+    requester: str
+    remaining: int
+    granted_at: float
+
+
+class ServiceSlots:
+    """The slots of one service in one zone.
+
+    Args:
+        service: Service name.
+        zone: Availability zone of the runners.
+        doc: Configuration in force.
+        owner: This process's owner token: name and incarnation.
+    """
+
+    def __init__(self, *, service: str, zone: str, doc: Document, owner: str) -> None:
+        self._service = service
+        self._zone = zone
+        self._owner = owner
+        # Requesters hold grants of several owners, so the ids must differ between them.
+        self._scheduler = Scheduler(
+            service=doc.services[service],
+            teams=doc.teams,
+            grant_prefix=f"{owner}/{service}@{zone}/",
+        )
+        self._runners: dict[str, _Registration] = {}
+        self._held: dict[str, _Held] = {}
+        self._open: dict[str, _OpenDemand] = {}
+        self._heard: dict[str, float] = {}
+        self._next_lapse_at = float("inf")
+
+    def reconfigure(self, doc: Document) -> None:
+        """Apply a new configuration."""
+        self._scheduler.reconfigure(doc.services[self._service], doc.teams)
+
+    def announce(
+        self, ann: Announcement, now: float, *, is_released: bool = False
+    ) -> AnnouncementAnswer:
+        """Take a runner's announcement and offer its slots once this process may grant them.
+
+        The runner echoes the owner named in the last answer. Slots are granted only while the
+        echo names this process, so that a runner has one granting owner at a time.
+
+        Args:
+            ann: The announcement.
+            now: Monotonic seconds.
+            is_released: Whether the former owner has stopped granting.
+        """
+        issued_at = self._issued_at(ann.owner)
+        known = self._runners.get(ann.runner)
+        is_new_run = known is None or known.announcement.incarnation != ann.incarnation
+        if known is None or is_new_run:
+            foreign = ann.owner != "" and issued_at is None
+            wait_s = RELEASED_WAIT_S if is_released else OWNER_LEASE_S
+            grants_from = now + (wait_s if foreign else 0.0)
+            get_logger().info(
+                "runner_announced", runner=ann.runner, service=ann.service, zone=ann.zone
+            )
+        else:
+            grants_from = known.grants_from
+        is_confirmed = issued_at is not None and now - issued_at < OWNER_LEASE_S
+        lease_from = issued_at if issued_at is not None else now - OWNER_LEASE_S
+        self._runners[ann.runner] = _Registration(ann, now, lease_from, grants_from)
+        if is_confirmed and now >= grants_from:
+            self._scheduler.offer(_offer(ann), now)
+            self._next_lapse_at = min(self._next_lapse_at, lease_from + OWNER_LEASE_S)
+        renew_ms = RENEW_MS if is_confirmed else CONFIRM_MS
+        return AnnouncementAnswer(f"{self._owner}.{int(now * 1000)}", renew_ms)
+
+    def release(self, runner: str, now: float) -> None:
+        """Stop granting a runner's slots, because another process owns them now."""
+        if self._runners.pop(runner, None) is not None:
+            self._scheduler.withdraw(runner, now)
+
+    def apply(self, requester: str, msg: SlotDemands, now: float) -> list[SlotRefusal]:
+        """Take a requester's message.
+
+        Returns:
+            The demands that are refused.
+        """
+        self._heard[requester] = now
+        for finish in msg.finished:
+            self._finish(finish, now)
+        for cancel in msg.cancelled:
+            self._reduce(cancel, now)
+        if msg.full:
+            self._reconcile(requester, msg, now)
+            self._scheduler.set_total_slots(msg.total_slots)
+        return [
+            SlotRefusal(demand.id, failure)
+            for demand in msg.demands
+            if (failure := self._enqueue(requester, demand, now)) is not None
+        ]
+
+    def poll(self, now: float) -> dict[str, list[SlotGrant]]:
+        """Grant free slots.
+
+        Returns:
+            New grants by requester.
+        """
+        if now >= self._next_lapse_at:
+            # After a freeze, messages that waited are handled before any timer.
+            self._end_leases(now)
+        grants: dict[str, list[SlotGrant]] = {}
+        for grant in self._scheduler.poll(now):
+            self._scheduler.started(grant.id, now)
+            self._held[grant.id] = _Held(grant.requester, now)
+            demand = self._open.get(grant.demand_id)
+            if demand is not None:
+                self._open[grant.demand_id] = _OpenDemand(
+                    demand.requester, demand.remaining - 1, now
+                )
+            row = SlotGrant(grant.id, grant.demand_id, grant.runner, grant.address)
+            grants.setdefault(grant.requester, []).append(row)
+        return grants
+
+    def expire(self, now: float) -> None:
+        """Drop runners and requesters that have been silent for too long."""
+        for name, reg in list(self._runners.items()):
+            if now - reg.heard_at > OWNER_LEASE_S:
+                get_logger().warning("runner_lost", runner=name, service=self._service)
+                self.release(name, now)
+        for requester, heard_at in list(self._heard.items()):
+            if now - heard_at > REQUESTER_TIMEOUT_S:
+                del self._heard[requester]
+                self._drop_demands(requester, set(), now)
+
+    def _end_leases(self, now: float) -> None:
+        """Take back the slots of runners whose owner lease has ended."""
+        self._next_lapse_at = float("inf")
+        for name, reg in self._runners.items():
+            lapses_at = reg.lease_from + OWNER_LEASE_S
+            if now >= lapses_at:
+                self._scheduler.withdraw(name, now)
+            else:
+                self._next_lapse_at = min(self._next_lapse_at, lapses_at)
+
+    def _issued_at(self, echo: str) -> float | None:
+        """Return when this process gave the answer that a runner echoes; None for another's."""
+        owner, _, issued_ms = echo.rpartition(".")
+        if owner != self._owner or not issued_ms.isdecimal():
+            return None
+        return int(issued_ms) / 1000
+
+    def load(self, now: float) -> ZoneLoad:
+        """Return what other zones need to know for their choice."""
+        return self._scheduler.zone_load(now)
+
+    def snapshot(self, now: float) -> dict[str, Any]:
+        """Return the state for the dump."""
+        runners = {
+            name: {
+                "worker": reg.announcement.worker,
+                "address": reg.announcement.address,
+                "state": "leaving" if reg.announcement.leaving else "serving",
+                "heard_s": round(now - reg.heard_at, 3),
+                "granting": now >= reg.grants_from,
+            }
+            for name, reg in sorted(self._runners.items())
+        }
+        return {**self._scheduler.snapshot(now), "announced": runners, "held": len(self._held)}
+
+    def _enqueue(self, requester: str, demand: SlotDemand, now: float) -> Failure | None:
+        known = self._open.get(demand.id)
+        if known is not None:
+            crossed = now - known.granted_at < GRANT_CROSSING_S
+            if crossed or known.remaining >= demand.count:
+                return None
+            # Grants of this demand were lost on the way, so it is taken anew with the open count.
+            self._cancel(demand.id, now)
+        failure = self._scheduler.enqueue(
+            Demand(
+                id=demand.id,
+                requester=requester,
+                service=self._service,
+                kind=demand.kind,
+                team=demand.team,
+                count=demand.count,
+                urgency=demand.urgency,
+                deadline_at=now + demand.deadline_s,
+                expected_s=demand.expected_s,
+                waited_s=demand.waited_s,
+            ),
+            now,
+        )
+        if failure is None:
+            self._open[demand.id] = _OpenDemand(requester, demand.count, 0.0)
+        return failure
+
+    def _reduce(self, cancel: SlotCancel, now: float) -> None:
+        known = self._open.get(cancel.demand)
+        if known is None or not 0 < cancel.amount < known.remaining:
+            self._cancel(cancel.demand, now)
+            return
+        self._scheduler.cancel(cancel.demand, now, cancel.amount)
+        self._open[cancel.demand] = known._replace(remaining=known.remaining - cancel.amount)
+
+    def _cancel(self, demand_id: str, now: float) -> None:
+        if self._open.pop(demand_id, None) is not None:
+            self._scheduler.cancel(demand_id, now)
+
+    def _finish(self, finish: SlotFinish, now: float) -> None:
+        if self._held.pop(finish.grant, None) is not None:
+            self._scheduler.finish(finish.grant, OUTCOMES[finish.outcome], finish.run_s, now)
+
+    def _reconcile(self, requester: str, msg: SlotDemands, now: float) -> None:
+        """Repair what lost messages left behind: demands and grants that only one side has."""
+        self._drop_demands(requester, {demand.id for demand in msg.demands}, now)
+        held = set(msg.held)
+        for grant_id, grant in list(self._held.items()):
+            crossed = now - grant.granted_at < GRANT_CROSSING_S
+            if grant.requester == requester and grant_id not in held and not crossed:
+                self._finish(SlotFinish(grant_id, OUTCOMES.index(AttemptOutcome.UNUSED), 0.0), now)
+
+    def _drop_demands(self, requester: str, keep: set[str], now: float) -> None:
+        for demand_id, demand in list(self._open.items()):
+            if demand.requester == requester and demand_id not in keep:
+                self._cancel(demand_id, now)
+
+
+def _offer(ann: Announcement) -> RunnerOffer:
+    return RunnerOffer(
+        runner=ann.runner,
+        incarnation=ann.incarnation,
+        address=ann.address,
+        worker=ann.worker,
+        slots=ann.slots,
+        connections=ann.connections,
+        busy=ann.busy,
+        is_leaving=ann.leaving,
+    )
--- a/kumquatlift/slot_client.py
+++ b/kumquatlift/slot_client.py
@@ -3,7 +3,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any, NamedTuple, Protocol
+from typing import Any
 
 from kumquatlift.blackboard import Section
 from kumquatlift.channel import Channel, Topic
@@ -11,16 +11,18 @@
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
 from kumquatlift.membership import Members, owner_of
+from kumquatlift.open_demands import OpenDemand, OwnerChanges
 from kumquatlift.scheduler import AttemptOutcome
+from kumquatlift.service_slots import OUTCOMES
 from kumquatlift.slot_messages import (
     NO_LOAD,
     SlotCancel,
+    SlotDemand,
     SlotDemands,
     SlotFinish,
     SlotGrants,
-    SlotRequest,
 )
-from kumquatlift.slot_owner import OUTCOMES
+from kumquatlift.slot_source import GrantedSlot, Place, SlotListener
 from kumquatlift.zone_choice import ZoneLoad, choose_moves, choose_zones
 
 # The owner takes back a grant that was not used within 1 s; the shorter time here leaves room for
@@ -35,76 +37,6 @@
 INTEREST_S = 30.0
 ZONE_DELAY_S = 0.001
 
-Place = tuple[str, str]
-"""Service and availability zone."""
-
-
-class GrantedSlot(NamedTuple):
-    """A slot that this process may use until ``use_by``, in monotonic seconds."""
-
-    id: str
-    place: Place
-    runner: str
-    address: str
-    use_by: float
-
-
-class SlotListener(Protocol):
-    """Whoever asked for slots."""
-
-    def slot_granted(self, slot: GrantedSlot) -> None:
-        """Take a slot; must not block."""
-
-    def slots_refused(self, count: int, failure: Failure) -> None:
-        """Learn that no zone takes a wish for this many slots."""
-
-
-class SlotSource(Protocol):
-    """Where a dispatcher gets its slots."""
-
-    def request(self, service: str, wish: SlotRequest, listener: SlotListener) -> None:
-        """Ask for slots; the listener hears of each."""
-
-    def cancel(self, demand_id: str) -> None:
-        """Withdraw what is still open of a wish."""
-
-    def finish(self, slot: GrantedSlot, outcome: AttemptOutcome, run_s: float) -> None:
-        """Give a slot back."""
-
-
-class _OpenWish:
-    """A wish that is not fully granted: open counts by zone, and zones that refused it."""
-
-    def __init__(
-        self, *, service: str, wish: SlotRequest, listener: SlotListener, asked_at: float
-    ) -> None:
-        self.service = service
-        self.wish = wish
-        self.listener = listener
-        self.asked_at = asked_at
-        self.deadline_at = asked_at + wish.deadline_s
-        self.by_zone: dict[str, int] = {}
-        self.refused: dict[str, Failure] = {}
-
-    def at(self, zone: str, now: float) -> SlotRequest:
-        """Return the wish as one zone sees it now."""
-        return self.wish._replace(
-            count=self.by_zone[zone],
-            deadline_s=max(0.0, self.deadline_at - now),
-            waited_s=now - self.asked_at,
-        )
-
-
-class _Changes:
-    """What a place's owner has not been told yet."""
-
-    def __init__(self) -> None:
-        self.demands: list[str] = []
-        self.cancelled: list[SlotCancel] = []
-        self.finished: list[SlotFinish] = []
-        self.full = False
-        self.asks_load = False
-
 
 class SlotClient:
     """Controller of the slots that this process uses.
@@ -139,9 +71,9 @@
         self._clock = clock
         self._section = section
         self._lock = threading.Lock()
-        self._wishes: dict[str, _OpenWish] = {}
+        self._open: dict[str, OpenDemand] = {}
         self._held: dict[str, GrantedSlot] = {}
-        self._changes: dict[Place, _Changes] = {}
+        self._changes: dict[Place, OwnerChanges] = {}
         self._loads: dict[Place, ZoneLoad] = {}
         self._unanswered: dict[Place, float] = {}
         self._interest: dict[str, float] = {}
@@ -156,20 +88,20 @@
         """Send changes as they come, from one executor thread."""
         self._executor.submit(self._flush_loop)
 
-    def request(self, service: str, wish: SlotRequest, listener: SlotListener) -> None:
+    def request(self, service: str, demand: SlotDemand, listener: SlotListener) -> None:
         """Ask for slots; the listener hears of each grant or of a refusal."""
         now = self._clock.now()
-        entry = _OpenWish(service=service, wish=wish, listener=listener, asked_at=now)
+        entry = OpenDemand(service=service, demand=demand, listener=listener, asked_at=now)
         with self._lock:
             self._interest[service] = now
-            self._wishes[wish.id] = entry
-            self._place(entry, wish.count)
+            self._open[demand.id] = entry
+            self._place(entry, demand.count)
         self._changed.set()
 
     def cancel(self, demand_id: str) -> None:
-        """Withdraw what is still open of a wish."""
+        """Withdraw what is still open of a demand."""
         with self._lock:
-            entry = self._wishes.pop(demand_id, None)
+            entry = self._open.pop(demand_id, None)
             if entry is None:
                 return
             for zone, count in entry.by_zone.items():
@@ -216,7 +148,7 @@
         with self._lock:
             zones = self._zones()
             for service, since in list(self._interest.items()):
-                is_used = any(wish.service == service for wish in self._wishes.values())
+                is_used = any(demand.service == service for demand in self._open.values())
                 is_used = is_used or any(slot.place[0] == service for slot in self._held.values())
                 if not is_used and now - since > INTEREST_S:
                     del self._interest[service]
@@ -231,7 +163,7 @@
         with self._lock:
             waiting = [
                 entry
-                for entry in self._wishes.values()
+                for entry in self._open.values()
                 if now - entry.asked_at >= REBALANCE_INTERVAL_S
             ]
             for entry in waiting:
@@ -255,11 +187,11 @@
     def _zones(self) -> set[str]:
         return {member.zone for member in self._members.live()}
 
-    def _at(self, place: Place) -> _Changes:
-        return self._changes.setdefault(place, _Changes())
+    def _at(self, place: Place) -> OwnerChanges:
+        return self._changes.setdefault(place, OwnerChanges())
 
-    def _place(self, entry: _OpenWish, count: int) -> bool:
-        """Divide an open count over the zones that have not refused the wish."""
+    def _place(self, entry: OpenDemand, count: int) -> bool:
+        """Divide an open count over the zones that have not refused the demand."""
         own = self._members.me.zone
         zones = {zone: self._zone_load(entry.service, zone) for zone in self._zones() | {own}}
         open_zones = {zone: load for zone, load in zones.items() if zone not in entry.refused}
@@ -271,15 +203,15 @@
                 self._add(entry, zone, part)
         return True
 
-    def _add(self, entry: _OpenWish, zone: str, count: int) -> None:
+    def _add(self, entry: OpenDemand, zone: str, count: int) -> None:
         entry.by_zone[zone] = entry.by_zone.get(zone, 0) + count
-        self._at((entry.service, zone)).demands.append(entry.wish.id)
+        self._at((entry.service, zone)).demands.append(entry.demand.id)
         load = self._loads.get((entry.service, zone))
         if load is not None:
             # Until the owner reports again, what was sent there counts as taken.
             self._loads[(entry.service, zone)] = load.after(count)
 
-    def _rebalance(self, entry: _OpenWish) -> None:
+    def _rebalance(self, entry: OpenDemand) -> None:
         """Move what waits in one zone while another has free slots.
 
         Loads are up to a second old when a job is divided, and a zone may lose its runners later.
@@ -297,7 +229,7 @@
         for zone, count in moves.items():
             entry.by_zone[zone] -= count
             change = self._at((entry.service, zone))
-            change.cancelled.append(SlotCancel(entry.wish.id, count))
+            change.cancelled.append(SlotCancel(entry.demand.id, count))
             self._section.count("moved", count)
         if moves:
             self._place(entry, sum(moves.values()))
@@ -314,7 +246,7 @@
         return load._replace(delay_s=delay)
 
     def _accept(self, demand_id: str, slot: GrantedSlot) -> SlotListener | None:
-        entry = self._wishes.get(demand_id)
+        entry = self._open.get(demand_id)
         zone = slot.place[1]
         if entry is None or entry.by_zone.get(zone, 0) <= 0:
             row = SlotFinish(slot.id, OUTCOMES.index(AttemptOutcome.UNUSED), 0.0)
@@ -322,15 +254,15 @@
             return None
         entry.by_zone[zone] -= 1
         if not any(entry.by_zone.values()):
-            del self._wishes[demand_id]
+            del self._open[demand_id]
         self._held[slot.id] = slot
         return entry.listener
 
     def _place_elsewhere(
         self, demand_id: str, zone: str, failure: Failure
     ) -> tuple[SlotListener, int] | None:
-        """Move a refused wish to another zone, or return who must hear that none takes it."""
-        entry = self._wishes.get(demand_id)
+        """Move a refused demand to another zone, or return who must hear that none takes it."""
+        entry = self._open.get(demand_id)
         if entry is None:
             return None
         count = entry.by_zone.pop(zone, 0)
@@ -338,7 +270,7 @@
         if count == 0 or self._place(entry, count):
             return None
         if not any(entry.by_zone.values()):
-            del self._wishes[demand_id]
+            del self._open[demand_id]
         return entry.listener, count
 
     def _handle_grants(self, _sender: str, body: bytes) -> None:
@@ -361,7 +293,7 @@
         for msg in messages:
             self._send(msg)
 
-    def _message(self, place: Place, change: _Changes) -> SlotDemands:
+    def _message(self, place: Place, change: OwnerChanges) -> SlotDemands:
         service, zone = place
         now = self._clock.now()
         ids = change.demands
@@ -369,12 +301,12 @@
         if change.full or change.asks_load:
             self._unanswered.setdefault(place, now)
         if change.full:
-            ids = [key for key, wish in self._wishes.items() if wish.service == service]
+            ids = [key for key, demand in self._open.items() if demand.service == service]
             held = tuple(key for key, slot in self._held.items() if slot.place == place)
         demands = tuple(
-            self._wishes[key].at(zone, now)
+            self._open[key].at(zone, now)
             for key in dict.fromkeys(ids)
-            if key in self._wishes and self._wishes[key].by_zone.get(zone, 0) > 0
+            if key in self._open and self._open[key].by_zone.get(zone, 0) > 0
         )
         return SlotDemands(
             service,
@@ -404,7 +336,7 @@
     def _snapshot(self) -> dict[str, Any]:
         with self._lock:
             return {
-                "open": len(self._wishes),
+                "open": len(self._open),
                 "held": len(self._held),
                 "loads": {
                     f"{key[0]}@{key[1]}": load._asdict() for key, load in self._loads.items()
--- a/kumquatlift/slot_messages.py
+++ b/kumquatlift/slot_messages.py
@@ -1,16 +1,15 @@
 """Messages between requesters and owners of slots, and their encoding."""
 
-from functools import cache
-from pathlib import Path
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
+from kumquatlift._schema import load_schema
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.zone_choice import FreeSlots, ZoneLoad
 
 
-class SlotRequest(NamedTuple):
-    """A wish for slots.
+class SlotDemand(NamedTuple):
+    """A request for slots.
 
     Args:
         id: Identity, unique at the requester.
@@ -20,7 +19,7 @@
         urgency: Rank of the kind's urgency; 0 goes first.
         deadline_s: Seconds until the slots are of no use any more.
         expected_s: Declared run time of one request, in seconds.
-        waited_s: Seconds that the wish has waited already, here or in another zone.
+        waited_s: Seconds that the demand has waited already, here or in another zone.
     """
 
     id: str
@@ -35,7 +34,7 @@
 
 
 class SlotCancel(NamedTuple):
-    """A wish that is withdrawn, or ``amount`` of its slots; 0 stands for all."""
+    """A demand that is withdrawn, or ``amount`` of its slots; 0 stands for all."""
 
     demand: str
     amount: int = 0
@@ -55,10 +54,10 @@
     Args:
         service: Service name.
         zone: Availability zone of the runners.
-        demands: New wishes; with ``full`` all open ones, with the counts that are still open.
-        cancelled: Wishes that are withdrawn, whole or in part.
+        demands: New demands; with ``full`` all open ones, with the counts that are still open.
+        cancelled: Demands that are withdrawn, whole or in part.
         finished: Slots given back.
-        full: Whether the owner drops every wish and grant that is not listed.
+        full: Whether the owner drops every demand and grant that is not listed.
         held: With ``full``, identities of the grants that the requester holds.
         asks_load: Whether the owner answers with the load, also when it grants nothing; a message
             with ``full`` always asks.
@@ -68,7 +67,7 @@
 
     service: str
     zone: str
-    demands: tuple[SlotRequest, ...] = ()
+    demands: tuple[SlotDemand, ...] = ()
     cancelled: tuple[SlotCancel, ...] = ()
     finished: tuple[SlotFinish, ...] = ()
     full: bool = False
@@ -78,7 +77,7 @@
 
     def to_bytes(self) -> bytes:
         """Encode as a Cap'n Proto message."""
-        msg = _schema().SlotDemands.new_message(
+        msg = load_schema("slots").SlotDemands.new_message(
             service=self.service,
             zone=self.zone,
             full=self.full,
@@ -108,9 +107,9 @@
         Raises:
             Exception: The library's own error when the bytes are not such a message.
         """
-        with _schema().SlotDemands.from_bytes(data) as msg:
+        with load_schema("slots").SlotDemands.from_bytes(data) as msg:
             demands = tuple(
-                SlotRequest(
+                SlotDemand(
                     row.id,
                     row.kind,
                     row.team,
@@ -148,7 +147,7 @@
 
 
 class SlotRefusal(NamedTuple):
-    """A wish that the owner does not take."""
+    """A demand that the owner does not take."""
 
     demand: str
     failure: Failure
@@ -159,7 +158,7 @@
 
 
 class SlotGrants(NamedTuple):
-    """Owner to requester: slots to use, refused wishes and the load of the zone."""
+    """Owner to requester: slots to use, refused demands and the load of the zone."""
 
     service: str
     zone: str
@@ -169,7 +168,7 @@
 
     def to_bytes(self) -> bytes:
         """Encode as a Cap'n Proto message."""
-        msg = _schema().SlotGrants.new_message(service=self.service, zone=self.zone)
+        msg = load_schema("slots").SlotGrants.new_message(service=self.service, zone=self.zone)
         for row, grant in zip(msg.init("grants", len(self.grants)), self.grants, strict=True):
             row.id, row.demand, row.runner, row.address = grant
         for row, refusal in zip(msg.init("refused", len(self.refused)), self.refused, strict=True):
@@ -191,7 +190,7 @@
         Raises:
             Exception: The library's own error when the bytes are not such a message.
         """
-        with _schema().SlotGrants.from_bytes(data) as msg:
+        with load_schema("slots").SlotGrants.from_bytes(data) as msg:
             grants = tuple(
                 SlotGrant(row.id, row.demand, row.runner, row.address) for row in msg.grants
             )
@@ -211,11 +210,3 @@
                 free_slots=groups,
             )
             return cls(msg.service, msg.zone, grants, refused, load)
-
-
-@cache
-def _schema() -> Any:
-    import capnp
-
-    capnp.remove_import_hook()
-    return capnp.load(str(Path(__file__).with_name("slots.capnp")))
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -13,8 +13,8 @@
 from kumquatlift.job import JobRequest, Task
 from kumquatlift.runner_client import AttemptEnd, AttemptResult, RunnerClient, RunRequest
 from kumquatlift.scheduler import AttemptOutcome
-from kumquatlift.slot_client import GrantedSlot, SlotListener
-from kumquatlift.slot_messages import SlotRequest
+from kumquatlift.slot_messages import SlotDemand
+from kumquatlift.slot_source import GrantedSlot, SlotListener
 from kumquatlift.timer import Timer
 
 DOC = Document.from_mapping(
@@ -25,17 +25,17 @@
 
 
 class Slots:
-    """Keeps wishes and records what came back."""
+    """Keeps demands and records what came back."""
 
     def __init__(self) -> None:
-        self.wishes: dict[str, tuple[SlotRequest, SlotListener]] = {}
+        self.demands: dict[str, tuple[SlotDemand, SlotListener]] = {}
         self.finished: list[AttemptOutcome] = []
 
-    def request(self, service: str, wish: SlotRequest, listener: SlotListener) -> None:
-        self.wishes[wish.id] = (wish, listener)
+    def request(self, service: str, demand: SlotDemand, listener: SlotListener) -> None:
+        self.demands[demand.id] = (demand, listener)
 
     def cancel(self, demand_id: str) -> None:
-        self.wishes.pop(demand_id, None)
+        self.demands.pop(demand_id, None)
 
     def finish(self, slot: GrantedSlot, outcome: AttemptOutcome, run_s: float) -> None:
         self.finished.append(outcome)
@@ -69,10 +69,10 @@
             section=Blackboard().section("dispatcher"),
         )
 
-    def grant(self, wish_id: str, use_by: float | None = None) -> None:
-        """Grant one slot of a wish."""
+    def grant(self, demand_id: str, use_by: float | None = None) -> None:
+        """Grant one slot of a demand."""
         slot = GrantedSlot("g", ("s", "z"), "r", "127.0.0.1:9", use_by or self.clock.now() + 60)
-        self.slots.wishes[wish_id][1].slot_granted(slot)
+        self.slots.demands[demand_id][1].slot_granted(slot)
 
 
 @pytest.fixture
@@ -102,10 +102,10 @@
             world.dispatcher.run(f"j{number}", JOB, deadline_at=deadline_at)
             for number in range(2000)
         ]
-        listeners = [listener for _, listener in world.slots.wishes.values()]
+        listeners = [listener for _, listener in world.slots.demands.values()]
         for number in range(2000):
             world.dispatcher.cancel(f"j{number}")
-        assert not world.slots.wishes
+        assert not world.slots.demands
         assert world.dispatcher.is_idle
         assert {fut.result().code for fut in futures} == {ResultCode.CANCELLED_BEFORE_START}
         late = GrantedSlot("g", ("s", "z"), "r", "127.0.0.1:9", deadline_at)
@@ -119,7 +119,7 @@
         fut = world.dispatcher.run("j", JOB, deadline_at=world.clock.now() + 60)
         world.grant("j/1", use_by=world.clock.now() - 1)
         world.grant("j/1")
-        while "j/2" not in world.slots.wishes:
+        while "j/2" not in world.slots.demands:
             wait([fut], timeout=0.01)
         world.grant("j/2")
         assert fut.result(timeout=10).is_complete
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -13,9 +13,11 @@
 from kumquatlift.failure import Failure
 from kumquatlift.membership import Member
 from kumquatlift.scheduler import AttemptOutcome
-from kumquatlift.slot_client import REBALANCE_INTERVAL_S, GrantedSlot, SlotClient, slot_owner_of
-from kumquatlift.slot_messages import SlotDemands, SlotGrants, SlotRequest
-from kumquatlift.slot_owner import OWNER_LEASE_S, RELEASED_WAIT_S, SlotOwner
+from kumquatlift.service_slots import OWNER_LEASE_S, RELEASED_WAIT_S
+from kumquatlift.slot_client import REBALANCE_INTERVAL_S, SlotClient, slot_owner_of
+from kumquatlift.slot_messages import SlotDemand, SlotDemands, SlotGrants
+from kumquatlift.slot_owner import SlotOwner
+from kumquatlift.slot_source import GrantedSlot
 from tests.fakes import FakeMembers, FakeNetwork, member
 
 DOC = Document.from_mapping(
@@ -87,9 +89,9 @@
     return Announcement("r", "1", "s", "z", "w", "127.0.0.1:9", slots, 64, busy, leaving, echo)
 
 
-def wish(wish_id: str, count: int) -> SlotRequest:
-    """Return a wish with an hour's deadline."""
-    return SlotRequest(wish_id, "k", "", count, 0, 3600.0, 0.1)
+def demand(demand_id: str, count: int) -> SlotDemand:
+    """Return a demand with an hour's deadline."""
+    return SlotDemand(demand_id, "k", "", count, 0, 3600.0, 0.1)
 
 
 def pair(network: FakeNetwork, clock: ManualClock) -> tuple[Process, Process]:
@@ -116,7 +118,7 @@
         total, used = 40, 0
         running: list[tuple[float, GrantedSlot]] = []
         for number in range(total // 4):
-            requester.client.request("s", wish(f"w{number}", 4), listener)
+            requester.client.request("s", demand(f"w{number}", 4), listener)
         for step in range(3000):
             clock.advance(0.05)
             owner.owner.announce(announcement(token_of(owner, clock), busy=len(running)))
@@ -133,14 +135,14 @@
                 running.remove(item)
                 requester.client.finish(item[1], AttemptOutcome.OK, 0.1)
         network.lost = lambda sender, receiver: False
-        assert used == total, "every wish is granted in the end"
+        assert used == total, "every demand is granted in the end"
         assert listener.refused == 0
 
     def test_new_owner_waits_for_the_lease_of_the_former_one(self) -> None:
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
         listener = Listener()
-        process.client.request("s", wish("w", 4), listener)
+        process.client.request("s", demand("w", 4), listener)
         process.client.flush()
         process.owner.announce(announcement("other-9.0"))
         for _ in range(int(OWNER_LEASE_S / 0.5)):
@@ -154,7 +156,7 @@
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
         listener = Listener()
-        process.client.request("s", wish("w", 4), listener)
+        process.client.request("s", demand("w", 4), listener)
         process.client.flush()
         process.owner.announce(announcement("other-9.0"), is_released=True)
         process.owner.announce(announcement(token_of(process, clock)))
@@ -167,7 +169,7 @@
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
         listener = Listener()
-        process.client.request("s", wish("w", 4), listener)
+        process.client.request("s", demand("w", 4), listener)
         process.client.flush()
         process.owner.announce(announcement("other-9.0", busy=3))
         for _ in range(6):
@@ -180,7 +182,7 @@
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
         listener = Listener()
-        process.client.request("s", wish("w", 1), listener)
+        process.client.request("s", demand("w", 1), listener)
         process.client.flush()
         answer = process.owner.announce(announcement(""))
         assert not isinstance(answer, Failure)
@@ -195,7 +197,7 @@
         process.owner.announce(stale)
         clock.advance(OWNER_LEASE_S)
         listener = Listener()
-        process.client.request("s", wish("w", 1), listener)
+        process.client.request("s", demand("w", 1), listener)
         process.owner.announce(stale)
         process.client.flush()
         assert not listener.slots
@@ -214,7 +216,7 @@
             else:
                 clock.advance(OWNER_LEASE_S + 0.1)
                 process.owner.tick()
-            process.client.request("s", wish("w", 1), listener)
+            process.client.request("s", demand("w", 1), listener)
             process.client.flush()
             assert not listener.slots
 
@@ -225,7 +227,7 @@
         without = Process(south, [north], network, clock)
         with_runner.owner.announce(announcement(token_of(with_runner, clock)))
         listener = Listener()
-        without.client.request("s", wish("w", 2), listener)
+        without.client.request("s", demand("w", 2), listener)
         without.client.flush()
         assert not listener.slots
         for _ in range(2):
@@ -244,12 +246,12 @@
         )
         listener = Listener()
         far.owner.announce(announcement(token_of(far, clock))._replace(zone="y"))
-        near.client.request("s", wish("first", 1), listener)
+        near.client.request("s", demand("first", 1), listener)
         near.client.flush()
         near.client.send_state()
         near.client.flush()
         network.lost = lambda sender, receiver: sender == "b"
-        near.client.request("s", wish("second", 2), listener)
+        near.client.request("s", demand("second", 2), listener)
         near.client.flush()
         granted = len(listener.slots)
         near.owner.announce(announcement(token_of(near, clock)))
@@ -266,10 +268,10 @@
         process, _ = pair(FakeNetwork(), clock)
         process.owner.announce(announcement(token_of(process, clock)))
         cancelled, other = Listener(), Listener()
-        process.client.request("s", wish("first", 4), cancelled)
+        process.client.request("s", demand("first", 4), cancelled)
         process.client.cancel("first")
         process.client.flush()
-        process.client.request("s", wish("second", 4), other)
+        process.client.request("s", demand("second", 4), other)
         process.client.flush()
         assert not cancelled.slots
         assert len(other.slots) == 4
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -12,11 +12,11 @@
 from kumquatlift.document import Document
 from kumquatlift.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
 from kumquatlift.slot_messages import (
+    SlotDemand,
     SlotDemands,
     SlotFinish,
     SlotGrant,
     SlotGrants,
-    SlotRequest,
 )
 from tests.simulated_gossip import SimulatedGossip
 from tools.measure_claims import measure_memory
@@ -118,7 +118,7 @@
 
 def _demands(count: int) -> SlotDemands:
     demands = tuple(
-        SlotRequest(f"job-{n}/1", "k", "team-1", TASKS_PER_JOB, 1, 30.0, 0.3) for n in range(count)
+        SlotDemand(f"job-{n}/1", "k", "team-1", TASKS_PER_JOB, 1, 30.0, 0.3) for n in range(count)
     )
     finished = tuple(SlotFinish(f"owner/s@z/{n}", 0, 0.3) for n in range(TASKS_PER_JOB * count))
     return SlotDemands("s", "z", demands, (), finished)
