Answer a caller once the backup holds the outcome

Cause: an entry process that was killed right after its answer left a backup without the outcome, so a resubmission got 4005 owner-lost although the caller had seen the job complete. Change: the answer is published when the backup has acknowledged the outcome, or cannot be reached. Three router tests deliver the messages of the copy first; one of them checks that nothing is answered before. A new test kills the writer after the answer. Ruled out: copying the outcome after the answer with a higher priority, which only narrows the window. The cost is one round trip a job, shared by group commit; it was not measured apart. Conclusion: kept; a caller and a later question now get the same answer after the loss of the writer.

--- a/kumquatlift/claims.py
+++ b/kumquatlift/claims.py
@@ -69,6 +69,7 @@
         self._close_at: dict[LedgerId, float] = {}
         self._suspects: dict[str, float] = {}
         self._futures: dict[Place, Future[Claim | None]] = {}
+        self._outcomes: dict[LedgerId, dict[str, Future[None]]] = {}
         self._answers = AnswerBudget(max_bytes=limits.max_answer_bytes)
         channel.handle(Topic.LEDGER_FENCE, self._on_fence)
 
@@ -122,14 +123,24 @@
             self._pump(ledger)
         return fut
 
-    def finish(self, place: Place, code: ResultCode, answer: bytes) -> None:
-        """Store the outcome of a job and copy it to the backup."""
+    def finish(self, place: Place, code: ResultCode, answer: bytes) -> Future[None]:
+        """Store the outcome of a job and copy it to the backup.
+
+        Returns:
+            A future that ends when the backup holds the outcome or cannot be reached, so that an
+            answer given then outlives the loss of this process.
+        """
+        fut: Future[None] = Future()
         with self._lock:
             ledger = self._ledgers[place.ledger]
             claim = ledger.finish(place.key, int(code), answer)
             self._answers.keep(claim)
+            self._outcomes.setdefault(ledger.id, {})[place.key] = fut
         self._repair.add(ledger.id, Batch([claim.record(place.key)], False))
         self._pump(ledger)
+        if ledger.is_orphaned:
+            self._end_outcomes(ledger, all_of_them=True)
+        return fut
 
     def leave(self) -> None:
         """Close every ledger and open no more."""
@@ -295,11 +306,23 @@
             get_logger().warning("append_unknown", ledger=str(ledger.id), reason=reply.reason)
         for claim, fut in settled:
             fut.set_result(claim)
+        self._end_outcomes(ledger, all_of_them=isinstance(reply, Failure) or ledger.is_orphaned)
         if not isinstance(reply, Failure):
             self._pump(ledger)
         if not ledger.is_open:
             self._ensure_ledger()
 
+    def _end_outcomes(self, ledger: Ledger, *, all_of_them: bool) -> None:
+        """Complete the futures of outcomes that the backup holds, or of all when it is lost."""
+        with self._lock:
+            waiting = self._outcomes.get(ledger.id, {})
+            pending = set() if all_of_them else ledger.pending_keys
+            done = [waiting.pop(key) for key in list(waiting) if key not in pending]
+            if not waiting:
+                self._outcomes.pop(ledger.id, None)
+        for fut in done:
+            fut.set_result(None)
+
     def _on_fence(self, sender: str, body: bytes) -> bytes | None:
         id = LedgerId.parse(body.decode())
         with self._lock:
--- a/kumquatlift/job_authority.py
+++ b/kumquatlift/job_authority.py
@@ -236,8 +236,11 @@
 
     def _finish(self, job: _Job, answer: JobAnswer) -> None:
         data = answer.to_bytes()
-        self._claims.finish(job.place, answer.code, data)
-        self._settle(job, JobResponse(ReplyKind.ANSWER, job.id, job.digest, data))
+        reply = JobResponse(ReplyKind.ANSWER, job.id, job.digest, data)
+        # The answer is given once the backup holds it: a later question gets the same one, also
+        # when this process is lost right after it.
+        copied = self._claims.finish(job.place, answer.code, data)
+        copied.add_done_callback(lambda _: self._settle(job, reply))
 
     def _settle(self, job: _Job, reply: JobResponse) -> None:
         with self._lock:
--- a/kumquatlift/ledger.py
+++ b/kumquatlift/ledger.py
@@ -39,6 +39,12 @@
         sealed = self.is_open or self.is_sealed or self.is_fenced
         return self.is_orphaned or (not self._queue and self._batch is None and sealed)
 
+    @property
+    def pending_keys(self) -> set[str]:
+        """Keys with a record that the backup has not acknowledged."""
+        in_flight = self._batch.records if self._batch is not None else []
+        return {record.key for record in (*in_flight, *self._queue)}
+
     def standing(self, key: str) -> Standing:
         """Tell what the writer knows about a key."""
         claim = self.claims.get(key)
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -66,9 +66,23 @@
     def test_an_answer_that_was_pushed_and_lost_is_polled(self) -> None:
         fut = self.submit("d" if self.ledger.backup != "d" else "c", self.id)
         self.node("a").executor.finish(self.id)
-        self.cluster.network.messages.clear()
+        network = self.cluster.network
+        while not self.node("a").router.is_idle:
+            # The outcome reaches the backup; the answer is pushed after that.
+            network.deliver(network.deliverable()[0])
+        network.messages.clear()
+        assert not fut.done()
         assert self.code(fut) is ResultCode.COMPLETE
 
+    def test_an_answer_that_a_caller_has_outlives_the_loss_of_the_writer(self) -> None:
+        """Guards against an outcome that is answered before its copy is confirmed."""
+        fut = self.submit("a", self.id)
+        self.node("a").executor.finish(self.id)
+        assert not fut.done()
+        assert self.code(fut) is ResultCode.COMPLETE
+        self.cluster.crash("a")
+        assert self.code(self.submit(self.others[0], self.id)) is ResultCode.COMPLETE
+
     def test_the_same_id_with_another_payload_is_refused(self) -> None:
         self.submit("a", self.id)
         assert self.code(self.submit("b", self.id, OTHER)) is ResultCode.ID_REUSED
@@ -77,6 +91,7 @@
         fut = self.submit("a", "")
         (job_id,) = self.starts
         self.node("a").executor.finish(job_id)
+        self.cluster.settle()
         assert fut.result(timeout=0) == (job_id, expected_answer(REQ))
 
     def test_an_id_that_is_not_valid_is_refused_under_its_own_text(self) -> None:
@@ -207,6 +222,7 @@
         a.submit(f"{ledger}.k", REQ, deadline_at=1e6)
         cluster.settle()
         cluster.nodes["a"].executor.finish(f"{ledger}.k")
+        cluster.settle()
         fut = a.submit(f"{ledger}.k", REQ, deadline_at=1e6)
         assert fut.result(timeout=0).answer.code is ResultCode.RECORD_LOST
         assert self.starts == [f"{ledger}.k"]
