--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,8 @@
 	for doc in examples/*/document.toml; do build/kumquatlift check $$doc || exit 1; done
 	$(PY) -m tools.check_build
 
-lock:
+lock: setup
+	$(PY) -m pip install --quiet --disable-pip-version-check uv
 	$(PY) -m uv pip compile --quiet --no-header --no-annotate --no-emit-index-url --extra dev pyproject.toml -o requirements.lock
 
 clean:
--- a/tools/measure_entry.py
+++ b/tools/measure_entry.py
@@ -34,17 +34,20 @@
     path.write_text(tomli_w.dumps(source))
 
 
-def _cpu_s(pid: int) -> float:
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
     fields = Path(f"/proc/{pid}/stat").read_text().split()
     return (int(fields[13]) + int(fields[14])) / os.sysconf("SC_CLK_TCK")
 
 
-def _rss_kb(pid: int) -> int:
+def rss_kb(pid: int) -> int:
+    """Return the resident memory of a process in kB."""
     lines = Path(f"/proc/{pid}/status").read_text().splitlines()
     return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS"))
 
 
-def _job(kind: str) -> dict[str, object]:
+def job(kind: str) -> dict[str, object]:
+    """Return a job of short tasks."""
     tasks = [{"id": f"t{number}", "body": {"run_ms": RUN_MS}} for number in range(TASKS_PER_JOB)]
     return {"service": "s", "kind": kind, "tasks": tasks}
 
@@ -56,7 +59,7 @@
 
     def client(number: int) -> None:
         while time.monotonic() < until:
-            reply = call(address, "POST", "/v1/jobs", payload=_job(kind))
+            reply = call(address, "POST", "/v1/jobs", payload=job(kind))
             if not isinstance(reply, Failure) and reply.get("code") == 1000:
                 done[number] += 1
 
@@ -85,13 +88,13 @@
                 )
             cluster.wait_until_started()
             address = cluster.callers[0]
-            wait_for(lambda: _run_one(address), "a job is complete")
+            wait_for(lambda: run_one(address), "a job is complete")
             pid = cluster.pid("a-1")
             slopes = [_idle_slope(cluster, pid)]
             for size in BATCHES:
-                before, start = _cpu_s(pid), time.monotonic()
+                before, start = cpu_s(pid), time.monotonic()
                 tasks = _run_clients(address, f"batch-{size}") * TASKS_PER_JOB
-                spent, elapsed = _cpu_s(pid) - before, time.monotonic() - start
+                spent, elapsed = cpu_s(pid) - before, time.monotonic() - start
                 points.append((1 / size, spent / max(tasks, 1) * 1e6))
                 print(
                     json.dumps(
@@ -100,7 +103,7 @@
                             "tasks_per_s": round(tasks / elapsed),
                             "cores": round(spent / elapsed, 2),
                             "cpu_us_per_task": round(points[-1][1]),
-                            "rss_kb": _rss_kb(pid),
+                            "rss_kb": rss_kb(pid),
                         }
                     )
                 )
@@ -115,9 +118,9 @@
             cluster.start_runners(f"idle-{added}", service="s", zone="a", copies=added)
             cluster.wait_until_started()
             time.sleep(SETTLE_S)
-        before, start = _cpu_s(pid), time.monotonic()
+        before, start = cpu_s(pid), time.monotonic()
         time.sleep(IDLE_S)
-        share = (_cpu_s(pid) - before) / (time.monotonic() - start)
+        share = (cpu_s(pid) - before) / (time.monotonic() - start)
         points.append((len(cluster.runners), share * 100))
     for name in ("idle-12", "idle-24"):
         cluster.kill(name)
@@ -125,8 +128,9 @@
     return Slope.fit("entry: idle processor time, by runners", "% of a core per runner", points)
 
 
-def _run_one(address: str) -> bool:
-    reply = call(address, "POST", "/v1/jobs", payload=_job("batch-1"))
+def run_one(address: str) -> bool:
+    """Submit one job; tell whether it was complete."""
+    reply = call(address, "POST", "/v1/jobs", payload=job("batch-1"))
     return not isinstance(reply, Failure) and reply.get("code") == 1000
 
 
