--- a/kumquatlift/_lanes.py
+++ b/kumquatlift/_lanes.py
@@ -3,10 +3,10 @@
 import threading
 from collections import deque
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 
 from kumquatlift._envelope import Envelope, Kind
-from kumquatlift.channel import Handler
+from kumquatlift.channel import Handler, LateHandler
 from kumquatlift.log import get_logger
 
 MAX_QUEUE = 2000
@@ -25,7 +25,7 @@
         self._workers = workers
         self._lanes: dict[str, Lane] = {}
 
-    def register(self, topic: str, handler: Handler, workers: int | None) -> None:
+    def register(self, topic: str, handler: Handler | LateHandler, workers: int | None) -> None:
         """Set the handler of a topic."""
         self._lanes[topic] = Lane(topic=topic, handler=handler, workers=workers or self._workers)
 
@@ -55,7 +55,7 @@
         workers: Handlers that run at a time.
     """
 
-    def __init__(self, *, topic: str, handler: Handler, workers: int) -> None:
+    def __init__(self, *, topic: str, handler: Handler | LateHandler, workers: int) -> None:
         self._topic = topic
         self._handler = handler
         self._workers = workers
@@ -98,5 +98,8 @@
         except Exception as exc:
             get_logger().error("handler_failed", topic=self._topic, peer=sender, error=repr(exc))
             answer(Kind.FAILED, repr(exc)[:200].encode())
+            return
+        if isinstance(reply, Future):
+            reply.add_done_callback(lambda fut: answer(Kind.ANSWER, fut.result()))
         else:
             answer(Kind.ANSWER, reply or b"")
--- /dev/null
+++ b/kumquatlift/authority/__init__.py
@@ -0,0 +1,47 @@
+"""Jobs, upstreams and configuration under one leader."""
+
+from kumquatlift.authority._api import Operation, Reply, Request
+from kumquatlift.authority._authority import Authority
+from kumquatlift.authority._client import LeaderClient, authority_handler
+from kumquatlift.authority._commands import EndHow, TaskEnd, TaskKey, UpstreamState
+from kumquatlift.authority._leader import Limits
+from kumquatlift.authority._orders import (
+    LookAnswer,
+    LookOrder,
+    OrderAnswer,
+    OrderResult,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    UpstreamGateway,
+    UpstreamRef,
+)
+from kumquatlift.authority._serving import Queue, ServingConfig
+from kumquatlift.authority._work import JobSpec, Step
+
+__all__ = [
+    "Authority",
+    "EndHow",
+    "JobSpec",
+    "LeaderClient",
+    "Limits",
+    "LookAnswer",
+    "LookOrder",
+    "Operation",
+    "OrderAnswer",
+    "OrderResult",
+    "Queue",
+    "Reply",
+    "Request",
+    "RunningTask",
+    "ServingConfig",
+    "StartOrder",
+    "Step",
+    "StopOrder",
+    "TaskEnd",
+    "TaskKey",
+    "UpstreamGateway",
+    "UpstreamRef",
+    "UpstreamState",
+    "authority_handler",
+]
--- /dev/null
+++ b/kumquatlift/authority/_admission.py
@@ -0,0 +1,88 @@
+"""Decides whether a submitted job is taken: a pure function of the load and a clock.
+
+Load pattern: a burst of 1.3 to 1.8 times the usual load for some seconds. Without a limit the queue
+grows until every job misses its objective; with it, jobs that are taken are served in time, and the
+others learn at once when to come back.
+"""
+
+from typing import NamedTuple
+
+# A job is taken while it is expected to be complete within this share of the time after which it is
+# of no use. Beyond it the run times' spread makes the outcome a matter of luck.
+TAKE_SHARE = 0.6
+# Returning callers are spread over this share of the wait, so that they do not come back together.
+RETRY_SPREAD = 0.5
+MIN_RETRY_MS = 100
+
+
+class Load(NamedTuple):
+    """What waits and runs for a service.
+
+    Args:
+        slots: Tasks of the usual size that the usable upstreams can run at a time.
+        speed: Mean speed of the usable upstreams.
+        backlog_ms: Run time at speed 1 of all tasks that wait before the new job, and of what is
+            left of those that run.
+    """
+
+    slots: float
+    speed: float
+    backlog_ms: float
+
+
+class Ask(NamedTuple):
+    """A job that asks to be taken.
+
+    Args:
+        work_ms: Run time of all its tasks together at speed 1.
+        chain_ms: Run time of its longest chain at speed 1.
+        objective_ms: Time in which it should be complete.
+        late_ms: Time after which it is of no use.
+    """
+
+    work_ms: float
+    chain_ms: float
+    objective_ms: float
+    late_ms: float
+
+
+class Verdict(NamedTuple):
+    """Whether a job is taken.
+
+    Args:
+        is_taken: Whether it is.
+        wait_ms: Time that it is expected to wait for room.
+        retry_after_ms: When the caller should come back, if it is not taken.
+    """
+
+    is_taken: bool
+    wait_ms: float
+    retry_after_ms: int = 0
+
+
+def judge(ask: Ask, load: Load, spread: float) -> Verdict:
+    """Return whether a job is taken.
+
+    Args:
+        ask: The job.
+        load: The load of its service.
+        spread: A number from 0 to 1 that differs from caller to caller.
+    """
+    if load.slots <= 0:
+        return Verdict(False, ask.late_ms, retry_after(ask.late_ms, spread))
+    wait_ms = load.backlog_ms / (load.slots * load.speed)
+    finish_ms = wait_ms + ask.chain_ms / load.speed
+    if finish_ms <= ask.objective_ms + TAKE_SHARE * (ask.late_ms - ask.objective_ms):
+        return Verdict(True, wait_ms)
+    excess_ms = finish_ms - ask.objective_ms
+    return Verdict(False, wait_ms, retry_after(excess_ms, spread))
+
+
+def retry_after(excess_ms: float, spread: float) -> int:
+    """Return when a caller should come back, in milliseconds.
+
+    Args:
+        excess_ms: Time after which the present load will have passed.
+        spread: A number from 0 to 1 that differs from caller to caller.
+    """
+    return int(max(MIN_RETRY_MS, excess_ms * (1 + RETRY_SPREAD * spread)))
--- /dev/null
+++ b/kumquatlift/authority/_leader.py
@@ -0,0 +1,360 @@
+"""The part of an instance that leads: it owns the upstreams and the open jobs."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from kumquatlift.authority._admission import Ask, Load, Verdict, judge
+from kumquatlift.authority._commands import (
+    Command,
+    CommandKind,
+    TaskEnd,
+    TaskKey,
+    UpstreamState,
+)
+from kumquatlift.authority._estimates import Estimates
+from kumquatlift.authority._fleet import MAX_CLOCK_SLOWNESS, Run, Upstream
+from kumquatlift.authority._orders import UpstreamGateway
+from kumquatlift.authority._progress import LATE_FACTOR, Progress
+from kumquatlift.authority._runs import Runs
+from kumquatlift.authority._scheduler import Scheduler
+from kumquatlift.authority._serving import Queue
+from kumquatlift.authority._state import State
+from kumquatlift.authority._watch import FORGET_S, Watch
+from kumquatlift.authority._work import Job, JobSpec
+from kumquatlift.blackboard import Section
+from kumquatlift.clock import Clock
+from kumquatlift.log import get_logger
+from kumquatlift.store import EventLoop
+
+# Time for an order of an earlier leader to be carried out after its lease was computed.
+RECOVERY_MARGIN_S = 0.15
+# Fencing tokens of one leader: lives of one upstream that it can tell apart.
+LIVES_PER_TERM = 1 << 16
+
+
+class Limits(NamedTuple):
+    """Bounds of the platform that the leader works with.
+
+    Args:
+        lease_s: Longest lease that an upstream accepts, in seconds.
+        remote_factor: Run time on another rack than the data's, as a multiple.
+        keep_s: Time for which the state of an ended job is kept, in seconds.
+    """
+
+    lease_s: float = 1.0
+    remote_factor: float = 2.0
+    keep_s: float = 150.0
+
+
+class Leader:
+    """Everything that only the leader does; made anew for each term.
+
+    Args:
+        term: Term of this leader.
+        state: Replicated state.
+        gateway: Carries orders to upstreams.
+        loop: Event loop; all methods run in its thread.
+        clock: Source of time.
+        limits: Bounds of the platform.
+        propose: Appends a command to the log and returns its index, or None.
+        may_order: Whether this instance still leads with a lease.
+        section: Section of the blackboard.
+    """
+
+    def __init__(
+        self,
+        *,
+        term: int,
+        state: State,
+        gateway: UpstreamGateway,
+        loop: EventLoop,
+        clock: Clock,
+        limits: Limits,
+        propose: Callable[[Command], int | None],
+        may_order: Callable[[], bool],
+        section: Section,
+    ) -> None:
+        self._term = term
+        self._state = state
+        self._clock = clock
+        self._limits = limits
+        self._propose = propose
+        self._may_order = may_order
+        self._section = section
+        self.fleet: dict[str, Upstream] = {}
+        self.progress: dict[str, Progress] = {}
+        self.estimates = Estimates()
+        self._lives = 0
+        self._arrivals = 0
+        self._heard_at: dict[str, float] = {}
+        self._new_ends: list[tuple[Upstream, list[TaskEnd]]] = []
+        # Newest listed end of each upstream, by the index of the command that makes it durable.
+        self._open_ends: dict[int, list[tuple[Upstream, int]]] = {}
+        self._recovers_until = clock.now() + RECOVERY_MARGIN_S
+        self._recovers_until += limits.lease_s / (1 - MAX_CLOCK_SLOWNESS)
+        self._is_recovering = True
+        self._forgot_at = clock.now()
+        self.runs = Runs(
+            state=state,
+            fleet=self.fleet,
+            progress=self.progress,
+            estimates=self.estimates,
+            gateway=gateway,
+            loop=loop,
+            clock=clock,
+            lease_s=limits.lease_s,
+            may_order=may_order,
+            section=section,
+        )
+        self._watch = Watch(
+            state=state,
+            fleet=self.fleet,
+            progress=self.progress,
+            runs=self.runs,
+            gateway=gateway,
+            clock=clock,
+            lease_s=limits.lease_s,
+            may_order=may_order,
+            log_ends=self._log_ends,
+            section=section,
+        )
+        self._scheduler = Scheduler(
+            fleet=self.fleet,
+            progress=self.progress,
+            runs=self.runs,
+            clock=clock,
+            remote_factor=limits.remote_factor,
+        )
+
+    def begin(self) -> None:
+        """Take over the upstreams and open jobs of the replicated state."""
+        now = self._clock.now()
+        for upstream in self._state.upstreams.values():
+            self._heard_at[upstream.upstream_id] = now
+            self._add_upstream(upstream)
+        for job in self._state.jobs.values():
+            if job.is_open:
+                self._add_job(job)
+        get_logger().info(
+            "leader_begins",
+            term=self._term,
+            upstreams=len(self.fleet),
+            open_jobs=len(self.progress),
+            config=self._state.routing.cfg.version,
+        )
+
+    # Jobs
+
+    def judge(self, queue: Queue, spec: JobSpec) -> Verdict:
+        """Decide whether a submitted job is taken."""
+        now = self._clock.now()
+        expected = self._expected(queue.key, spec)
+        chain = max(expected, default=0.0)
+        objective_ms = queue.slack_factor * chain + queue.target_ms
+        work = sum(step.tasks * ms for step, ms in zip(spec.steps, expected, strict=True))
+        cpu = max((step.cpu_milli for step in spec.steps), default=0)
+        load = self._load(queue.service, cpu, now + (objective_ms - chain) / 1000)
+        ask = Ask(work, chain, objective_ms, LATE_FACTOR * objective_ms)
+        return judge(ask, load, random.random())
+
+    def _expected(self, queue: str, spec: JobSpec) -> tuple[float, ...]:
+        return tuple(self.estimates.expected_ms(queue, step.estimate_ms) for step in spec.steps)
+
+    def _load(self, service: str, cpu_milli: int, start_by: float) -> Load:
+        """Return the load that a job meets which must start by a time."""
+        now = self._clock.now()
+        usable = [
+            upstream
+            for upstream in self.fleet.values()
+            if upstream.state.service == service and upstream.is_usable(now)
+        ]
+        slots = sum(upstream.state.cpu_milli // max(1, cpu_milli) for upstream in usable)
+        speeds = [upstream.speed for upstream in usable]
+        free = sum(max(0, upstream.room.cpu_milli) // max(1, cpu_milli) for upstream in usable)
+        ahead_ms = 0.0
+        for progress in self.progress.values():
+            if progress.waiting and progress.queue and progress.queue.service == service:
+                latest = progress.objective_at - progress.chain_ms / 1000
+                if latest <= start_by and progress.late_at > now:
+                    ahead_ms += progress.waiting_ms
+        if not free:
+            ahead_ms += sum(
+                0.25 * run.expected_ms for upstream in usable for run in upstream.runs.values()
+            )
+        return Load(slots, sum(speeds) / len(speeds) if speeds else 1.0, ahead_ms)
+
+    def add_job(self, job: Job) -> None:
+        """Begin a job whose command was committed."""
+        if job.is_open and job.job_id not in self.progress:
+            self._add_job(job)
+
+    def _add_job(self, job: Job) -> None:
+        queue = self._state.routing.by_key.get(job.queue)
+        expected = self._expected(job.queue, job.spec)
+        age_s = max(0.0, (self._state.wall_ms() - job.accepted_at_ms) / 1000)
+        self._arrivals += 1
+        progress = Progress(
+            job=job,
+            queue=queue,
+            term=self._term,
+            expected_ms=expected,
+            now=self._clock.now(),
+            age_s=age_s,
+            arrived=self._arrivals,
+        )
+        self.progress[job.job_id] = progress
+        if not self._is_recovering or job.term == self._term:
+            self.runs.release(progress)
+
+    def on_cancelled(self, job: Job) -> None:
+        """Stop what runs of a cancelled job."""
+        progress = self.progress.get(job.job_id)
+        if progress is not None:
+            self.runs.close(progress)
+
+    def pending(self, queue: str) -> int:
+        """Return the number of jobs of a queue of which no task has started."""
+        return sum(
+            1
+            for progress in self.progress.values()
+            if progress.job.queue == queue and not progress.job.is_started
+        )
+
+    # Configuration
+
+    def on_config(self) -> None:
+        """Find the queues of all open jobs in the new configuration."""
+        for progress in self.progress.values():
+            progress.queue = self._state.routing.by_key.get(progress.job.queue, progress.queue)
+
+    # Upstreams
+
+    def hear(self, upstream_id: str) -> None:
+        """Take note that an upstream announced itself."""
+        self._heard_at[upstream_id] = self._clock.now()
+
+    def on_upstream(self, state: UpstreamState) -> None:
+        """Take note of a committed change of an upstream."""
+        known = self.fleet.get(state.upstream_id)
+        if known is not None and known.state.born_ms == state.born_ms:
+            known.state = state
+        else:
+            former = known.runs if known is not None else {}
+            self._add_upstream(state, former)
+        for other in list(self.fleet.values()):
+            is_former = other.state.address == state.address
+            if is_former and other.state.born_ms < state.born_ms:
+                # Another process now has its address, so it runs nothing any more.
+                self.runs.free_all(other, "address_reused")
+                self._remove(other.state.upstream_id)
+                self._propose_left(other.state)
+
+    def _add_upstream(self, state: UpstreamState, former: dict[TaskKey, Run] | None = None) -> None:
+        self._lives += 1
+        token = self._term * LIVES_PER_TERM + self._lives
+        now = self._clock.now()
+        upstream = Upstream(state=state, token=token, now=now, lease_s=self._limits.lease_s)
+        upstream.former = former or {}
+        self.fleet[state.upstream_id] = upstream
+        get_logger().info(
+            "upstream_added",
+            upstream=state.upstream_id,
+            address=state.address,
+            zone=state.zone,
+            cpu_milli=state.cpu_milli,
+            token=token,
+        )
+        self._watch.pump(upstream)
+
+    def on_left(self, upstream_id: str) -> None:
+        """Take note that an upstream has left for good."""
+        upstream = self.fleet.get(upstream_id)
+        if upstream is None:
+            return
+        if upstream.runs and not upstream.is_lease_over(self._clock.now()):
+            # It may have sent this before its last tasks ended; the watch frees them in time.
+            upstream.state = upstream.state._replace(is_draining=True)
+            return
+        self.runs.free_all(upstream, "left")
+        self._remove(upstream_id)
+
+    def _remove(self, upstream_id: str) -> None:
+        self.fleet.pop(upstream_id, None)
+        get_logger().info("upstream_removed", upstream=upstream_id)
+
+    def _propose_left(self, state: UpstreamState) -> None:
+        fields = {"upstream": state.upstream_id, "born_ms": state.born_ms}
+        self._propose(Command(CommandKind.UPSTREAM_LEFT, fields))
+
+    def _forget_silent(self, now: float) -> None:
+        for upstream in list(self.fleet.values()):
+            upstream_id = upstream.state.upstream_id
+            is_gone = upstream_id not in self._state.upstreams and not upstream.runs
+            silent_since = upstream.silent_since
+            heard_at = self._heard_at.get(upstream_id, now)
+            if is_gone:
+                self._remove(upstream_id)
+            elif silent_since and now - max(silent_since, heard_at) > FORGET_S:
+                self._propose_left(upstream.state)
+
+    # Ends
+
+    def _log_ends(self, upstream: Upstream, ends: list[TaskEnd]) -> None:
+        self._new_ends.append((upstream, ends))
+
+    def _propose_ends(self) -> None:
+        batch, self._new_ends = self._new_ends, []
+        rows = [[*end.task, end.run, end.how, end.saved] for _, ends in batch for end in ends]
+        command = Command(CommandKind.ENDS, {"at_ms": self._state.wall_ms(), "ends": rows})
+        index = self._propose(command)
+        if index is not None:
+            self._open_ends[index] = [(upstream, upstream.listed_end) for upstream, _ in batch]
+
+    def on_ends(self, index: int, ends: tuple[TaskEnd, ...]) -> None:
+        """Take note that ends are durable."""
+        now = self._clock.now()
+        for end in ends:
+            self.runs.on_end_committed(end)
+        for upstream, number in self._open_ends.pop(index, ()):
+            upstream.durable_end = max(upstream.durable_end, number)
+            upstream.durable_at = now
+            self._watch.pump(upstream)
+
+    # Time
+
+    def flush(self) -> None:
+        """Commit what was listed and place what waits, after a batch of events."""
+        if self._new_ends:
+            self._propose_ends()
+        if self.runs.needs_placing and self._may_order():
+            self._scheduler.run()
+
+    def tick(self) -> None:
+        """Do what time brings."""
+        now = self._clock.now()
+        self._watch.tick()
+        if self._is_recovering:
+            is_complete = all(upstream.is_known for upstream in self.fleet.values())
+            if now >= self._recovers_until or (is_complete and self.fleet):
+                self._end_recovery()
+        for progress in self.runs.unreleased():
+            self.runs.release(progress)
+        self._forget_silent(now)
+        if now - self._forgot_at > self._limits.keep_s / 4:
+            self._forgot_at = now
+            before_ms = self._state.wall_ms() - int(self._limits.keep_s * 1000)
+            self._propose(Command(CommandKind.FORGET, {"ended_before_ms": before_ms}))
+        self.runs.needs_placing = True
+
+    def _end_recovery(self) -> None:
+        self._is_recovering = False
+        get_logger().info(
+            "recovery_ended",
+            term=self._term,
+            open_jobs=len(self.progress),
+            known=sum(1 for upstream in self.fleet.values() if upstream.is_known),
+            upstreams=len(self.fleet),
+        )
+        for progress in list(self.progress.values()):
+            self.runs.release(progress)
--- /dev/null
+++ b/kumquatlift/authority/_orders.py
@@ -0,0 +1,153 @@
+"""Orders to upstreams and their answers, without the words of any protocol."""
+
+from collections.abc import Callable
+from enum import Enum, auto
+from typing import NamedTuple, Protocol
+
+from kumquatlift.authority._commands import TaskEnd, TaskKey
+
+
+class UpstreamRef(NamedTuple):
+    """The life of an upstream that an order is meant for.
+
+    Args:
+        upstream_id: Identity.
+        born_ms: Start of the life; an answer of another life is not taken.
+        address: Where it takes orders.
+        token: Fencing token.
+    """
+
+    upstream_id: str
+    born_ms: int
+    address: str
+    token: int
+
+
+class StartOrder(NamedTuple):
+    """Start a task.
+
+    Args:
+        task: The task.
+        run: Number of the run.
+        payload: Text of the job.
+        lease_end_ms: End of the upstream's lease, on its own clock.
+        saved: Progress to resume from; empty for none.
+        ticket: Permission of the advice service; empty for none.
+    """
+
+    task: TaskKey
+    run: int
+    payload: str
+    lease_end_ms: int
+    saved: str = ""
+    ticket: str = ""
+
+
+class StopOrder(NamedTuple):
+    """Stop a run, or bar it when it has not come yet."""
+
+    task: TaskKey
+    run: int
+
+
+class LookOrder(NamedTuple):
+    """List what runs and what has ended.
+
+    Args:
+        acked_end: Ends up to this number are durable here.
+        lease_end_ms: End of the upstream's lease, on its own clock; 0 to leave it.
+        wait_ms: How long the answer may wait for an end.
+    """
+
+    acked_end: int
+    lease_end_ms: int
+    wait_ms: int
+
+
+class OrderResult(Enum):
+    """What became of an order."""
+
+    OK = auto()
+    FENCED = auto()
+    """The upstream has seen a higher token."""
+    STALE_RUN = auto()
+    """The run has ended or was barred."""
+    LEASE_PASSED = auto()
+    """The lease of the order had ended when it came."""
+    NO_ROOM = auto()
+    NO_TICKET = auto()
+    OTHER_LIFE = auto()
+    """Another life of the upstream is there; the one that was meant runs nothing."""
+    BORN_AGAIN = auto()
+    """A later life with the same identity answered; what it did cannot be told."""
+    REFUSED = auto()
+    """The upstream says that it is not healthy, and did nothing."""
+    MALFORMED = auto()
+    """The upstream does not understand the order."""
+    NOT_SENT = auto()
+    """No connection could be opened, so the order never left."""
+    UNKNOWN = auto()
+    """No answer; the order may have been carried out, or may be later."""
+
+
+class OrderAnswer(NamedTuple):
+    """Answer to a start or a stop.
+
+    Args:
+        result: What became of it.
+        clock_ms: Reading of the upstream's clock; None when it gave none.
+        reason: One line for the log.
+    """
+
+    result: OrderResult
+    clock_ms: int | None = None
+    reason: str = ""
+
+
+class RunningTask(NamedTuple):
+    """A task that an upstream lists as running.
+
+    Args:
+        task: The task.
+        run: Number of the run.
+        saved: Newest saved progress.
+        percent: Work done, 0 to 100.
+    """
+
+    task: TaskKey
+    run: int
+    saved: str
+    percent: int
+
+
+class LookAnswer(NamedTuple):
+    """Answer to a look.
+
+    Args:
+        result: What became of it.
+        clock_ms: Reading of the upstream's clock.
+        running: Everything that runs there.
+        ends: Ends that were not acknowledged, with their numbers in rising order.
+        reason: One line for the log.
+    """
+
+    result: OrderResult
+    clock_ms: int | None = None
+    running: tuple[RunningTask, ...] = ()
+    ends: tuple[tuple[int, TaskEnd], ...] = ()
+    reason: str = ""
+
+
+class UpstreamGateway(Protocol):
+    """Carries orders to upstreams; answers arrive in the caller's event loop."""
+
+    def start(
+        self, ref: UpstreamRef, order: StartOrder, done: Callable[[OrderAnswer], None]
+    ) -> None:
+        """Send a start."""
+
+    def stop(self, ref: UpstreamRef, order: StopOrder, done: Callable[[OrderAnswer], None]) -> None:
+        """Send a stop."""
+
+    def look(self, ref: UpstreamRef, order: LookOrder, done: Callable[[LookAnswer], None]) -> None:
+        """Ask for the lists."""
--- /dev/null
+++ b/kumquatlift/authority/_placement.py
@@ -0,0 +1,147 @@
+"""Decides which waiting tasks start, and where: pure functions of a snapshot and a clock.
+
+Load pattern: upstreams of unlike speed are four fifths busy; short, long, narrow and wide jobs wait
+together. Room is scarce, so a task gets the slowest upstream on which its job still meets its
+objective; the fast ones stay free for tasks that need them.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+# Run times vary about their estimate; a place must meet the objective with this much in hand.
+SAFETY_FACTOR = 1.15
+# Time from a decision until the task works, and from its end until callers see it.
+OVERHEAD_MS = 25.0
+# Upstreams on which a task failed or lapsed are avoided by this factor in run time.
+AVOID_FACTOR = 4.0
+
+
+class Waiting(NamedTuple):
+    """A task that could start now.
+
+    Args:
+        cpu_milli: Room that it needs.
+        memory_mb: Room that it needs.
+        gpus: Room that it needs.
+        expected_ms: Run time expected at speed 1.
+        objective_at: Time at which its job should be complete.
+        label: Label that the upstream must have; empty for any.
+        data_rack: Rack with its data; empty for none.
+        remote_factor: Run time on another rack, as a multiple.
+        avoid: Upstreams on which it failed before.
+    """
+
+    cpu_milli: int
+    memory_mb: int
+    gpus: int
+    expected_ms: float
+    objective_at: float
+    label: str = ""
+    data_rack: str = ""
+    remote_factor: float = 1.0
+    avoid: frozenset[str] = frozenset()
+
+
+class Place(NamedTuple):
+    """An upstream that may take tasks.
+
+    Args:
+        upstream_id: Identity.
+        cpu_milli: Free capacity.
+        memory_mb: Free capacity.
+        gpus: Free capacity.
+        speed: Learned speed, 1 for the usual one.
+        labels: Labels.
+        rack: Rack.
+        failures: Recent failures of unlike jobs, decayed.
+    """
+
+    upstream_id: str
+    cpu_milli: int
+    memory_mb: int
+    gpus: int
+    speed: float
+    labels: tuple[str, ...]
+    rack: str
+    failures: float = 0.0
+
+
+def fits(task: Waiting, place: Place) -> bool:
+    """Tell whether a place has the room and the label for a task."""
+    return (
+        task.cpu_milli <= place.cpu_milli
+        and task.memory_mb <= place.memory_mb
+        and task.gpus <= place.gpus
+        and (not task.label or task.label in place.labels)
+    )
+
+
+def run_ms(task: Waiting, place: Place) -> float:
+    """Return the run time expected of a task on a place."""
+    time_ms = task.expected_ms / place.speed
+    if task.data_rack and task.data_rack != place.rack:
+        time_ms *= task.remote_factor
+    if place.upstream_id in task.avoid:
+        time_ms *= AVOID_FACTOR
+    return time_ms * (1 + place.failures)
+
+
+def choose(
+    task: Waiting, places: Iterable[Place], now: float, exclude: frozenset[str] = frozenset()
+) -> Place | None:
+    """Return the place for a task, or None when none has room.
+
+    The slowest place that meets the objective is chosen; when none does, the fastest one.
+
+    Args:
+        task: The task.
+        places: Upstreams that may take tasks.
+        now: Time.
+        exclude: Upstreams that already run as many tasks of its step as allowed.
+    """
+    left_ms = (task.objective_at - now) * 1000 - OVERHEAD_MS
+    best: Place | None = None
+    best_rank: tuple[int, float] | None = None
+    for place in places:
+        if not fits(task, place) or place.upstream_id in exclude:
+            continue
+        time_ms = run_ms(task, place)
+        is_in_time = time_ms * SAFETY_FACTOR <= left_ms
+        rank = (0, -time_ms) if is_in_time else (1, time_ms)
+        if best_rank is None or rank < best_rank:
+            best, best_rank = place, rank
+    return best
+
+
+class Candidate(NamedTuple):
+    """A job with tasks that could start, for the order in which jobs are served.
+
+    Args:
+        priority: 0 is the most urgent.
+        objective_at: Time at which the job should be complete.
+        late_at: Time after which it is of no use to its caller.
+        expected_ms: Run time expected of its longest remaining chain, at the usual speed.
+        arrived: Order of arrival.
+    """
+
+    priority: int
+    objective_at: float
+    late_at: float
+    expected_ms: float
+    arrived: int
+
+
+def order_key(candidate: Candidate, now: float) -> tuple[int, float, int]:
+    """Return the rank of a job among those that wait; the lowest is served first.
+
+    Jobs that can still meet their objective come first, by the latest time at which they must
+    start. Jobs that can only be late follow, those with the least work first, and last those that
+    are of no use any more but were accepted.
+    """
+    needed_s = (candidate.expected_ms + OVERHEAD_MS) / 1000
+    start_by = candidate.objective_at - needed_s
+    if now <= start_by:
+        return (0, start_by, candidate.arrived)
+    if now + needed_s <= candidate.late_at:
+        return (1, candidate.expected_ms, candidate.arrived)
+    return (2, candidate.objective_at, candidate.arrived)
--- /dev/null
+++ b/kumquatlift/authority/_runs.py
@@ -0,0 +1,424 @@
+"""Starts and stops runs, and says what happens to a task when its run is over."""
+
+from collections.abc import Callable, Iterator
+from functools import partial
+
+from kumquatlift.authority._commands import EndHow, TaskEnd, TaskKey
+from kumquatlift.authority._estimates import Estimates
+from kumquatlift.authority._fleet import Run, RunState, Upstream
+from kumquatlift.authority._orders import (
+    OrderAnswer,
+    OrderResult,
+    StartOrder,
+    StopOrder,
+    UpstreamGateway,
+    UpstreamRef,
+)
+from kumquatlift.authority._progress import Progress
+from kumquatlift.authority._state import State
+from kumquatlift.authority._work import Job, JobState
+from kumquatlift.blackboard import Section
+from kumquatlift.clock import Clock
+from kumquatlift.log import get_logger
+from kumquatlift.store import EventLoop
+
+# An upstream that fails this many tasks of different jobs in a row is left alone for a while.
+FAILURES_TO_REST = 2
+REST_S = 1.5
+MAX_REST_S = 12.0
+# A refusal says that the upstream itself considers itself unhealthy.
+REFUSED_REST_S = 0.5
+# An order without an answer is sent again after this pause.
+RESEND_S = 0.02
+SILENT_RESEND_S = 0.1
+# An upstream that could not read a start is left alone for a while.
+MALFORMED_REST_S = 1.0
+
+
+class Runs:
+    """Runs of all tasks under one leader.
+
+    Args:
+        state: Replicated state.
+        fleet: Upstreams by identity.
+        progress: Open jobs by identity.
+        estimates: Learned run times.
+        gateway: Carries orders.
+        loop: Event loop; all methods run in its thread.
+        clock: Source of time.
+        lease_s: Length of the leases that starts carry, in seconds.
+        may_order: Whether this instance still leads with a lease.
+        section: Section of the blackboard.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: State,
+        fleet: dict[str, Upstream],
+        progress: dict[str, Progress],
+        estimates: Estimates,
+        gateway: UpstreamGateway,
+        loop: EventLoop,
+        clock: Clock,
+        lease_s: float,
+        may_order: Callable[[], bool],
+        section: Section,
+    ) -> None:
+        self._state = state
+        self._fleet = fleet
+        self._progress = progress
+        self._estimates = estimates
+        self._gateway = gateway
+        self._loop = loop
+        self._clock = clock
+        self._lease_s = lease_s
+        self._may_order = may_order
+        self._section = section
+        self.needs_placing = False
+        self.on_change: Callable[[Upstream], None] = lambda upstream: None
+
+    # Starts
+
+    def start(self, progress: Progress, task: TaskKey, upstream: Upstream, run: int) -> None:
+        """Start a waiting task on an upstream with room for it."""
+        now = self._clock.now()
+        step = progress.job.spec.steps[task.step]
+        progress.take_waiting(task)
+        progress.running[task] = upstream.state.upstream_id
+        if progress.first_start_at is None:
+            progress.first_start_at = now
+        progress.job.is_started = True
+        entry = Run(
+            task=task,
+            number=run,
+            cpu_milli=0 if step.is_filler else step.cpu_milli,
+            memory_mb=step.memory_mb,
+            gpus=step.gpus,
+            expected_ms=progress.expected_ms[task.step],
+            now=now,
+        )
+        upstream.add(entry)
+        self._section.count("starts")
+        self._send_start(upstream, entry)
+
+    def _send_start(self, upstream: Upstream, run: Run) -> None:
+        job = self._state.jobs.get(run.task.job)
+        if job is None or not self._may_order():
+            return
+        now = self._clock.now()
+        order = StartOrder(
+            run.task,
+            run.number,
+            job.spec.payload,
+            upstream.extend_lease(self._lease_s, now),
+            job.saved.get(run.task, ""),
+        )
+        self._gateway.start(ref_of(upstream), order, partial(self._on_started, upstream, run, now))
+
+    def _on_started(
+        self, upstream: Upstream, run: Run, sent_at: float, answer: OrderAnswer
+    ) -> None:
+        now = self._clock.now()
+        if answer.clock_ms is not None:
+            upstream.hear_clock(answer.clock_ms, now)
+        if not self._is_current(upstream, run) or run.state is not RunState.STARTING:
+            return
+        if answer.result is OrderResult.OK:
+            run.state = RunState.RUNNING
+            run.confirmed_at = now
+            run.percent_at = now
+            self.on_change(upstream)
+            return
+        get_logger().info(
+            "start_not_confirmed",
+            task=str(run.task),
+            run=run.number,
+            upstream=upstream.state.upstream_id,
+            result=answer.result.name.lower(),
+            reason=answer.reason,
+            waited_ms=round((now - sent_at) * 1000),
+        )
+        self._section.count(f"starts_{answer.result.name.lower()}")
+        self._on_not_started(upstream, run, answer.result, now)
+
+    def _on_not_started(
+        self, upstream: Upstream, run: Run, result: OrderResult, now: float
+    ) -> None:
+        match result:
+            case OrderResult.UNKNOWN | OrderResult.BORN_AGAIN:
+                run.was_doubtful = True
+                if result is OrderResult.BORN_AGAIN:
+                    upstream.silent_since = upstream.silent_since or now
+                self._loop.call_after(RESEND_S, partial(self._resend, upstream, run))
+            case OrderResult.STALE_RUN:
+                # Its end is in the upstream's list, which the next look returns.
+                run.state = RunState.RUNNING
+                run.confirmed_at = now
+                self.on_change(upstream)
+            case OrderResult.OTHER_LIFE:
+                self.free_all(upstream, "other_life")
+            case OrderResult.NOT_SENT if run.was_doubtful:
+                self._loop.call_after(RESEND_S, partial(self._resend, upstream, run))
+            case _ if run.was_doubtful:
+                # The first order may still be carried out; a stop bars this run number.
+                run.state = RunState.STOPPING
+                self._send_stop(upstream, run)
+            case _:
+                self._rest_after(upstream, result, now)
+                self.requeue(upstream, run, result.name.lower(), is_first=True)
+
+    def _rest_after(self, upstream: Upstream, result: OrderResult, now: float) -> None:
+        if result is OrderResult.NOT_SENT:
+            upstream.silent_since = upstream.silent_since or now
+            upstream.next_look_at = now
+        elif result is OrderResult.MALFORMED:
+            upstream.rest_until = now + MALFORMED_REST_S
+        elif result is OrderResult.NO_ROOM:
+            # What this leader knows of its room is wrong until it has listed its runs.
+            upstream.is_known = False
+        else:
+            upstream.rest_until = now + REFUSED_REST_S
+        self.on_change(upstream)
+
+    def _resend(self, upstream: Upstream, run: Run) -> None:
+        if not self._is_current(upstream, run) or run.state is not RunState.STARTING:
+            return
+        if upstream.silent_since is not None:
+            # Either it is heard again, or its lease ends and frees the run.
+            self._loop.call_after(SILENT_RESEND_S, partial(self._resend, upstream, run))
+        else:
+            self._send_start(upstream, run)
+
+    def _is_current(self, upstream: Upstream, run: Run) -> bool:
+        return (
+            self._fleet.get(upstream.state.upstream_id) is upstream
+            and upstream.runs.get(run.task) is run
+        )
+
+    # Stops
+
+    def stop(self, upstream: Upstream, run: Run, reason: str) -> None:
+        """Stop a run; its room is free when its end is listed."""
+        if run.state is RunState.STOPPING:
+            return
+        get_logger().info(
+            "run_stopped",
+            task=str(run.task),
+            run=run.number,
+            upstream=upstream.state.upstream_id,
+            reason=reason,
+        )
+        run.state = RunState.STOPPING
+        self._section.count("stops")
+        self._send_stop(upstream, run)
+
+    def _send_stop(self, upstream: Upstream, run: Run) -> None:
+        if not self._may_order():
+            return
+        order = StopOrder(run.task, run.number)
+        self._gateway.stop(ref_of(upstream), order, partial(self._on_stopped, upstream, run))
+
+    def _on_stopped(self, upstream: Upstream, run: Run, answer: OrderAnswer) -> None:
+        now = self._clock.now()
+        if answer.clock_ms is not None:
+            upstream.hear_clock(answer.clock_ms, now)
+        if not self._is_current(upstream, run):
+            return
+        if answer.result is OrderResult.OK:
+            run.confirmed_at = now
+            self.on_change(upstream)
+        elif answer.result is OrderResult.OTHER_LIFE:
+            self.free_all(upstream, "other_life")
+        else:
+            self._loop.call_after(RESEND_S * 5, partial(self._stop_again, upstream, run))
+
+    def _stop_again(self, upstream: Upstream, run: Run) -> None:
+        if self._is_current(upstream, run):
+            self._send_stop(upstream, run)
+
+    # Ends
+
+    def end(self, upstream: Upstream, end: TaskEnd) -> None:
+        """Free the room of a run whose end was listed, and learn from it.
+
+        The task itself waits for the commit of the end, or is free at once when the end is none of
+        the task's own.
+        """
+        run = upstream.runs.get(end.task)
+        progress = self._progress.get(end.task.job)
+        if run is None:
+            if progress is not None:
+                self._hold_until_committed(upstream, end, progress)
+            return
+        if run.number > end.run:
+            return
+        upstream.remove(end.task)
+        self.needs_placing = True
+        if progress is None or progress.running.get(end.task) != upstream.state.upstream_id:
+            return
+        self._learn(upstream, run, end, progress)
+        if end.how in (EndHow.DONE, EndHow.FAILED):
+            return
+        del progress.running[end.task]
+        self._wait_again(progress, end.task, upstream.state.upstream_id, end.how.value)
+
+    def _hold_until_committed(self, upstream: Upstream, end: TaskEnd, progress: Progress) -> None:
+        """Keep a task from starting while the end of a run of an earlier leader is not durable."""
+        task = end.task
+        is_done = task in progress.job.done or task in progress.running
+        if is_done or end.run <= progress.job.ended_run.get(task, 0):
+            return
+        progress.note_run(task, end.run)
+        if end.how in (EndHow.DONE, EndHow.FAILED):
+            progress.running[task] = upstream.state.upstream_id
+            if task in progress.waiting:
+                progress.take_waiting(task)
+
+    def _learn(self, upstream: Upstream, run: Run, end: TaskEnd, progress: Progress) -> None:
+        now = self._clock.now()
+        if end.how is EndHow.DONE:
+            upstream.failures = 0.0
+            if run.confirmed_at and not progress.job.saved.get(end.task):
+                run_ms = (now - run.decided_at) * 1000
+                upstream.learn_speed(run.expected_ms, run_ms)
+                self._estimates.learn(progress.job.queue, run_ms * upstream.speed)
+            return
+        if end.how is not EndHow.FAILED:
+            return
+        get_logger().info(
+            "run_failed",
+            task=str(end.task),
+            run=end.run,
+            upstream=upstream.state.upstream_id,
+            failures_before=progress.job.failures.get(end.task, 0),
+            max_attempts=progress.job.max_attempts,
+        )
+        upstream.failures += 1
+        if upstream.failures >= FAILURES_TO_REST:
+            doublings = upstream.failures - FAILURES_TO_REST
+            rest_s = min(MAX_REST_S, REST_S * 2**doublings)
+            upstream.rest_until = now + rest_s
+            get_logger().warning(
+                "upstream_rests",
+                upstream=upstream.state.upstream_id,
+                failures=upstream.failures,
+                rest_s=rest_s,
+            )
+
+    def on_end_committed(self, end: TaskEnd) -> None:
+        """Take note that the end of a run is durable: release what follows, or run again."""
+        progress = self._progress.get(end.task.job)
+        if progress is None:
+            return
+        job = progress.job
+        upstream_id = progress.running.get(end.task)
+        if not job.is_open:
+            self.close(progress)
+            return
+        if upstream_id is not None and end.run >= progress.runs.get(end.task, 0):
+            del progress.running[end.task]
+            step = job.spec.steps[end.task.step]
+            if end.task not in job.done and (end.how is EndHow.FAILED or step.is_lasting):
+                self._wait_again(progress, end.task, upstream_id, end.how.value)
+        if end.task in job.done and end.task in progress.waiting:
+            progress.take_waiting(end.task)
+        self.release(progress)
+
+    def release(self, progress: Progress) -> None:
+        """Let the tasks of all steps wait whose predecessors are done and whose time has come."""
+        job = progress.job
+        for occurrence, number in job.left:
+            if (occurrence, number) in progress.released:
+                continue
+            if not self._is_due(job, occurrence) or not job.is_step_ready(occurrence, number):
+                continue
+            progress.released.add((occurrence, number))
+            self.needs_placing = True
+            for task in job.tasks_of(occurrence, number):
+                if task not in job.done and task not in progress.running:
+                    progress.add_waiting(task)
+
+    def _is_due(self, job: Job, occurrence: int) -> bool:
+        if not job.spec.occurrences:
+            return True
+        due_ms = job.spec.start_at_ms + occurrence * job.spec.interval_ms
+        return self._state.wall_ms() >= due_ms
+
+    def close(self, progress: Progress) -> None:
+        """Stop what still runs of a job that has ended."""
+        job = progress.job
+        self._progress.pop(job.job_id, None)
+        now = self._clock.now()
+        for task, upstream_id in progress.running.items():
+            upstream = self._fleet.get(upstream_id)
+            run = upstream.runs.get(task) if upstream else None
+            if upstream is not None and run is not None:
+                self.stop(upstream, run, f"job_{job.state}")
+        get_logger().info(
+            "job_ended",
+            job=job.job_id,
+            state=job.state,
+            queue=job.queue,
+            tasks=sum(step.tasks for step in job.spec.steps),
+            runs=len(progress.runs),
+            failures=sum(job.failures.values()),
+            in_time=now <= progress.objective_at,
+            late_ms=round((now - progress.objective_at) * 1000),
+            objective_ms=round(progress.objective_ms),
+        )
+        self._section.count(f"jobs_{job.state}")
+        if job.state == JobState.COMPLETED and now <= progress.objective_at:
+            self._section.count("jobs_in_time")
+
+    def requeue(self, upstream: Upstream, run: Run, reason: str, *, is_first: bool = True) -> None:
+        """Free a run that certainly does not run, and let its task wait again."""
+        upstream.remove(run.task)
+        progress = self._progress.get(run.task.job)
+        self.needs_placing = True
+        if progress is None or progress.running.get(run.task) != upstream.state.upstream_id:
+            return
+        del progress.running[run.task]
+        self._wait_again(progress, run.task, upstream.state.upstream_id, reason)
+
+    def free_former(self, upstream: Upstream, listed: set[TaskKey]) -> None:
+        """Free the runs of the former life that did not reach the present one."""
+        former, upstream.former = upstream.former, {}
+        for task, run in former.items():
+            progress = self._progress.get(task.job)
+            if task in listed or progress is None:
+                continue
+            if progress.running.get(task) == upstream.state.upstream_id:
+                del progress.running[task]
+                self._wait_again(progress, task, upstream.state.upstream_id, f"former_{run.number}")
+
+    def free_all(self, upstream: Upstream, reason: str) -> None:
+        """Free all runs of an upstream on which certainly nothing runs any more."""
+        upstream.is_known = False
+        if upstream.runs:
+            get_logger().warning(
+                "upstream_runs_lost",
+                upstream=upstream.state.upstream_id,
+                runs=len(upstream.runs),
+                reason=reason,
+            )
+        for run in list(upstream.runs.values()):
+            self.requeue(upstream, run, reason)
+
+    def _wait_again(self, progress: Progress, task: TaskKey, upstream_id: str, reason: str) -> None:
+        if not progress.job.is_open or task in progress.job.done or task in progress.waiting:
+            return
+        get_logger().info("task_waits_again", task=str(task), upstream=upstream_id, reason=reason)
+        progress.avoid[task] = progress.avoid.get(task, frozenset()) | {upstream_id}
+        progress.add_waiting(task, is_first=True)
+        self.needs_placing = True
+
+    def unreleased(self) -> Iterator[Progress]:
+        """Yield the jobs with occurrences that are not due yet."""
+        return (each for each in self._progress.values() if each.job.spec.occurrences)
+
+
+def ref_of(upstream: Upstream) -> UpstreamRef:
+    """Return the address of a life of an upstream, with this leader's token."""
+    state = upstream.state
+    return UpstreamRef(state.upstream_id, state.born_ms, state.address, upstream.token)
--- /dev/null
+++ b/kumquatlift/authority/_scheduler.py
@@ -0,0 +1,194 @@
+"""Applies the placement decisions to the leader's tables."""
+
+from collections import Counter
+
+from kumquatlift.authority._commands import TaskKey
+from kumquatlift.authority._fleet import Upstream
+from kumquatlift.authority._placement import Candidate, Place, Waiting, choose, order_key
+from kumquatlift.authority._progress import Progress
+from kumquatlift.authority._runs import Runs
+from kumquatlift.authority._work import Step
+from kumquatlift.clock import Clock
+from kumquatlift.log import get_logger
+
+# Jobs that cannot be placed are skipped so that smaller ones behind them may start; this bounds the
+# work of one pass when much waits and little is free.
+MAX_SKIPPED = 20
+
+
+class Scheduler:
+    """Starts waiting tasks.
+
+    Args:
+        fleet: Upstreams by identity.
+        progress: Open jobs by identity.
+        runs: Runs of all tasks.
+        clock: Source of time.
+        remote_factor: Run time on another rack than the data's, as a multiple.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: dict[str, Upstream],
+        progress: dict[str, Progress],
+        runs: Runs,
+        clock: Clock,
+        remote_factor: float,
+    ) -> None:
+        self._fleet = fleet
+        self._progress = progress
+        self._runs = runs
+        self._clock = clock
+        self._remote_factor = remote_factor
+
+    def run(self) -> None:
+        """Start as many waiting tasks as there is room for, in the order of the decisions."""
+        self._runs.needs_placing = False
+        now = self._clock.now()
+        places = self._places(now)
+        if not any(places.values()):
+            return
+        waiting = [each for each in self._progress.values() if each.waiting and each.queue]
+        waiting.sort(key=lambda each: order_key(candidate_of(each), now))
+        skipped: Counter[str] = Counter()
+        for progress in waiting:
+            service = progress.queue.service if progress.queue else ""
+            free = places.get(service)
+            if not free or skipped[service] >= MAX_SKIPPED:
+                continue
+            placed = self._place_job(progress, free, now)
+            if placed:
+                get_logger().info(
+                    "tasks_placed",
+                    job=progress.job.job_id,
+                    tasks=len(placed),
+                    waiting=len(progress.waiting),
+                    upstreams=",".join(placed),
+                    slack_ms=round((progress.objective_at - now) * 1000),
+                )
+            else:
+                skipped[service] += 1
+
+    def _places(self, now: float) -> dict[str, dict[str, Place]]:
+        places: dict[str, dict[str, Place]] = {}
+        for upstream in self._fleet.values():
+            if not upstream.is_usable(now):
+                continue
+            room = upstream.room
+            if room.cpu_milli <= 0 and room.memory_mb <= 0:
+                continue
+            state = upstream.state
+            places.setdefault(state.service, {})[state.upstream_id] = Place(
+                state.upstream_id,
+                *room,
+                upstream.speed,
+                state.labels,
+                state.rack,
+                upstream.failures,
+            )
+        return places
+
+    def _place_job(self, progress: Progress, free: dict[str, Place], now: float) -> list[str]:
+        """Start what fits of a job; return the upstreams that got its tasks."""
+        placed: list[str] = []
+        seen_gangs: set[tuple[int, int]] = set()
+        for task in list(progress.waiting):
+            step = progress.job.spec.steps[task.step]
+            if step.is_gang:
+                gang = (task.occurrence, task.step)
+                if gang not in seen_gangs:
+                    seen_gangs.add(gang)
+                    placed += self._place_gang(progress, gang, free, now)
+                continue
+            place = self._choose(progress, task, step, free, now)
+            if place is None:
+                # The other tasks of the step have the same size.
+                break
+            self._start(progress, task, step, place, free, progress.next_run(task))
+            placed.append(place.upstream_id)
+        return placed
+
+    def _choose(
+        self, progress: Progress, task: TaskKey, step: Step, free: dict[str, Place], now: float
+    ) -> Place | None:
+        need = Waiting(
+            0 if step.is_filler else step.cpu_milli,
+            step.memory_mb,
+            step.gpus,
+            progress.expected_ms[task.step],
+            progress.objective_at,
+            step.label,
+            step.data_rack,
+            self._remote_factor,
+            progress.avoid.get(task, frozenset()),
+        )
+        exclude: frozenset[str] = frozenset()
+        if step.max_per_upstream:
+            used = Counter(
+                upstream_id
+                for other, upstream_id in progress.running.items()
+                if other.step == task.step and other.occurrence == task.occurrence
+            )
+            exclude = frozenset(
+                upstream_id for upstream_id, count in used.items() if count >= step.max_per_upstream
+            )
+        return choose(need, free.values(), now, exclude)
+
+    def _place_gang(
+        self, progress: Progress, gang: tuple[int, int], free: dict[str, Place], now: float
+    ) -> list[str]:
+        """Start all members of a gang with one run number, or none."""
+        members = [task for task in progress.waiting if (task.occurrence, task.step) == gang]
+        step = progress.job.spec.steps[gang[1]]
+        if len(members) < step.tasks:
+            return []
+        trial = dict(free)
+        chosen: list[tuple[TaskKey, Place]] = []
+        for task in members:
+            place = self._choose(progress, task, step, trial, now)
+            if place is None:
+                return []
+            chosen.append((task, place))
+            trial[place.upstream_id] = _without(place, step)
+        run = max(progress.next_run(task) for task in members)
+        for task, place in chosen:
+            progress.note_run(task, run)
+            self._start(progress, task, step, free[place.upstream_id], free, run)
+        return [place.upstream_id for _, place in chosen]
+
+    def _start(
+        self,
+        progress: Progress,
+        task: TaskKey,
+        step: Step,
+        place: Place,
+        free: dict[str, Place],
+        run: int,
+    ) -> None:
+        left = _without(place, step)
+        if left.cpu_milli <= 0 and left.memory_mb <= 0:
+            del free[place.upstream_id]
+        else:
+            free[place.upstream_id] = left
+        self._runs.start(progress, task, self._fleet[place.upstream_id], run)
+
+
+def _without(place: Place, step: Step) -> Place:
+    cpu_milli = 0 if step.is_filler else step.cpu_milli
+    return place._replace(
+        cpu_milli=place.cpu_milli - cpu_milli,
+        memory_mb=place.memory_mb - step.memory_mb,
+        gpus=place.gpus - step.gpus,
+    )
+
+
+def candidate_of(progress: Progress) -> Candidate:
+    """Return what decides the place of a job in the order of service."""
+    return Candidate(
+        progress.queue.priority if progress.queue else 0,
+        progress.objective_at,
+        progress.late_at,
+        progress.chain_ms,
+        progress.arrived,
+    )
--- /dev/null
+++ b/kumquatlift/authority/_state.py
@@ -0,0 +1,149 @@
+"""The replicated state: configuration, jobs and upstreams, changed by committed commands only."""
+
+import json
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from kumquatlift.authority._commands import (
+    Command,
+    CommandKind,
+    EndHow,
+    TaskEnd,
+    TaskKey,
+    UpstreamState,
+)
+from kumquatlift.authority._serving import ConfigReader, RoutingTable, ServingConfig
+from kumquatlift.authority._work import Job, JobSpec, JobState
+from kumquatlift.log import get_logger
+
+
+class Applied(NamedTuple):
+    """A committed command and what it changed.
+
+    Args:
+        position: Index of its entry in the log.
+        command: The command.
+        job: Job that it concerns, if it is known.
+        ends: Ends that were new.
+    """
+
+    position: int
+    command: Command
+    job: Job | None = None
+    ends: tuple[TaskEnd, ...] = ()
+
+
+class State:
+    """What every replica holds.
+
+    Args:
+        read_config: Reads the text of a configuration.
+    """
+
+    def __init__(self, *, read_config: ConfigReader) -> None:
+        self._read_config = read_config
+        self.on_applied: Callable[[Applied], None] = lambda applied: None
+        self._reset()
+
+    def _reset(self) -> None:
+        self.routing = RoutingTable(cfg=ServingConfig())
+        self.jobs: dict[str, Job] = {}
+        self.upstreams: dict[str, UpstreamState] = {}
+
+    @staticmethod
+    def wall_ms() -> int:
+        """Return the time of day, Unix milliseconds."""
+        return int(time.time() * 1000)
+
+    def apply(self, index: int, term: int, data: bytes) -> None:
+        """Apply a committed command."""
+        command = Command.from_bytes(data)
+        fields = command.fields
+        applied = Applied(index, command)
+        match command.kind:
+            case CommandKind.CONFIG:
+                if fields["version"] > self.routing.cfg.version:
+                    self.routing = RoutingTable(cfg=self._read_config(fields["source"]))
+                    get_logger().info("config_in_force", version=fields["version"], index=index)
+            case CommandKind.JOB:
+                applied = applied._replace(job=self._add_job(term, command))
+            case CommandKind.ENDS:
+                applied = applied._replace(ends=self._end_tasks(command))
+            case CommandKind.CANCEL:
+                job = self.jobs.get(fields["job"])
+                if job is not None and job.is_open:
+                    job.close(JobState.CANCELLED, fields["at_ms"])
+                applied = applied._replace(job=job)
+            case CommandKind.UPSTREAM:
+                self._add_upstream(UpstreamState(*fields["upstream"]))
+            case CommandKind.UPSTREAM_LEFT:
+                known = self.upstreams.get(fields["upstream"])
+                if known is not None and known.born_ms <= fields["born_ms"]:
+                    del self.upstreams[known.upstream_id]
+            case CommandKind.FORGET:
+                self._forget(fields["ended_before_ms"])
+        self.on_applied(applied)
+
+    def _add_job(self, term: int, command: Command) -> Job:
+        fields = command.fields
+        known = self.jobs.get(fields["job"])
+        if known is not None:
+            return known
+        job = Job(
+            job_id=fields["job"],
+            queue=fields["queue"],
+            spec=JobSpec.from_plain(fields["spec"]),
+            term=term,
+            accepted_at_ms=fields["at_ms"],
+            max_attempts=fields["max_attempts"],
+            zone=fields["zone"],
+        )
+        self.jobs[job.job_id] = job
+        return job
+
+    def _end_tasks(self, command: Command) -> tuple[TaskEnd, ...]:
+        ends: list[TaskEnd] = []
+        for row in command.fields["ends"]:
+            end = TaskEnd(TaskKey(*row[:4]), row[4], EndHow(row[5]), row[6])
+            job = self.jobs.get(end.task.job)
+            if job is not None and job.end_task(end, command.fields["at_ms"]):
+                ends.append(end)
+        return tuple(ends)
+
+    def _add_upstream(self, upstream: UpstreamState) -> None:
+        known = self.upstreams.get(upstream.upstream_id)
+        if known is None or upstream.born_ms >= known.born_ms:
+            self.upstreams[upstream.upstream_id] = upstream._replace(labels=tuple(upstream.labels))
+
+    def _forget(self, ended_before_ms: int) -> None:
+        old = [
+            job.job_id
+            for job in self.jobs.values()
+            if not job.is_open and job.ended_at_ms < ended_before_ms
+        ]
+        for job_id in old:
+            del self.jobs[job_id]
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as JSON."""
+        plain = {
+            "config": self.routing.cfg.source,
+            "jobs": [job.to_plain() for job in self.jobs.values()],
+            "upstreams": list(self.upstreams.values()),
+        }
+        return json.dumps(plain, separators=(",", ":")).encode()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state; empty bytes are the initial state."""
+        self._reset()
+        if not data:
+            return
+        plain = json.loads(data)
+        if plain["config"]:
+            self.routing = RoutingTable(cfg=self._read_config(plain["config"]))
+        for row in plain["jobs"]:
+            job = Job.from_plain(row)
+            self.jobs[job.job_id] = job
+        for row in plain["upstreams"]:
+            self._add_upstream(UpstreamState(*row))
--- /dev/null
+++ b/kumquatlift/authority/_watch.py
@@ -0,0 +1,253 @@
+"""Keeps leases of upstreams, lists their runs and ends, and notices silent ones."""
+
+from collections.abc import Callable
+from functools import partial
+
+from kumquatlift.authority._commands import TaskEnd, TaskKey
+from kumquatlift.authority._fleet import Run, RunState, Upstream
+from kumquatlift.authority._orders import LookAnswer, LookOrder, OrderResult, UpstreamGateway
+from kumquatlift.authority._progress import Progress
+from kumquatlift.authority._runs import Runs, ref_of
+from kumquatlift.authority._state import State
+from kumquatlift.blackboard import Section
+from kumquatlift.clock import Clock
+from kumquatlift.log import get_logger
+
+# Share of the lease for which a look waits for an end; a lost answer leaves time for another look.
+LOOK_SHARE = 0.45
+# An idle upstream gets its acknowledgement this late, so that a start soon after saves a look.
+ACK_DELAY_S = 0.3
+# Silent upstreams are looked at this often, and after some time less often.
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 1.0
+# A silent upstream that has not announced itself for this long is forgotten.
+FORGET_S = 20.0
+# A run without progress for this long, which is over its expected time by the factor, is stopped.
+STALL_S = 0.5
+# Two of the longest leases: what orders for a former life began on the present one has ended.
+FORMER_S = 2.0
+STALL_FACTOR = 2.5
+
+
+class Watch:
+    """Looks at all upstreams under one leader.
+
+    Args:
+        state: Replicated state.
+        fleet: Upstreams by identity.
+        progress: Open jobs by identity.
+        runs: Runs of all tasks.
+        gateway: Carries orders.
+        clock: Source of time.
+        lease_s: Length of the leases, in seconds.
+        may_order: Whether this instance still leads with a lease.
+        log_ends: Takes an upstream and its new ends, and commits them.
+        section: Section of the blackboard.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: State,
+        fleet: dict[str, Upstream],
+        progress: dict[str, Progress],
+        runs: Runs,
+        gateway: UpstreamGateway,
+        clock: Clock,
+        lease_s: float,
+        may_order: Callable[[], bool],
+        log_ends: Callable[[Upstream, list[TaskEnd]], None],
+        section: Section,
+    ) -> None:
+        self._state = state
+        self._fleet = fleet
+        self._progress = progress
+        self._runs = runs
+        self._gateway = gateway
+        self._clock = clock
+        self._lease_s = lease_s
+        self._may_order = may_order
+        self._log_ends = log_ends
+        self._section = section
+        self._look_wait_s = LOOK_SHARE * lease_s
+        runs.on_change = self.pump
+
+    def pump(self, upstream: Upstream) -> None:
+        """Look at an upstream if there is a reason to."""
+        now = self._clock.now()
+        if upstream.is_look_open or now < upstream.next_look_at or not self._may_order():
+            return
+        if upstream.silent_since is not None or not upstream.is_known:
+            self._look(upstream, now, 0.0)
+        elif upstream.listed_end > upstream.durable_end:
+            # Ends wait for their commit; until then an answer would repeat them at once.
+            self._renew_lease(upstream, now)
+        elif upstream.runs:
+            self._look(upstream, now, self._look_wait_s)
+        elif upstream.acked_end < upstream.durable_end and now - upstream.durable_at > ACK_DELAY_S:
+            self._look(upstream, now, 0.0)
+
+    def _renew_lease(self, upstream: Upstream, now: float) -> None:
+        if upstream.runs and now - upstream.leased_at > self._look_wait_s:
+            self._look(upstream, now, 0.0)
+
+    def tick(self) -> None:
+        """Look where it is time, and give up leases that have ended."""
+        now = self._clock.now()
+        for upstream in list(self._fleet.values()):
+            self.pump(upstream)
+            is_silent = upstream.silent_since is not None
+            if is_silent and upstream.runs and upstream.is_lease_over(now):
+                self._runs.free_all(upstream, "lease_over")
+            if upstream.former and now - upstream.added_at > FORMER_S:
+                self._runs.free_former(upstream, set())
+        for upstream in list(self._fleet.values()):
+            for run in list(upstream.runs.values()):
+                self._stop_if_stalled(upstream, run, now)
+
+    def _look(self, upstream: Upstream, now: float, wait_s: float) -> None:
+        upstream.is_look_open = True
+        # A silent upstream may hear without being heard; its lease must end so that its tasks are
+        # free, and so that ends which it lists later count as lapsed.
+        needs_lease = bool(upstream.runs) and upstream.silent_since is None
+        lease_end_ms = 0
+        if needs_lease and upstream.has_clock:
+            lease_end_ms = upstream.extend_lease(self._lease_s, now)
+        order = LookOrder(upstream.durable_end, lease_end_ms, int(wait_s * 1000))
+        self._section.count("looks")
+        self._gateway.look(
+            ref_of(upstream), order, partial(self._on_look, upstream, now, order.acked_end)
+        )
+
+    def _on_look(
+        self, upstream: Upstream, sent_at: float, acked_end: int, answer: LookAnswer
+    ) -> None:
+        upstream.is_look_open = False
+        if self._fleet.get(upstream.state.upstream_id) is not upstream:
+            return
+        now = self._clock.now()
+        if answer.clock_ms is not None:
+            upstream.hear_clock(answer.clock_ms, now)
+        if answer.result is not OrderResult.OK:
+            self._on_look_failed(upstream, answer, now)
+            return
+        if upstream.silent_since is not None:
+            get_logger().info(
+                "upstream_regained",
+                upstream=upstream.state.upstream_id,
+                silent_ms=round((now - upstream.silent_since) * 1000),
+            )
+        upstream.silent_since = None
+        upstream.look_failures = 0
+        upstream.acked_end = max(upstream.acked_end, acked_end)
+        self._take_ends(upstream, answer)
+        self._compare(upstream, answer, sent_at, now)
+        self._runs.free_former(upstream, {row.task for row in answer.running})
+        if not upstream.is_known:
+            upstream.is_known = True
+            self._runs.needs_placing = True
+        self.pump(upstream)
+
+    def _on_look_failed(self, upstream: Upstream, answer: LookAnswer, now: float) -> None:
+        upstream.look_failures += 1
+        if answer.result is OrderResult.OTHER_LIFE:
+            self._runs.free_all(upstream, "other_life")
+        if upstream.look_failures == 1 and answer.result is OrderResult.UNKNOWN:
+            # A connection may have been lost; a new one tells whether the upstream was.
+            self.pump(upstream)
+            return
+        if upstream.silent_since is None:
+            upstream.silent_since = now
+            get_logger().warning(
+                "upstream_lost",
+                upstream=upstream.state.upstream_id,
+                result=answer.result.name.lower(),
+                reason=answer.reason,
+                runs=len(upstream.runs),
+            )
+        delay_s = min(MAX_RETRY_S, MIN_RETRY_S * 1.5**upstream.look_failures)
+        upstream.next_look_at = now + delay_s
+
+    def _take_ends(self, upstream: Upstream, answer: LookAnswer) -> None:
+        ends: list[TaskEnd] = []
+        for number, end in answer.ends:
+            if number <= upstream.listed_end:
+                continue
+            upstream.listed_end = number
+            ends.append(end)
+            self._runs.end(upstream, end)
+        if ends:
+            self._log_ends(upstream, ends)
+
+    def _compare(self, upstream: Upstream, answer: LookAnswer, sent_at: float, now: float) -> None:
+        """Bring the table of runs in line with what the upstream lists."""
+        listed: set[TaskKey] = set()
+        for row in answer.running:
+            listed.add(row.task)
+            run = upstream.runs.get(row.task)
+            if run is None or run.number != row.run:
+                self._take_over(upstream, row.task, row.run, now)
+                continue
+            if row.percent > run.percent:
+                run.percent, run.percent_at = row.percent, now
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+                run.confirmed_at = now
+        for run in list(upstream.runs.values()):
+            is_settled = run.state is not RunState.STARTING and 0 < run.confirmed_at < sent_at
+            if is_settled and run.task not in listed:
+                self._runs.requeue(upstream, run, "not_listed")
+
+    def _take_over(self, upstream: Upstream, task: TaskKey, number: int, now: float) -> None:
+        """Count a run that this leader did not start here, and keep it if its task needs it."""
+        job = self._state.jobs.get(task.job)
+        step = job.spec.steps[task.step] if job is not None else None
+        # Nothing is known of the size of a run of an unknown job, so nothing else may start.
+        room = upstream.room
+        run = Run(
+            task=task,
+            number=number,
+            cpu_milli=step.cpu_milli if step and not step.is_filler else max(0, room.cpu_milli),
+            memory_mb=step.memory_mb if step else 0,
+            gpus=step.gpus if step else 0,
+            expected_ms=0.0,
+            now=now,
+        )
+        run.confirmed_at = now
+        if task in upstream.runs:
+            get_logger().warning(
+                "other_run_listed",
+                task=str(task),
+                run=number,
+                expected=upstream.runs[task].number,
+                upstream=upstream.state.upstream_id,
+            )
+            return
+        run.state = RunState.RUNNING
+        upstream.add(run)
+        progress = self._progress.get(task.job)
+        holder = progress.running.get(task) if progress is not None else None
+        is_elsewhere = holder is not None and task not in upstream.former
+        if progress is None or task in progress.job.done or is_elsewhere:
+            self._runs.stop(upstream, run, "not_needed")
+            return
+        get_logger().info(
+            "run_taken_over", task=str(task), run=number, upstream=upstream.state.upstream_id
+        )
+        progress.note_run(task, number)
+        progress.running[task] = upstream.state.upstream_id
+        progress.job.is_started = True
+        run.expected_ms = progress.expected_ms[task.step]
+        if task in progress.waiting:
+            progress.take_waiting(task)
+
+    def _stop_if_stalled(self, upstream: Upstream, run: Run, now: float) -> None:
+        if run.state is not RunState.RUNNING or not run.expected_ms:
+            return
+        limit_s = STALL_S + STALL_FACTOR * run.expected_ms / 1000 / upstream.speed
+        if now - run.percent_at < STALL_S or now - run.decided_at < limit_s:
+            return
+        progress = self._progress.get(run.task.job)
+        if progress is not None and not progress.job.spec.steps[run.task.step].is_lasting:
+            upstream.failures += 1
+            self._runs.stop(upstream, run, f"stalled_at_{run.percent}_percent")
--- a/kumquatlift/channel.py
+++ b/kumquatlift/channel.py
@@ -10,6 +10,9 @@
 Handler = Callable[[str, bytes], bytes | None]
 """Takes the sender's name and a body; returns the answer's body, or None for no answer."""
 
+LateHandler = Callable[[str, bytes], "Future[bytes]"]
+"""Like a ``Handler``; the answer comes later and holds no thread of the topic while it waits."""
+
 
 class Topic(StrEnum):
     """What a message between entry processes is about."""
@@ -31,6 +34,8 @@
     CONFIG_ACCEPT = "config.accept"
     CONFIG_READ = "config.read"
     CONFIG_VALUE = "config.value"
+    LOG = "log"
+    AUTHORITY = "authority"
 
 
 class Channel(Protocol):
--- a/kumquatlift/codes.py
+++ b/kumquatlift/codes.py
@@ -68,6 +68,7 @@
     CLAIM_UNKNOWN = 5002
     TIMED_OUT = 5003
     CLAIM_UNCONFIRMED = 5004
+    NOT_LEADER = 5005
 
     APPLIED = 6000
     INVALID_DOCUMENT = 6001
@@ -152,6 +153,7 @@
     _C.CLAIM_UNCONFIRMED: _Meaning(
         Ran.MAYBE, Resubmit.NEW_ID_IF_SOLE, 503, "never run here; the backup cannot be asked"
     ),
+    _C.NOT_LEADER: _Meaning(Ran.NO, _SAME, 503, "this instance does not lead; ask the leader"),
     _C.APPLIED: _Meaning(Ran.YES, _NEVER, 200, "the change is accepted by a majority"),
     _C.INVALID_DOCUMENT: _Meaning(Ran.NO, _FIX, 422, "the configuration document is not valid"),
     _C.VERSION_CONFLICT: _Meaning(Ran.NO, _FIX, 409, "the change was made from an old version"),
--- /dev/null
+++ b/kumquatlift/connection_pool.py
@@ -0,0 +1,214 @@
+"""Pool of HTTP connections; a request is sent once, and it is known whether it left."""
+
+import http.client
+import select
+import socket
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from kumquatlift.settings import Address
+
+CONNECT_TIMEOUT_S = 1.0
+# A connection idle for longer may have been dropped by something between the two ends without a
+# reset, and a request lost on it could not be told from one that ran.
+MAX_IDLE_S = 2.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+_READ_BYTES = 65536
+
+
+class NotSentError(Exception):
+    """No connection could be opened, so no byte of the request left."""
+
+
+class HttpAnswer(NamedTuple):
+    """A whole answer.
+
+    Args:
+        status: HTTP status.
+        body: Whole body.
+    """
+
+    status: int
+    body: bytes
+
+
+class Connection(http.client.HTTPConnection):
+    """A connection that sends head and body of a request in one system call."""
+
+    def __init__(self, host: str, port: int, timeout_s: float) -> None:
+        super().__init__(host, port, timeout=timeout_s)
+        self._parts: list[bytes] = []
+
+    def send(self, data: bytes) -> None:  # type: ignore[override]
+        """Keep a part of the request until ``flush``."""
+        self._parts.append(data)
+
+    def flush(self) -> None:
+        """Send the request."""
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self.sock.sendall(data)
+
+
+class ConnectionPool:
+    """Connections to many addresses.
+
+    A connection is used by one request at a time. It goes back to the pool only after a whole
+    answer, so that a late answer can never meet another request.
+
+    Args:
+        max_idle_s: Connections idle for longer are not used again.
+    """
+
+    def __init__(self, *, max_idle_s: float = MAX_IDLE_S) -> None:
+        self._max_idle_s = max_idle_s
+        self._lock = threading.Lock()
+        self._idle: dict[str, list[tuple[float, Connection]]] = defaultdict(list)
+
+    def exchange(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        *,
+        timeout_s: float,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        Args:
+            address: "ip:port".
+            method: HTTP method.
+            path: Path of the request.
+            body: Whole body.
+            headers: Headers besides those that the library adds.
+            timeout_s: Limit for the whole exchange, after the connection is open.
+            connect_timeout_s: Limit for opening a connection.
+
+        Raises:
+            NotSentError: No byte of the request left.
+            TimeoutError: No whole answer came in time.
+            OSError: The connection was lost; the request may have been carried out.
+            http.client.HTTPException: The answer was not HTTP.
+            ValueError: The answer was malformed or too large.
+        """
+        try:
+            conn = self._take(address, connect_timeout_s)
+        except (OSError, ValueError) as exc:
+            raise NotSentError(f"{address}: {exc}") from exc
+        try:
+            answer, is_reusable = _exchange(conn, method, path, body, headers, timeout_s)
+        except BaseException:
+            conn.close()
+            raise
+        if is_reusable:
+            self._give_back(address, conn)
+        else:
+            conn.close()
+        return answer
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            pools = list(self._idle.values())
+            self._idle.clear()
+        for pool in pools:
+            for _, conn in pool:
+                conn.close()
+
+    def drop(self, address: str) -> None:
+        """Close the idle connections to an address; another one there was lost or is silent."""
+        with self._lock:
+            pool = self._idle.pop(address, [])
+        for _, conn in pool:
+            conn.close()
+
+    def close_idle(self) -> None:
+        """Close connections that have been idle too long to be used again."""
+        limit = time.monotonic() - self._max_idle_s
+        old: list[Connection] = []
+        with self._lock:
+            for address, pool in list(self._idle.items()):
+                old += [conn for since, conn in pool if since < limit]
+                self._idle[address] = [item for item in pool if item[0] >= limit]
+                if not self._idle[address]:
+                    del self._idle[address]
+        for conn in old:
+            conn.close()
+
+    def _take(self, address: str, connect_timeout_s: float) -> Connection:
+        limit = time.monotonic() - self._max_idle_s
+        while True:
+            with self._lock:
+                pool = self._idle.get(address)
+                entry = pool.pop() if pool else None
+            if entry is None:
+                return _connect(address, connect_timeout_s)
+            since, conn = entry
+            if since >= limit and not _is_readable(conn):
+                return conn
+            conn.close()
+
+    def _give_back(self, address: str, conn: Connection) -> None:
+        with self._lock:
+            self._idle[address].append((time.monotonic(), conn))
+
+
+def _connect(address: str, timeout_s: float) -> Connection:
+    host, port = Address.parse(address)
+    conn = Connection(host, port, timeout_s)
+    conn.connect()
+    # Without this the library would open the connection again by itself and send a second time.
+    conn.auto_open = 0
+    conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return conn
+
+
+def _is_readable(conn: Connection) -> bool:
+    """Tell whether an idle connection was closed by the peer or carries stray bytes."""
+    poll = select.poll()
+    poll.register(conn.sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _exchange(
+    conn: Connection,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: Mapping[str, str],
+    timeout_s: float,
+) -> tuple[HttpAnswer, bool]:
+    """Return the answer, and whether the connection may carry another request."""
+    deadline = time.monotonic() + timeout_s
+    conn.sock.settimeout(timeout_s)
+    conn.request(method, path, body, dict(headers))
+    conn.flush()
+    sock = conn.sock
+    res = conn.getresponse()
+    parts: list[bytes] = []
+    size = 0
+    while part := res.read1(_READ_BYTES):
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise ValueError(f"answer over {MAX_ANSWER_BYTES} bytes")
+        parts.append(part)
+        if res.length == 0:
+            break
+        # The limit holds for the whole exchange: a peer that sends a byte at a time must not
+        # extend it.
+        left = deadline - time.monotonic()
+        if left <= 0:
+            raise TimeoutError
+        sock.settimeout(left)
+    if res.length not in (0, None):
+        raise http.client.IncompleteRead(b"", res.length)
+    is_reusable = not res.will_close
+    # A response that was read by parts must be closed before the connection takes a new request.
+    res.close()
+    return HttpAnswer(res.status, b"".join(parts)), is_reusable and conn.sock is not None
--- /dev/null
+++ b/kumquatlift/platform/_control.py
@@ -0,0 +1,99 @@
+"""Serves upstreams and operators of the platform."""
+
+from urllib.parse import unquote
+
+from kumquatlift.authority import LeaderClient, Operation, Reply, Request
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.log import get_logger
+from kumquatlift.platform._wire import WireError, read_config, read_heartbeat
+from kumquatlift.settings import Address
+from kumquatlift.wsgi import ApiRequest, ApiResponse
+
+# An upstream takes an answer for lost after one second.
+ANNOUNCE_TIMEOUT_S = 0.8
+# The operator moves on to another instance after one second.
+CONFIG_TIMEOUT_S = 0.9
+_INSTANCES = "/api/instances/"
+
+
+class Control:
+    """Handler of requests of upstreams and operators; any instance passes them to the leader.
+
+    Args:
+        client: Requests to the leader.
+        control_port: Port of this service, the same on all instances.
+    """
+
+    def __init__(self, *, client: LeaderClient, control_port: int) -> None:
+        self._client = client
+        self._control_port = control_port
+
+    def handle(self, req: ApiRequest) -> ApiResponse:
+        """Answer a request."""
+        if req.path.startswith(_INSTANCES) and req.method == "POST":
+            upstream_id, _, action = req.path.removeprefix(_INSTANCES).partition("/")
+            if action == "heartbeat":
+                return self._heartbeat(unquote(upstream_id), req)
+            if action == "deregister":
+                return self._leave(unquote(upstream_id))
+        if (req.method, req.path) == ("POST", "/api/config/replace"):
+            return self._replace_config(req)
+        if (req.method, req.path) == ("GET", "/api/config/describe"):
+            return self._read_config()
+        return ApiResponse.from_json(404, {"reason": "there is no such call"})
+
+    def _heartbeat(self, upstream_id: str, req: ApiRequest) -> ApiResponse:
+        try:
+            upstream = read_heartbeat(upstream_id, req.body)
+        except WireError as exc:
+            get_logger().warning("heartbeat_malformed", upstream=upstream_id, reason=str(exc))
+            return ApiResponse.from_json(400, {"reason": str(exc)})
+        request = Request(Operation.ANNOUNCE, {"upstream": list(upstream)})
+        reply = self._client.call(request, timeout_s=ANNOUNCE_TIMEOUT_S)
+        if not isinstance(reply, Reply) or reply.code is not ResultCode.ACCEPTED:
+            return self._unavailable("heartbeat_not_passed_on", upstream_id, reply)
+        leader = self._client.leader
+        if not leader:
+            return ApiResponse.from_json(200, {})
+        # ``heartbeatAddress`` is where the next heartbeats go; the leader saves the hop.
+        address = Address(Address.parse(leader).host, self._control_port)
+        return ApiResponse.from_json(200, {"heartbeatAddress": str(address)})
+
+    def _leave(self, upstream_id: str) -> ApiResponse:
+        request = Request(Operation.LEAVE, {"upstream": upstream_id})
+        reply = self._client.call(request, timeout_s=ANNOUNCE_TIMEOUT_S)
+        if not isinstance(reply, Reply) or reply.code is not ResultCode.ACCEPTED:
+            return self._unavailable("leave_not_passed_on", upstream_id, reply)
+        return ApiResponse.from_json(200, {})
+
+    def _replace_config(self, req: ApiRequest) -> ApiResponse:
+        try:
+            source = req.body.decode()
+            cfg = read_config(source)
+        except ValueError as exc:
+            get_logger().warning("config_refused", reason=str(exc)[:300])
+            return ApiResponse.from_json(400, {"reason": str(exc)[:300]})
+        request = Request(Operation.REPLACE_CONFIG, {"version": cfg.version, "source": source})
+        reply = self._client.call(request, timeout_s=CONFIG_TIMEOUT_S)
+        is_accepted = isinstance(reply, Reply) and reply.code in (
+            ResultCode.ACCEPTED,
+            ResultCode.APPLIED,
+        )
+        if not is_accepted:
+            return self._unavailable("config_not_confirmed", str(cfg.version), reply)
+        get_logger().info("config_acknowledged", version=cfg.version)
+        return ApiResponse.from_json(200, {})
+
+    def _read_config(self) -> ApiResponse:
+        reply = self._client.call(Request(Operation.READ_CONFIG, {}), timeout_s=CONFIG_TIMEOUT_S)
+        if not isinstance(reply, Reply) or reply.code is not ResultCode.ACCEPTED:
+            return self._unavailable("config_not_read", "", reply)
+        if not reply.fields["version"]:
+            return ApiResponse.from_json(503, {"reason": "there is no configuration yet"})
+        return ApiResponse(200, reply.fields["source"].encode())
+
+    @staticmethod
+    def _unavailable(event: str, subject: str, reply: Reply | Failure) -> ApiResponse:
+        get_logger().info(event, subject=subject, code=reply.code.label)
+        return ApiResponse.from_json(503, {"reason": "the leader cannot be reached; ask again"})
--- /dev/null
+++ b/kumquatlift/platform/_frontend.py
@@ -0,0 +1,150 @@
+"""Serves callers of the platform: submits, states, cancels and counts of jobs."""
+
+from kumquatlift.authority import LeaderClient, Operation, Reply, Request
+from kumquatlift.blackboard import Section
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.log import get_logger
+from kumquatlift.platform._wire import WireError, is_job_id, read_job
+from kumquatlift.wsgi import ApiRequest, ApiResponse
+
+# A commit takes about 20 ms; the limit is most of the time that callers wait at least, so that a
+# caller learns of an unknown outcome while it still listens.
+CALL_TIMEOUT_S = 1.0
+# Jobs that are answered at their end wait for the work.
+END_TIMEOUT_S = 10.0
+# Sent when nothing is known of when a leader will be there; elections take about a second.
+NO_LEADER_RETRY_MS = 1000
+
+_UNKNOWN = ApiResponse.from_json(504, {"reason": "the outcome is unknown; ask again"})
+
+
+class Frontend:
+    """Handler of callers' requests.
+
+    Args:
+        client: Requests to the leader.
+        zone: Availability zone of this process.
+        section: Section of the blackboard.
+    """
+
+    def __init__(self, *, client: LeaderClient, zone: str, section: Section) -> None:
+        self._client = client
+        self._zone = zone
+        self._section = section
+        self._is_leaving = False
+        self._is_closing = False
+
+    def leave(self) -> None:
+        """Report as not ready and ask callers to use other connections from now on."""
+        self._is_leaving = True
+
+    def close(self) -> None:
+        """Refuse new requests at once, so that those in progress can end."""
+        self._is_closing = True
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the platform should send new connections here."""
+        return not self._is_leaving and bool(self._client.leader)
+
+    def handle(self, req: ApiRequest) -> ApiResponse:
+        """Answer a caller."""
+        if self._is_closing:
+            res = _refused(NO_LEADER_RETRY_MS, "this process ends; the request has not run")
+        else:
+            res = self._answer(req)
+        if self._is_leaving:
+            res = res._replace(headers=(*res.headers, ("Connection", "close")))
+        return res
+
+    def ready(self, _req: ApiRequest) -> ApiResponse:
+        """Answer the platform's question whether callers may be sent here."""
+        return ApiResponse.from_json(200 if self.is_ready else 503, {"ready": self.is_ready})
+
+    def _answer(self, req: ApiRequest) -> ApiResponse:
+        last = req.path.rpartition("/")[2]
+        place = {"host": req.headers.get("host", "").partition(":")[0].lower(), "path": req.path}
+        if not last and req.method == "GET":
+            return self._pending(place)
+        if not is_job_id(last):
+            return ApiResponse.from_json(404, {"reason": "no job id of 16 hexadecimal digits"})
+        if req.method == "POST":
+            return self._submit(req, last, place)
+        if req.method == "GET":
+            return self._status(last)
+        if req.method == "DELETE":
+            return self._cancel(last)
+        return ApiResponse.from_json(405, {"reason": f"{req.method} is not served"})
+
+    def _submit(self, req: ApiRequest, job_id: str, place: dict[str, str]) -> ApiResponse:
+        try:
+            spec = read_job(req.body)
+        except WireError as exc:
+            get_logger().info("job_malformed", job=job_id, reason=str(exc))
+            self._section.count("jobs_malformed")
+            return ApiResponse.from_json(400, {"reason": str(exc)})
+        fields = {"job": job_id, "spec": spec.to_plain(), "zone": self._zone, **place}
+        timeout_s = END_TIMEOUT_S if spec.answers_at_end else CALL_TIMEOUT_S
+        reply = self._client.call(Request(Operation.SUBMIT, fields), timeout_s=timeout_s)
+        self._section.count("submits")
+        if isinstance(reply, Failure) or reply.code is not ResultCode.ACCEPTED:
+            return self._refuse_submit(job_id, reply)
+        if spec.answers_at_end:
+            return ApiResponse.from_json(200, {"state": reply.fields.get("state")})
+        return ApiResponse.from_json(200, {})
+
+    def _refuse_submit(self, job_id: str, reply: Reply | Failure) -> ApiResponse:
+        reason = reply.reason if isinstance(reply, Failure) else reply.fields.get("reason", "")
+        get_logger().info(
+            "submit_not_accepted",
+            job=job_id,
+            code=reply.code.label,
+            reason=reason,
+            leader=self._client.leader,
+        )
+        self._section.count(f"submits_{reply.code.label}")
+        match reply.code:
+            case ResultCode.NOT_DELIVERED | ResultCode.NOT_LEADER:
+                return _refused(NO_LEADER_RETRY_MS, "no leader at present; the job has not run")
+            case ResultCode.OVERLOADED if isinstance(reply, Reply):
+                retry_ms = int(reply.fields.get("retry_after_ms", 0))
+                return _refused(retry_ms, "the queue is full; the job has not run")
+            case ResultCode.UNKNOWN_SERVICE:
+                return ApiResponse.from_json(404, {"reason": "there is no such queue"})
+            case ResultCode.MALFORMED:
+                return ApiResponse.from_json(400, {"reason": reason})
+        return _UNKNOWN
+
+    def _status(self, job_id: str) -> ApiResponse:
+        reply = self._client.call(
+            Request(Operation.STATUS, {"job": job_id}), timeout_s=CALL_TIMEOUT_S
+        )
+        return self._state_of(job_id, reply)
+
+    def _cancel(self, job_id: str) -> ApiResponse:
+        reply = self._client.call(
+            Request(Operation.CANCEL, {"job": job_id}), timeout_s=CALL_TIMEOUT_S
+        )
+        return self._state_of(job_id, reply)
+
+    def _state_of(self, job_id: str, reply: Reply | Failure) -> ApiResponse:
+        if isinstance(reply, Reply) and reply.code is ResultCode.ACCEPTED:
+            return ApiResponse.from_json(200, reply.fields)
+        if isinstance(reply, Reply) and reply.code is ResultCode.NOT_FOUND:
+            return ApiResponse.from_json(410, {"reason": "no such job"})
+        get_logger().info("job_not_answered", job=job_id, code=reply.code.label)
+        self._section.count("states_unknown")
+        return _refused(NO_LEADER_RETRY_MS, "the state is not known here at present")
+
+    def _pending(self, place: dict[str, str]) -> ApiResponse:
+        reply = self._client.call(Request(Operation.PENDING, place), timeout_s=CALL_TIMEOUT_S)
+        if isinstance(reply, Reply) and reply.code is ResultCode.ACCEPTED:
+            return ApiResponse.from_json(200, reply.fields)
+        if isinstance(reply, Reply) and reply.code is ResultCode.UNKNOWN_SERVICE:
+            return ApiResponse.from_json(404, {"reason": "there is no such queue"})
+        return _refused(NO_LEADER_RETRY_MS, "the count is not known here at present")
+
+
+def _refused(retry_after_ms: int, reason: str) -> ApiResponse:
+    return ApiResponse.from_failure(Failure(ResultCode.OVERLOADED, reason, retry_after_ms))
--- /dev/null
+++ b/kumquatlift/platform/_programs.py
@@ -0,0 +1,209 @@
+"""The programs that run on the platform's machines."""
+
+import contextlib
+import os
+import signal
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from kumquatlift.authority import Authority, LeaderClient, Limits, authority_handler
+from kumquatlift.blackboard import Blackboard
+from kumquatlift.channel import Topic
+from kumquatlift.clock import MonotonicClock
+from kumquatlift.log import LineWriter, configure_logs, get_logger
+from kumquatlift.platform._control import Control
+from kumquatlift.platform._frontend import Frontend
+from kumquatlift.platform._settings import PlatformSettings, SettingsError, locate
+from kumquatlift.platform._upstream_client import UpstreamClient
+from kumquatlift.platform._wire import read_config
+from kumquatlift.server import HttpServer
+from kumquatlift.settings import Address
+from kumquatlift.store import EventLoop, Journal, JournalError, Replica
+from kumquatlift.tcp_channel import TcpChannel
+from kumquatlift.timer import Timer
+from kumquatlift.wsgi import ApiRequest, ApiResponse, application
+
+CALLER_THREADS = 32
+CONTROL_THREADS = 16
+CHANNEL_WORKERS = 4
+# A process that stops goes on serving for this share of its grace, so that the platform has sent
+# new connections elsewhere (two checks, one a second) and what was read is answered.
+SERVE_SHARE = 0.55
+DRAIN_SHARE = 0.35
+# A leader that stops serves on until a follower has taken over, which takes two round trips.
+HAND_OVER_S = 0.5
+# The journal is replaced by a snapshot at this share of the disk; two of them fit beside snapshots.
+JOURNAL_SHARE = 0.2
+# Port of the metrics, counted from the first internal port; ``deploy/system.toml`` names it.
+METRICS_OFFSET = 10
+EXIT_SETTINGS = 2
+
+
+class Stop:
+    """Waits for SIGTERM and reports changes of the settings file by SIGHUP."""
+
+    def __init__(self) -> None:
+        self._event = threading.Event()
+        signal.signal(signal.SIGTERM, self._on_term)
+        signal.signal(signal.SIGHUP, self._on_hup)
+
+    def wait(self) -> None:
+        """Return after SIGTERM."""
+        while not self._event.wait():
+            pass
+
+    def _on_term(self, _signal: int, _frame: object) -> None:
+        self._event.set()
+
+    def _on_hup(self, _signal: int, _frame: object) -> None:
+        # All settings concern addresses and bounds, which a process keeps for its life.
+        get_logger().info("settings_file_changed", applied=False)
+
+
+def run_frontend(cfg: PlatformSettings) -> None:
+    """Serve callers until SIGTERM."""
+    stop = Stop()
+    board = Blackboard()
+    timer = Timer(clock=MonotonicClock())
+    channel = _open_channel(cfg)
+    client = LeaderClient(channel=channel, timer=timer, contacts=cfg.contacts)
+    frontend = Frontend(client=client, zone=cfg.zone, section=board.section("frontend"))
+    servers = [
+        _serve(frontend.handle, cfg.listen.callers, CALLER_THREADS, "callers"),
+        _serve(frontend.ready, cfg.listen.readiness, 1, "readiness"),
+        _serve(_metrics(board), f"{cfg.host}:{cfg.internal_port + METRICS_OFFSET}", 1, "metrics"),
+    ]
+    get_logger().info("started", role="frontend", zone=cfg.zone, seeds=",".join(cfg.seeds))
+    stop.wait()
+    get_logger().info("stopping", role="frontend")
+    frontend.leave()
+    time.sleep(SERVE_SHARE * cfg.bounds.grace_s)
+    frontend.close()
+    servers[0].drain(timeout_s=DRAIN_SHARE * cfg.bounds.grace_s)
+
+
+def run_core(cfg: PlatformSettings) -> None:
+    """Keep a replica of the log, and lead when elected, until SIGTERM."""
+    stop = Stop()
+    board = Blackboard()
+    clock = MonotonicClock()
+    loop = EventLoop(clock=clock)
+    timer = Timer(clock=clock)
+    channel = _open_channel(cfg)
+    authority = Authority(
+        read_config=read_config,
+        gateway=UpstreamClient(loop=loop),
+        loop=loop,
+        clock=clock,
+        limits=Limits(
+            lease_s=cfg.bounds.lease_ms / 1000,
+            remote_factor=cfg.bounds.remote_factor,
+            keep_s=cfg.bounds.state_kept_s * 1.2,
+        ),
+        section=board.section("authority"),
+    )
+    replica = Replica(
+        name=cfg.peer_name,
+        channel=channel,
+        loop=loop,
+        journal=Journal(path=Path(cfg.data_folder)),
+        machine=authority,
+        founders=cfg.contacts if cfg.is_first_formation else (),
+        contacts=cfg.contacts,
+        target_voters=max(len(cfg.contacts), 2 * cfg.bounds.tolerated_machines + 1),
+        max_journal_bytes=int(JOURNAL_SHARE * cfg.disk_mb * 1_000_000),
+    )
+    replica.start()
+    authority.attach(replica.raft)
+    # What the authority proposes after a batch is sent and written at once.
+    loop.after_batch(replica.flush)
+    channel.handle_later(Topic.AUTHORITY, authority_handler(authority.ask))
+    client = LeaderClient(channel=channel, timer=timer, contacts=cfg.contacts)
+    control = Control(client=client, control_port=Address.parse(cfg.listen.control).port)
+    _serve(control.handle, cfg.listen.control, CONTROL_THREADS, "control")
+    _serve(_metrics(board), f"{cfg.host}:{cfg.internal_port + METRICS_OFFSET}", 1, "metrics")
+    get_logger().info(
+        "started",
+        role="core",
+        zone=cfg.zone,
+        term=replica.raft.term,
+        last=replica.raft.last_index,
+        member=replica.raft.is_member,
+    )
+    threading.Thread(target=_stop_core, args=(stop, loop, replica), daemon=True).start()
+    loop.run()
+
+
+def _stop_core(stop: Stop, loop: EventLoop, replica: Replica) -> None:
+    stop.wait()
+    get_logger().info("stopping", role="core")
+    loop.post(replica.raft.hand_over)
+    time.sleep(HAND_OVER_S)
+    loop.stop()
+
+
+def _metrics(board: Blackboard) -> Callable[[ApiRequest], ApiResponse]:
+    def handle(_req: ApiRequest) -> ApiResponse:
+        lines = [
+            f"kumquatlift_{owner}_{name} {value}"
+            for owner, values in board.snapshot().items()
+            if isinstance(values, dict)
+            for name, value in sorted(values.items())
+            if isinstance(value, int | float)
+        ]
+        return ApiResponse(200, ("\n".join(lines) + "\n").encode(), "text/plain")
+
+    return handle
+
+
+def _open_channel(cfg: PlatformSettings) -> TcpChannel:
+    return TcpChannel(
+        name=cfg.peer_name,
+        address=Address(cfg.host, cfg.internal_port),
+        locate=locate,
+        workers=CHANNEL_WORKERS,
+    )
+
+
+def _serve(
+    handler: Callable[[ApiRequest], ApiResponse], address: str, threads: int, name: str
+) -> HttpServer:
+    server = HttpServer(
+        app=application(handler), address=Address.parse(address), threads=threads, name=name
+    )
+    server.start()
+    return server
+
+
+PROGRAMS: dict[str, Callable[[PlatformSettings], None]] = {
+    "core": run_core,
+    "frontend": run_frontend,
+}
+
+
+def main() -> None:
+    """Run the program that the command line names."""
+    if len(sys.argv) != 2 or sys.argv[1] not in PROGRAMS:
+        print(f"usage: kumquatlift.platform {{{','.join(PROGRAMS)}}}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    try:
+        cfg = PlatformSettings.from_environment()
+    except SettingsError as exc:
+        print(f"settings: {exc}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    writer = LineWriter(stream=sys.stdout)
+    configure_logs(process=cfg.name, file=writer)
+    code = 0
+    try:
+        PROGRAMS[sys.argv[1]](cfg)
+        get_logger().info("stopped")
+    except (JournalError, OSError) as exc:
+        get_logger().error("start_failed", error=repr(exc))
+        code = 1
+    with contextlib.suppress(OSError, ValueError):
+        writer.drain()
+    # The servers' loops offer no stop from outside; everything they served has been answered.
+    os._exit(code)
--- /dev/null
+++ b/kumquatlift/platform/_upstream_client.py
@@ -0,0 +1,105 @@
+"""The only client for upstreams: carries orders over HTTP."""
+
+import http.client
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+
+from kumquatlift.authority import (
+    LookAnswer,
+    LookOrder,
+    OrderAnswer,
+    OrderResult,
+    StartOrder,
+    StopOrder,
+    UpstreamRef,
+)
+from kumquatlift.connection_pool import ConnectionPool, HttpAnswer, NotSentError
+from kumquatlift.platform._wire import (
+    read_look_answer,
+    read_order_answer,
+    write_look,
+    write_start,
+    write_stop,
+)
+from kumquatlift.store import EventLoop
+
+# Upstreams answer an order within a few round trips of 2 ms; a lost answer must be noticed well
+# within the objective of the shortest jobs.
+ORDER_TIMEOUT_S = 0.15
+# Looks that wait for an end get their wait on top.
+LOOK_TIMEOUT_S = 0.2
+CONNECT_TIMEOUT_S = 0.12
+# Upstreams close a connection that was idle for 4 s.
+MAX_IDLE_S = 3.0
+# Threads that send starts and stops; an upstream that does not answer holds one for the timeout.
+ORDER_THREADS = 24
+# A look waits in its thread, one for each upstream at a time.
+LOOK_THREADS = 220
+
+
+class UpstreamClient:
+    """An ``UpstreamGateway`` over HTTP.
+
+    Args:
+        loop: Event loop in which answers are handed over.
+    """
+
+    def __init__(self, *, loop: EventLoop) -> None:
+        self._loop = loop
+        self._pool = ConnectionPool(max_idle_s=MAX_IDLE_S)
+        self._orders = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix="order")
+        self._looks = ThreadPoolExecutor(LOOK_THREADS, thread_name_prefix="look")
+
+    def start(
+        self, ref: UpstreamRef, order: StartOrder, done: Callable[[OrderAnswer], None]
+    ) -> None:
+        """Send a start."""
+        body = write_start(order, ref.token)
+        self._orders.submit(self._order, ref, "/api/run-start", body, done)
+
+    def stop(self, ref: UpstreamRef, order: StopOrder, done: Callable[[OrderAnswer], None]) -> None:
+        """Send a stop."""
+        body = write_stop(order, ref.token)
+        self._orders.submit(self._order, ref, "/api/run-stop", body, done)
+
+    def look(self, ref: UpstreamRef, order: LookOrder, done: Callable[[LookAnswer], None]) -> None:
+        """Ask for the lists."""
+        self._looks.submit(self._look, ref, order, done)
+
+    def _order(
+        self, ref: UpstreamRef, path: str, body: bytes, done: Callable[[OrderAnswer], None]
+    ) -> None:
+        answer = self._exchange(ref, path, body, ORDER_TIMEOUT_S)
+        if isinstance(answer, OrderAnswer):
+            result = answer
+        else:
+            result = read_order_answer(answer.status, answer.body, ref.born_ms)
+        self._loop.post(done, result)
+
+    def _look(self, ref: UpstreamRef, order: LookOrder, done: Callable[[LookAnswer], None]) -> None:
+        timeout_s = LOOK_TIMEOUT_S + order.wait_ms / 1000
+        answer = self._exchange(ref, "/api/hold", write_look(order, ref.token), timeout_s)
+        if isinstance(answer, OrderAnswer):
+            result = LookAnswer(answer.result, reason=answer.reason)
+        else:
+            result = read_look_answer(answer.status, answer.body, ref.born_ms)
+        self._loop.post(done, result)
+
+    def _exchange(
+        self, ref: UpstreamRef, path: str, body: bytes, timeout_s: float
+    ) -> HttpAnswer | OrderAnswer:
+        headers = {"Content-Type": "application/json", "Expected-Instance": ref.upstream_id}
+        send = partial(
+            self._pool.exchange,
+            timeout_s=timeout_s,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+        try:
+            return send(ref.address, "POST", path, body, headers)
+        except NotSentError as exc:
+            return OrderAnswer(OrderResult.NOT_SENT, reason=str(exc))
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            # The others may have gone silent with this one; the next order opens a new connection.
+            self._pool.drop(ref.address)
+            return OrderAnswer(OrderResult.UNKNOWN, reason=f"{type(exc).__name__} {exc}"[:120])
--- /dev/null
+++ b/kumquatlift/platform/_wire.py
@@ -0,0 +1,351 @@
+"""The platform's messages, decoded once into types of the product.
+
+The comments name a wire field where its name says something else than what it holds.
+"""
+
+import json
+import re
+from typing import Any
+
+from kumquatlift.authority import (
+    EndHow,
+    JobSpec,
+    LookAnswer,
+    LookOrder,
+    OrderAnswer,
+    OrderResult,
+    Queue,
+    RunningTask,
+    ServingConfig,
+    StartOrder,
+    Step,
+    StopOrder,
+    TaskEnd,
+    TaskKey,
+    UpstreamState,
+)
+from kumquatlift.log import get_logger
+
+MAX_PAYLOAD_BYTES = 4000
+MAX_TASKS = 10_000
+MAX_STEPS = 200
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+_STATES = ("ready", "draining")
+_START_REFUSALS = {
+    "fence": OrderResult.FENCED,
+    "old": OrderResult.STALE_RUN,
+    "late": OrderResult.LEASE_PASSED,
+    "room": OrderResult.NO_ROOM,
+    "ticket": OrderResult.NO_TICKET,
+}
+
+
+class WireError(ValueError):
+    """A message of the platform does not have the form that its pages describe."""
+
+
+def is_job_id(text: str) -> bool:
+    """Tell whether a text is the identity of a job."""
+    return bool(_JOB_ID.fullmatch(text))
+
+
+# Jobs
+
+
+def read_job(body: bytes) -> JobSpec:
+    """Decode a submitted job.
+
+    Raises:
+        WireError: It is not a job.
+    """
+    fields = _object(body)
+    payload = fields.get("spec", "")
+    rows = fields.get("steps")
+    if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
+        raise WireError(f"spec: a text of at most {MAX_PAYLOAD_BYTES} bytes is needed")
+    if not isinstance(rows, list) or not 0 < len(rows) <= MAX_STEPS:
+        raise WireError(f"steps: a list of 1 to {MAX_STEPS} steps is needed")
+    steps = tuple(_read_step(number, row) for number, row in enumerate(rows))
+    if sum(step.tasks for step in steps) > MAX_TASKS:
+        raise WireError(f"steps: at most {MAX_TASKS} tasks are allowed")
+    return JobSpec(
+        payload,
+        steps,
+        _integer(fields, "repetitions"),
+        _integer(fields, "startAtMs"),
+        _integer(fields, "intervalMs"),
+        # ``bestEffort`` is about how the caller is answered: once, when the job has ended.
+        bool(fields.get("bestEffort", False)),
+    )
+
+
+def _read_step(number: int, row: Any) -> Step:
+    if not isinstance(row, dict):
+        raise WireError(f"steps.{number}: an object is needed")
+    after = row.get("dependsOn", [])
+    if not isinstance(after, list) or not all(
+        isinstance(each, int) and 0 <= each < number for each in after
+    ):
+        raise WireError(f"steps.{number}.dependsOn: numbers of earlier steps are needed")
+    count = _integer(row, "count")
+    if count < 1:
+        raise WireError(f"steps.{number}.count: at least 1 is needed")
+    return Step(
+        count,
+        # ``cpu`` is in thousandths of a core.
+        _integer(row, "cpu"),
+        _integer(row, "requestedMemoryMb"),
+        _integer(row, "gpu"),
+        _integer(row, "estimatedMs"),
+        tuple(after),
+        bool(row.get("gang", False)),
+        bool(row.get("rackSensitive", False)),
+        # ``requirements`` is one label.
+        str(row.get("requirements", "")),
+        str(row.get("dataRack", "")),
+        _integer(row, "antiAffinity"),
+        bool(row.get("longRunning", False)),
+        # ``fills``: the step's processor time is what others leave unused.
+        bool(row.get("fills", False)),
+    )
+
+
+# Configuration
+
+
+def read_config(source: str) -> ServingConfig:
+    """Decode a configuration and check it.
+
+    Raises:
+        WireError: It is not valid; the message says why.
+    """
+    fields = _object(source.encode())
+    version: Any = fields.get("version")
+    if not _is_integer(version) or version < 1:
+        raise WireError("version: a number from 1 is needed")
+    services = [_text(row, "name") for row in _rows(fields, "services")]
+    if len(set(services)) != len(services):
+        raise WireError("services: a name is used twice")
+    queues = tuple(_read_queue(row, services) for row in _rows(fields, "routes"))
+    keys = [(queue.host, queue.prefix) for queue in queues]
+    if len(set(keys)) != len(keys):
+        raise WireError("routes: two share the same host and prefix")
+    return ServingConfig(version, queues, tuple(services), source)
+
+
+def _read_queue(row: dict[str, Any], services: list[str]) -> Queue:
+    name = _text(row, "name")
+    service = _text(row, "service")
+    if service not in services:
+        raise WireError(f"routes.{name}: the service {service!r} is not in the configuration")
+    timeout_ms: Any = row.get("timeoutMs")
+    if not _is_number(timeout_ms) or timeout_ms <= 0:
+        raise WireError(f"routes.{name}.timeoutMs: a number above 0 is needed")
+    prefix = _text(row, "pathPrefix")
+    if not prefix.startswith("/"):
+        raise WireError(f"routes.{name}.pathPrefix: a path is needed")
+    slack: Any = row.get("slackFactor", 1.0)
+    if not _is_number(slack) or slack < 0:
+        raise WireError(f"routes.{name}.slackFactor: a number is needed")
+    return Queue(
+        name,
+        _text(row, "host").lower(),
+        prefix,
+        service,
+        _integer(row, "priority"),
+        max(1, _integer(row, "maxAttempts", 1)),
+        float(slack),
+        _integer(row, "targetLatencyMs"),
+        bool(row.get("advice")),
+    )
+
+
+# Upstreams
+
+
+def read_heartbeat(upstream_id: str, body: bytes) -> UpstreamState:
+    """Decode what an upstream says of itself.
+
+    Raises:
+        WireError: It names no upstream that could be used.
+    """
+    fields = _object(body)
+    capacity = fields.get("capacity")
+    if not isinstance(capacity, dict):
+        raise WireError("capacity: an object is needed")
+    labels = fields.get("labels", [])
+    if not isinstance(labels, list) or not all(isinstance(label, str) for label in labels):
+        raise WireError("labels: texts are needed")
+    if fields.get("state") not in _STATES:
+        raise WireError("state: ready or draining is needed")
+    address = _text(fields, "address")
+    if not re.fullmatch(r"[0-9.]+:[0-9]{1,5}", address):
+        raise WireError("address: an IP number and a port are needed")
+    return UpstreamState(
+        upstream_id,
+        # ``born`` is the start of this life.
+        _integer(fields, "born"),
+        address,
+        _text(fields, "service"),
+        _text(fields, "zone"),
+        _integer(capacity, "cpu"),
+        _integer(capacity, "requestedMemoryMb"),
+        _integer(capacity, "gpu"),
+        tuple(labels),
+        fields["state"] == "draining",
+    )
+
+
+def write_start(order: StartOrder, token: int) -> bytes:
+    """Encode a start."""
+    fields: dict[str, Any] = {
+        "task": str(order.task),
+        "run": order.run,
+        "spec": order.payload,
+        "untilMs": order.lease_end_ms,
+        "fencingToken": token,
+    }
+    if order.saved:
+        fields["checkpoint"] = order.saved
+    if order.ticket:
+        fields["ticket"] = order.ticket
+    return json.dumps(fields).encode()
+
+
+def write_stop(order: StopOrder, token: int) -> bytes:
+    """Encode a stop."""
+    fields = {"task": str(order.task), "run": order.run, "fencingToken": token}
+    return json.dumps(fields).encode()
+
+
+def write_look(order: LookOrder, token: int) -> bytes:
+    """Encode a look; on the wire a look and a renewal of the lease are one call."""
+    fields = {"fencingToken": token, "ackedThrough": order.acked_end}
+    if order.lease_end_ms:
+        fields["untilMs"] = order.lease_end_ms
+    if order.wait_ms:
+        fields["waitMs"] = order.wait_ms
+    return json.dumps(fields).encode()
+
+
+def read_order_answer(status: int, body: bytes, born_ms: int) -> OrderAnswer:
+    """Decode the answer to a start or a stop."""
+    fields = _fields_or_none(body)
+    clock_ms = fields.get("clockMs") if fields else None
+    clock_ms = clock_ms if _is_integer(clock_ms) else None
+    reason = str(fields.get("reason", "")) if fields else ""
+    result = _result_of(status, reason)
+    if _is_other_life(fields, born_ms):
+        return OrderAnswer(OrderResult.BORN_AGAIN, None, f"status {status}")
+    return OrderAnswer(result, clock_ms, f"status {status} {reason}".strip())
+
+
+def _result_of(status: int, reason: str) -> OrderResult:
+    match status:
+        case 200:
+            return OrderResult.OK
+        case 409:
+            return _START_REFUSALS.get(reason, OrderResult.UNKNOWN)
+        case 421:
+            return OrderResult.OTHER_LIFE
+        case 429 | 503:
+            return OrderResult.REFUSED
+        case 400:
+            return OrderResult.MALFORMED
+    return OrderResult.UNKNOWN
+
+
+def read_look_answer(status: int, body: bytes, born_ms: int) -> LookAnswer:
+    """Decode the lists of an upstream; an entry that cannot be read is passed over."""
+    fields = _fields_or_none(body)
+    if status != 200 or fields is None:
+        reason = str(fields.get("reason", "")) if fields else "no JSON object"
+        result = _result_of(status, reason) if status != 200 else OrderResult.UNKNOWN
+        return LookAnswer(result, reason=f"status {status} {reason}")
+    if _is_other_life(fields, born_ms):
+        return LookAnswer(OrderResult.BORN_AGAIN, reason=f"born {fields.get('born')}")
+    clock_ms = fields.get("clockMs")
+    running = [_read_running(row) for row in _list(fields, "running")]
+    ends = [_read_end(row) for row in _list(fields, "finished")]
+    return LookAnswer(
+        OrderResult.OK,
+        clock_ms if _is_integer(clock_ms) else None,
+        tuple(row for row in running if row is not None),
+        tuple(sorted((row for row in ends if row is not None), key=lambda row: row[0])),
+    )
+
+
+def _is_other_life(fields: dict[str, Any] | None, born_ms: int) -> bool:
+    born = fields.get("born") if fields else None
+    return _is_integer(born) and bool(born_ms) and born != born_ms
+
+
+def _read_running(row: Any) -> RunningTask | None:
+    try:
+        return RunningTask(TaskKey.parse(row[0]), int(row[1]), str(row[2] or ""), int(row[3]))
+    except (ValueError, TypeError, IndexError, AttributeError) as exc:
+        get_logger().warning("running_row_malformed", row=repr(row)[:100], error=repr(exc))
+        return None
+
+
+def _read_end(row: Any) -> tuple[int, TaskEnd] | None:
+    try:
+        number, task, run, how, saved = row[:5]
+        return int(number), TaskEnd(TaskKey.parse(task), int(run), EndHow(how), str(saved or ""))
+    except (ValueError, TypeError, AttributeError) as exc:
+        get_logger().warning("end_row_malformed", row=repr(row)[:100], error=repr(exc))
+        return None
+
+
+# Plain values
+
+
+def _object(body: bytes) -> dict[str, Any]:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise WireError(f"not JSON: {exc}") from exc
+    if not isinstance(fields, dict):
+        raise WireError("an object is needed")
+    return fields
+
+
+def _fields_or_none(body: bytes) -> dict[str, Any] | None:
+    try:
+        return _object(body)
+    except WireError:
+        return None
+
+
+def _list(fields: dict[str, Any], name: str) -> list[Any]:
+    value = fields.get(name, [])
+    return value if isinstance(value, list) else []
+
+
+def _rows(fields: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    rows = fields.get(name)
+    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
+        raise WireError(f"{name}: a list of objects is needed")
+    return rows
+
+
+def _text(fields: dict[str, Any], name: str) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        raise WireError(f"{name}: a text is needed")
+    return value
+
+
+def _integer(fields: dict[str, Any], name: str, default: int = 0) -> int:
+    value = fields.get(name, default)
+    if not _is_number(value) or value < 0:
+        raise WireError(f"{name}: a number from 0 is needed")
+    return int(value)
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def _is_integer(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
--- a/kumquatlift/runner_client.py
+++ b/kumquatlift/runner_client.py
@@ -2,26 +2,16 @@
 
 import http.client
 import json
-import select
-import socket
-import threading
 import time
-from collections import defaultdict
 from enum import Enum
 from typing import Any, NamedTuple
 
 from kumquatlift.codes import ResultCode
+from kumquatlift.connection_pool import ConnectionPool, HttpAnswer, NotSentError
 from kumquatlift.failure import Failure
-from kumquatlift.settings import Address
 
-CONNECT_TIMEOUT_S = 1.0
-# A connection idle for longer may have been dropped by something between the two ends without a
-# reset, and a request lost on it could not be told from one that ran.
-MAX_IDLE_S = 2.0
 # Time for the request to arrive after it was sent; the runner counts the lease from its arrival.
 DELIVERY_MARGIN_S = 1.0
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
-_READ_BYTES = 65536
 
 
 class AttemptEnd(Enum):
@@ -74,34 +64,11 @@
     sent: bool
 
 
-class _Connection(http.client.HTTPConnection):
-    """A connection that sends head and body of a request in one system call."""
-
-    def __init__(self, host: str, port: int) -> None:
-        super().__init__(host, port, timeout=CONNECT_TIMEOUT_S)
-        self._parts: list[bytes] = []
-
-    def send(self, data: bytes) -> None:  # type: ignore[override]
-        """Keep a part of the request until ``flush``."""
-        self._parts.append(data)
-
-    def flush(self) -> None:
-        """Send the request."""
-        data = b"".join(self._parts)
-        self._parts.clear()
-        self.sock.sendall(data)
-
-
 class RunnerClient:
-    """Pool of connections to runners.
-
-    A connection is used by one request at a time. It goes back to the pool only after a whole
-    answer, so that a late answer can never meet another request.
-    """
+    """Requests to runners, over a pool of connections."""
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._idle: dict[str, list[tuple[float, _Connection]]] = defaultdict(list)
+        self._pool = ConnectionPool()
 
     def run(self, address: str, req: RunRequest) -> AttemptResult:
         """Send a request and wait for its end.
@@ -116,122 +83,33 @@
         started_at = time.monotonic()
         body = req.to_bytes()
         timeout_s = req.lease_ms / 1000 + DELIVERY_MARGIN_S
+        headers = {"Content-Type": "application/json"}
         try:
-            conn = self._take(address)
-        except (OSError, ValueError) as exc:
-            return _ended(
-                AttemptEnd.NOT_RUN, ResultCode.NOT_DELIVERED, f"{address}: {exc}", 0.0, False
+            answer = self._pool.exchange(
+                address, "POST", "/run", body, headers, timeout_s=timeout_s
             )
-        try:
-            answer = _exchange(conn, body, timeout_s)
+        except NotSentError as exc:
+            return _ended(AttemptEnd.NOT_RUN, ResultCode.NOT_DELIVERED, str(exc), 0.0, False)
         except TimeoutError:
-            conn.close()
             elapsed = time.monotonic() - started_at
             reason = f"{address}: no answer within {timeout_s:.3f} s"
             return _ended(AttemptEnd.UNKNOWN, ResultCode.ATTEMPT_UNKNOWN, reason, elapsed)
         except (OSError, http.client.HTTPException, ValueError) as exc:
-            conn.close()
             elapsed = time.monotonic() - started_at
             reason = f"{address}: {type(exc).__name__}: {exc}"
             return _ended(AttemptEnd.UNKNOWN, ResultCode.ATTEMPT_UNKNOWN, reason, elapsed)
-        if answer.reusable:
-            self._give_back(address, conn)
-        else:
-            conn.close()
         return _classify(req, answer, time.monotonic() - started_at)
 
     def close(self) -> None:
         """Close all idle connections."""
-        with self._lock:
-            pools = list(self._idle.values())
-            self._idle.clear()
-        for pool in pools:
-            for _, conn in pool:
-                conn.close()
+        self._pool.close()
 
     def close_idle(self) -> None:
         """Close connections that have been idle too long to be used again."""
-        limit = time.monotonic() - MAX_IDLE_S
-        old: list[_Connection] = []
-        with self._lock:
-            for address, pool in list(self._idle.items()):
-                old += [conn for since, conn in pool if since < limit]
-                self._idle[address] = [item for item in pool if item[0] >= limit]
-                if not self._idle[address]:
-                    del self._idle[address]
-        for conn in old:
-            conn.close()
-
-    def _take(self, address: str) -> _Connection:
-        limit = time.monotonic() - MAX_IDLE_S
-        while True:
-            with self._lock:
-                pool = self._idle.get(address)
-                entry = pool.pop() if pool else None
-            if entry is None:
-                return _connect(address)
-            since, conn = entry
-            if since >= limit and not _is_readable(conn):
-                return conn
-            conn.close()
-
-    def _give_back(self, address: str, conn: _Connection) -> None:
-        with self._lock:
-            self._idle[address].append((time.monotonic(), conn))
-
-
-class _Answer(NamedTuple):
-    status: int
-    body: bytes
-    reusable: bool
-
-
-def _connect(address: str) -> _Connection:
-    host, port = Address.parse(address)
-    conn = _Connection(host, port)
-    conn.connect()
-    # Without this the library would open the connection again by itself and send a second time.
-    conn.auto_open = 0
-    conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return conn
-
-
-def _is_readable(conn: _Connection) -> bool:
-    """Tell whether an idle connection was closed by the runner or carries stray bytes."""
-    return bool(select.select([conn.sock], [], [], 0)[0])
-
-
-def _exchange(conn: _Connection, body: bytes, timeout_s: float) -> _Answer:
-    deadline = time.monotonic() + timeout_s
-    conn.sock.settimeout(timeout_s)
-    conn.request("POST", "/run", body, {"Content-Type": "application/json"})
-    conn.flush()
-    sock = conn.sock
-    res = conn.getresponse()
-    parts: list[bytes] = []
-    size = 0
-    while part := res.read1(_READ_BYTES):
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise ValueError(f"answer over {MAX_ANSWER_BYTES} bytes")
-        parts.append(part)
-        if res.length == 0:
-            break
-        # The limit holds for the whole exchange: a runner that sends a byte at a time must not
-        # extend it.
-        left = deadline - time.monotonic()
-        if left <= 0:
-            raise TimeoutError
-        sock.settimeout(left)
-    if res.length not in (0, None):
-        raise http.client.IncompleteRead(b"", res.length)
-    reusable = not res.will_close
-    # A response that was read by parts must be closed before the connection takes a new request.
-    res.close()
-    return _Answer(res.status, b"".join(parts), reusable and conn.sock is not None)
+        self._pool.close_idle()
 
 
-def _classify(req: RunRequest, answer: _Answer, run_s: float) -> AttemptResult:
+def _classify(req: RunRequest, answer: HttpAnswer, run_s: float) -> AttemptResult:
     try:
         obj = json.loads(answer.body)
     except ValueError:
--- a/kumquatlift/server.py
+++ b/kumquatlift/server.py
@@ -18,6 +18,8 @@
 # checked by the application, and this one only bounds what is buffered.
 BUFFERED_REQUEST_BYTES = 4 * MAX_REQUEST_BYTES
 _POLL_S = 0.02
+# A request may have arrived that the server has not read yet, so it must be idle for this long.
+_IDLE_S = 0.1
 
 
 class HttpServer:
@@ -63,11 +65,16 @@
         Returns:
             Whether the server became idle in time.
         """
-        deadline = time.monotonic() + timeout_s
-        while not self.is_idle:
-            if time.monotonic() > deadline:
+        now = time.monotonic()
+        deadline = now + timeout_s
+        idle_since = now
+        while now - idle_since < _IDLE_S:
+            if now > deadline:
                 return False
             time.sleep(_POLL_S)
+            now = time.monotonic()
+            if not self.is_idle:
+                idle_since = now
         return True
 
     def close(self) -> None:
--- /dev/null
+++ b/kumquatlift/store/__init__.py
@@ -0,0 +1,20 @@
+"""A replicated, durable log of commands, kept by the instances with disks."""
+
+from kumquatlift.store._event_loop import EventLoop
+from kumquatlift.store._journal import Journal, JournalError
+from kumquatlift.store._messages import Entry, Message
+from kumquatlift.store._raft import Raft, Role, StateMachine, Timing
+from kumquatlift.store._replica import Replica
+
+__all__ = [
+    "Entry",
+    "EventLoop",
+    "Journal",
+    "JournalError",
+    "Message",
+    "Raft",
+    "Replica",
+    "Role",
+    "StateMachine",
+    "Timing",
+]
--- /dev/null
+++ b/kumquatlift/store/_raft.py
@@ -0,0 +1,742 @@
+"""Agreement of replicas on one log, as a state machine without input and output (Raft)."""
+
+import random
+from collections.abc import Callable
+from enum import Enum, auto
+from typing import NamedTuple, Protocol
+
+from kumquatlift.log import get_logger
+from kumquatlift.store._journal import HardState, Recovered, Snapshot, entry_record, hard_record
+from kumquatlift.store._messages import Entry, Message, MessageKind
+
+# Data of one message; a follower that is far behind gets several.
+MAX_APPEND_BYTES = 512 * 1024
+SNAPSHOT_PART_BYTES = 1024 * 1024
+# Entries sent to a follower ahead of its answers.
+MAX_IN_FLIGHT = 2000
+# A voter that has been silent for this long makes room for an instance that wants to join.
+REPLACE_AFTER_S = 6.0
+
+
+class Role(Enum):
+    """Part that a replica plays in its term."""
+
+    FOLLOWER = auto()
+    CANDIDATE = auto()
+    LEADER = auto()
+
+
+class Timing(NamedTuple):
+    """Periods of the protocol, in seconds.
+
+    Args:
+        heartbeat_s: A leader sends to every follower this often.
+        lease_s: A leader serves this long after it sent what a majority has answered.
+        election_s: A follower starts an election after this much silence, and up to twice as much.
+            Longer than the lease, so that an old leader has stopped before a new one begins.
+    """
+
+    heartbeat_s: float = 0.1
+    lease_s: float = 0.7
+    election_s: float = 0.8
+
+
+DEFAULT_TIMING = Timing()
+
+
+class StateMachine(Protocol):
+    """What the committed entries are applied to, in the thread of the replica."""
+
+    def apply(self, index: int, entry: Entry) -> None:
+        """Apply a committed command."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole state; empty bytes are the initial state."""
+
+    def on_role(self, role: Role, term: int) -> None:
+        """Take note that this replica leads or no longer leads."""
+
+
+class Peer:
+    """What a leader knows of another replica."""
+
+    __slots__ = ("acked_at", "heard_at", "is_member", "match", "next", "sent_at", "snapshot_at")
+
+    def __init__(self, *, next_index: int, now: float) -> None:
+        self.next = next_index
+        self.match = 0
+        # Send time of the newest message that was answered; leases count from it.
+        self.acked_at = 0.0
+        self.sent_at = 0.0
+        self.heard_at = now
+        self.is_member = False
+        # Bytes of the snapshot sent so far; None while entries are sent.
+        self.snapshot_at: int | None = None
+
+
+class Raft:
+    """One replica.
+
+    The owner calls ``receive``, ``tick``, ``propose`` and ``synced`` in one thread, and calls
+    ``flush`` after each batch of these. Records to be written are taken with ``take_records``;
+    messages that promise something about them wait until ``synced``.
+
+    Args:
+        name: Name of this replica.
+        recovered: What its data folder holds.
+        founders: Voters of the first formation; empty when this start is not the first formation.
+        machine: State machine.
+        send: Sends a message to a replica; it may be lost.
+        now: Clock that counts suspended time, in seconds.
+        timing: Periods.
+        rng: Source of election delays.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        recovered: Recovered,
+        founders: tuple[str, ...],
+        machine: StateMachine,
+        send: Callable[[str, Message], None],
+        now: Callable[[], float],
+        timing: Timing = DEFAULT_TIMING,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.name = name
+        self._machine = machine
+        self._send_now = send
+        self._now = now
+        self._timing = timing
+        self._rng = rng or random.Random()
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self._records: list[bytes] = []
+        # Messages and log position that become true with the next sync, and with the one running.
+        self._after_sync: list[tuple[str, Message]] = []
+        self._in_sync: list[tuple[str, Message]] = []
+        self._in_sync_index = 0
+        self._load(recovered, founders)
+        self.commit = self._base.position
+        self.applied = self._base.position
+        self._synced_index = self.last_index
+        self.peers: dict[str, Peer] = {}
+        self._votes: set[str] = set()
+        self._is_pre_vote = False
+        self._heard_at = now()
+        self._leader_since = 0.0
+        self._first_own_index = 0
+        self._is_leaving = False
+        self._status: dict[str, tuple[int, bool]] = {}
+        self._term_floor: int | None = None
+        self._snapshot_parts: list[bytes] = []
+        self._joiners: dict[str, float] = {}
+        self._asked_at = 0.0
+        self._reset_election()
+        if self._base.state:
+            machine.restore(self._base.state)
+
+    def _load(self, recovered: Recovered, founders: tuple[str, ...]) -> None:
+        hard = recovered.hard
+        self._base = recovered.snapshot
+        self._log = list(recovered.entries)
+        if hard is None and self.name in founders:
+            hard = HardState(0, "", True)
+            self._base = Snapshot(0, 0, founders, b"")
+            self._log = []
+            self._records.append(hard_record(hard))
+            self._records.append(entry_record(1, Entry(0, b"", founders)))
+            self._log.append(Entry(0, b"", founders))
+        self._hard = hard or HardState()
+        self.voters = self._find_voters()
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self._hard.term
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this replica's disk may vote and count for a majority."""
+        return self._hard.is_member
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry of the log."""
+        return self._base.position + len(self._log)
+
+    @property
+    def majority(self) -> int:
+        """Smallest number of voters that is a majority."""
+        return len(self.voters) // 2 + 1
+
+    @property
+    def has_lease(self) -> bool:
+        """Whether this replica leads, and no other replica can."""
+        if self.role is not Role.LEADER or self._is_leaving:
+            return False
+        times = [self._now() if name == self.name else self._acked_at(name) for name in self.voters]
+        newest = sorted(times, reverse=True)[self.majority - 1]
+        return self._now() - newest < self._timing.lease_s
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether this replica leads with a lease and has applied all that was committed before."""
+        return self.has_lease and self.applied >= self._first_own_index
+
+    def _acked_at(self, name: str) -> float:
+        peer = self.peers.get(name)
+        return peer.acked_at if peer is not None and peer.is_member else 0.0
+
+    # Log
+
+    def _term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None when the log does not hold it."""
+        if index == self._base.position:
+            return self._base.term
+        if self._base.position < index <= self.last_index:
+            return self._log[index - self._base.position - 1].term
+        return None
+
+    def _find_voters(self) -> tuple[str, ...]:
+        for entry in reversed(self._log):
+            if entry.voters is not None:
+                return entry.voters
+        return self._base.voters
+
+    def _append(self, entry: Entry) -> int:
+        self._log.append(entry)
+        self._records.append(entry_record(self.last_index, entry))
+        if entry.voters is not None:
+            self.voters = entry.voters
+        return self.last_index
+
+    def propose(self, data: bytes, voters: tuple[str, ...] | None = None) -> int | None:
+        """Append a command as the leader.
+
+        Returns:
+            Index of the entry, or None when this replica does not lead.
+        """
+        if self.role is not Role.LEADER:
+            return None
+        return self._append(Entry(self.term, data, voters))
+
+    # Disk
+
+    def take_records(self) -> list[bytes]:
+        """Return what must be written before ``synced`` is called; empty when nothing waits."""
+        records, self._records = self._records, []
+        self._in_sync, self._after_sync = self._after_sync, []
+        self._in_sync_index = self.last_index
+        return records
+
+    def synced(self) -> None:
+        """Take note that the records taken last are durable."""
+        # A conflicting leader may have cut the log while the sync ran.
+        self._synced_index = min(self._in_sync_index, self.last_index)
+        waiting, self._in_sync = self._in_sync, []
+        for to, message in waiting:
+            self._send_now(to, message)
+
+    def _send_when_synced(self, to: str, message: Message) -> None:
+        if self._records or self._in_sync:
+            self._after_sync.append((to, message))
+            if not self._records:
+                # Gives the message a sync of its own to wait for.
+                self._records.append(hard_record(self._hard))
+        else:
+            self._send_now(to, message)
+
+    def _set_hard(self, hard: HardState) -> None:
+        if hard != self._hard:
+            self._hard = hard
+            self._records.append(hard_record(hard))
+
+    # Elections
+
+    def _reset_election(self) -> None:
+        delay_s = self._timing.election_s * (1 + self._rng.random())
+        self._election_at = self._now() + delay_s
+
+    def _adopt_term(self, term: int) -> None:
+        if term > self.term:
+            self._set_hard(HardState(term, "", self.is_member))
+            self._become_follower("")
+
+    def _become_follower(self, leader: str) -> None:
+        was_leader = self.role is Role.LEADER
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._reset_election()
+        if was_leader:
+            get_logger().info("leadership_lost", term=self.term, leader=leader)
+            self._machine.on_role(Role.FOLLOWER, self.term)
+
+    def start_election(self, *, is_forced: bool = False) -> None:
+        """Ask for votes; without force only whether an election could be won."""
+        if not self.is_member or self.name not in self.voters:
+            self._reset_election()
+            return
+        self.role = Role.CANDIDATE
+        self.leader = ""
+        self._votes = {self.name}
+        self._is_pre_vote = not is_forced
+        self._reset_election()
+        if is_forced:
+            self._set_hard(HardState(self.term + 1, self.name, True))
+        self._ask_votes(is_forced)
+        self._count_votes()
+
+    def _ask_votes(self, is_forced: bool) -> None:
+        fields = {
+            "last": self.last_index,
+            "last_term": self._term_at(self.last_index),
+            "forced": is_forced,
+        }
+        kind = MessageKind.PRE_VOTE if self._is_pre_vote else MessageKind.VOTE
+        for voter in self.voters:
+            if voter != self.name:
+                self._send_when_synced(voter, Message(kind, self.term, fields))
+
+    def _count_votes(self) -> None:
+        if self.role is not Role.CANDIDATE or len(self._votes) < self.majority:
+            return
+        if self._is_pre_vote:
+            self._is_pre_vote = False
+            self._votes = {self.name}
+            self._set_hard(HardState(self.term + 1, self.name, True))
+            self._reset_election()
+            self._ask_votes(False)
+            self._count_votes()
+        else:
+            self._lead()
+
+    def _lead(self) -> None:
+        now = self._now()
+        self.role = Role.LEADER
+        self.leader = self.name
+        self._leader_since = now
+        self.peers = {
+            voter: Peer(next_index=self.last_index + 1, now=now)
+            for voter in self.voters
+            if voter != self.name
+        }
+        self._first_own_index = self._append(Entry(self.term))
+        get_logger().info("leadership_won", term=self.term, last=self.last_index)
+        self._machine.on_role(Role.LEADER, self.term)
+
+    def _on_vote(self, sender: str, message: Message) -> None:
+        is_pre_vote = message.kind is MessageKind.PRE_VOTE
+        is_quiet = self._now() - self._heard_at >= self._timing.election_s
+        may_vote = self.is_member and (is_quiet or bool(message.fields.get("forced")))
+        if self.role is Role.LEADER and not message.fields.get("forced"):
+            may_vote = not self.has_lease and self.is_member
+        if not may_vote:
+            return
+        if not is_pre_vote:
+            self._adopt_term(message.term)
+        mine = (self._term_at(self.last_index) or 0, self.last_index)
+        is_current = (message.fields["last_term"], message.fields["last"]) >= mine
+        if is_pre_vote:
+            granted = is_current and message.term >= self.term
+        else:
+            granted = is_current and message.term == self.term
+            granted = granted and self._hard.vote in ("", sender)
+            if granted:
+                self._set_hard(HardState(self.term, sender, True))
+                self._reset_election()
+        fields = {"granted": granted, "pre": is_pre_vote, "for": message.term}
+        self._send_when_synced(sender, Message(MessageKind.VOTE_ANSWER, self.term, fields))
+
+    def _on_vote_answer(self, sender: str, message: Message) -> None:
+        self._adopt_term(message.term)
+        if self.role is not Role.CANDIDATE or message.fields["for"] != self.term:
+            return
+        if message.fields["granted"] and message.fields["pre"] == self._is_pre_vote:
+            self._votes.add(sender)
+            self._count_votes()
+
+    # Replication
+
+    def flush(self) -> None:
+        """Send what followers lack, commit what a majority has synced, and apply it."""
+        if self.role is Role.LEADER:
+            for name, peer in self.peers.items():
+                if peer.snapshot_at is None and peer.next <= self.last_index:
+                    self._send_entries(name, peer)
+            self._advance_commit()
+        self._apply()
+
+    def _send_entries(self, name: str, peer: Peer, *, is_heartbeat: bool = False) -> None:
+        if peer.next <= self._base.position:
+            self._start_snapshot(name, peer)
+            return
+        start = peer.next - self._base.position - 1
+        entries: list[Entry] = []
+        size = 0
+        limit = peer.match + MAX_IN_FLIGHT - peer.next
+        while start < len(self._log) and size < MAX_APPEND_BYTES and len(entries) < limit:
+            entries.append(self._log[start])
+            size += len(self._log[start].data)
+            start += 1
+        if not entries and not is_heartbeat:
+            return
+        peer.sent_at = self._now()
+        fields = {
+            "prev": peer.next - 1,
+            "prev_term": self._term_at(peer.next - 1),
+            "commit": self.commit,
+            "sent_at": peer.sent_at,
+            "own": self._first_own_index,
+        }
+        peer.next += len(entries)
+        self._send_now(name, Message(MessageKind.APPEND, self.term, fields, tuple(entries)))
+
+    def _on_append(self, sender: str, message: Message) -> None:
+        if not self._hear_leader(sender, message):
+            return
+        prev = message.fields["prev"]
+        if prev < self._base.position:
+            matched = self._base.position
+            skip = self._base.position - prev
+            entries = message.entries[skip:]
+            is_match = len(message.entries) >= skip
+        else:
+            matched, entries = prev, message.entries
+            is_match = self._term_at(prev) == message.fields["prev_term"]
+        if is_match:
+            matched = self._merge(matched, entries)
+            self.commit = max(self.commit, min(message.fields["commit"], matched))
+        became_member = is_match and self._maybe_become_member(message, matched)
+        fields = {
+            "ok": is_match,
+            "match": matched if is_match else min(prev - 1, self.last_index),
+            "sent_at": message.fields["sent_at"],
+            "member": self.is_member,
+        }
+        answer = Message(MessageKind.APPEND_ANSWER, self.term, fields)
+        if became_member or (is_match and matched > self._synced_index):
+            self._send_when_synced(sender, answer)
+        else:
+            # A heartbeat's answer must not wait for a slow disk.
+            self._send_now(sender, answer)
+
+    def _merge(self, index: int, entries: tuple[Entry, ...]) -> int:
+        for entry in entries:
+            index += 1
+            if self._term_at(index) == entry.term:
+                continue
+            if index <= self.last_index:
+                del self._log[index - self._base.position - 1 :]
+                self._synced_index = min(self._synced_index, index - 1)
+                self._in_sync_index = min(self._in_sync_index, index - 1)
+                self.voters = self._find_voters()
+            self._append(entry)
+        return index
+
+    def _hear_leader(self, sender: str, message: Message) -> bool:
+        floor = self._term_floor if self._term_floor is not None else self.term
+        if message.term < max(self.term, floor if not self.is_member else 0):
+            fields = {"ok": False, "match": 0, "sent_at": 0.0, "member": self.is_member}
+            self._send_now(sender, Message(MessageKind.APPEND_ANSWER, self.term, fields))
+            return False
+        self._adopt_term(message.term)
+        if self.leader != sender or self.role is not Role.FOLLOWER:
+            self._become_follower(sender)
+            get_logger().info("leader_heard", leader=sender, term=self.term)
+        self._heard_at = self._now()
+        self._reset_election()
+        return True
+
+    def _on_append_answer(self, sender: str, message: Message) -> None:
+        self._adopt_term(message.term)
+        peer = self.peers.get(sender)
+        if self.role is not Role.LEADER or peer is None or message.term != self.term:
+            return
+        peer.heard_at = self._now()
+        peer.acked_at = max(peer.acked_at, message.fields["sent_at"])
+        peer.is_member = message.fields["member"]
+        if message.fields["ok"]:
+            peer.match = max(peer.match, message.fields["match"])
+            peer.next = max(peer.next, peer.match + 1)
+        else:
+            peer.next = max(1, min(peer.next - 1, message.fields["match"] + 1))
+            # A replica whose disk was lost has less than it once answered for.
+            peer.match = min(peer.match, peer.next - 1)
+            self._send_entries(sender, peer, is_heartbeat=True)
+
+    def _advance_commit(self) -> None:
+        matches = [self._match(voter) for voter in self.voters]
+        index = sorted(matches, reverse=True)[self.majority - 1]
+        if index > self.commit and self._term_at(index) == self.term:
+            self.commit = index
+
+    def _match(self, voter: str) -> int:
+        if voter == self.name:
+            return self._synced_index
+        peer = self.peers.get(voter)
+        return peer.match if peer is not None and peer.is_member else 0
+
+    def _apply(self) -> None:
+        while self.applied < self.commit:
+            self.applied += 1
+            entry = self._log[self.applied - self._base.position - 1]
+            if entry.data:
+                self._machine.apply(self.applied, entry)
+            elif entry.voters is not None:
+                get_logger().info("voters", index=self.applied, voters=",".join(entry.voters))
+                if self.role is Role.LEADER and self.name not in entry.voters:
+                    self._become_follower("")
+
+    # Snapshots
+
+    def compact(self) -> tuple[Snapshot, list[bytes]]:
+        """Drop the applied entries from memory.
+
+        Returns:
+            The snapshot that replaces them, and the records that follow it. Records that were
+            taken for writing are among them.
+        """
+        tail = self._log[self.applied - self._base.position :]
+        term = self._term_at(self.applied) or 0
+        voters = self._base.voters
+        for entry in self._log[: self.applied - self._base.position]:
+            voters = entry.voters if entry.voters is not None else voters
+        self._base = Snapshot(self.applied, term, voters, self._machine.snapshot())
+        self._log = tail
+        return self._base, self.whole_records()
+
+    def whole_records(self) -> list[bytes]:
+        """Return the records of everything but the snapshot, in place of those not yet taken."""
+        records = [hard_record(self._hard)]
+        records += [
+            entry_record(self._base.position + 1 + offset, entry)
+            for offset, entry in enumerate(self._log)
+        ]
+        self._records = []
+        return records
+
+    def _start_snapshot(self, name: str, peer: Peer) -> None:
+        get_logger().info("snapshot_sent", peer=name, index=self._base.position)
+        peer.snapshot_at = 0
+        self._send_part(name, peer)
+
+    def _send_part(self, name: str, peer: Peer) -> None:
+        at = peer.snapshot_at or 0
+        state = self._base.state
+        fields = {
+            "index": self._base.position,
+            "index_term": self._base.term,
+            "voters": self._base.voters,
+            "at": at,
+            "is_last": at + SNAPSHOT_PART_BYTES >= len(state),
+            "sent_at": self._now(),
+        }
+        part = state[at : at + SNAPSHOT_PART_BYTES]
+        peer.sent_at = self._now()
+        self._send_now(name, Message(MessageKind.SNAPSHOT, self.term, fields, (), part))
+
+    def _on_snapshot(self, sender: str, message: Message) -> Snapshot | None:
+        """Take a part; return the snapshot when it is whole and must be saved."""
+        if not self._hear_leader(sender, message):
+            return None
+        fields = message.fields
+        if fields["at"] == 0:
+            self._snapshot_parts = []
+        have = sum(map(len, self._snapshot_parts))
+        if have == fields["at"]:
+            self._snapshot_parts.append(message.blob)
+            have += len(message.blob)
+        is_whole = fields["is_last"] and have == fields["at"] + len(message.blob)
+        answer = {
+            "ok": True,
+            "match": fields["index"] if is_whole else 0,
+            "have": have,
+            "sent_at": fields["sent_at"],
+            "member": self.is_member,
+        }
+        reply = Message(MessageKind.APPEND_ANSWER, self.term, answer)
+        if not is_whole or fields["index"] <= self.applied:
+            self._send_now(sender, reply)
+            return None
+        state = b"".join(self._snapshot_parts)
+        self._base = Snapshot(fields["index"], fields["index_term"], tuple(fields["voters"]), state)
+        self._log = []
+        self.voters = self._base.voters
+        self.commit = self.applied = self._synced_index = self._in_sync_index = self._base.position
+        self._machine.restore(state)
+        self._after_sync.append((sender, reply))
+        return self._base
+
+    def _on_snapshot_answer(self, sender: str, peer: Peer, message: Message) -> None:
+        if message.fields["match"] >= self._base.position:
+            peer.snapshot_at = None
+            peer.next = max(peer.next, message.fields["match"] + 1)
+        else:
+            peer.snapshot_at = message.fields["have"]
+            self._send_part(sender, peer)
+
+    # Replicas without state, and changes of voters
+
+    def _maybe_become_member(self, message: Message, matched: int) -> bool:
+        """Vote again once the log of a leader is here that no lost vote can have elected."""
+        if self.is_member or self._term_floor is None or message.term < self._term_floor:
+            return False
+        commit = message.fields["commit"]
+        if commit < message.fields["own"] or matched < commit:
+            return False
+        get_logger().info("disk_recovered", term=self.term, index=matched)
+        # The vote of the current term may have been given before the disk was lost.
+        self._set_hard(HardState(self.term, self.leader, True))
+        return True
+
+    def _ask_status(self, contacts: tuple[str, ...]) -> None:
+        for name in {*contacts, *self.voters} - {self.name}:
+            self._send_now(name, Message(MessageKind.STATUS, self.term))
+            self._send_now(name, Message(MessageKind.JOIN, self.term))
+
+    def _on_status_answer(self, sender: str, message: Message) -> None:
+        if self.is_member:
+            return
+        self._status[sender] = (message.term, message.fields["member"])
+        voters = tuple(message.fields["voters"])
+        if len(voters) < len(self.voters) or not voters:
+            return
+        terms = [
+            term
+            for name, (term, is_member) in self._status.items()
+            if is_member and name in voters and name != self.name
+        ]
+        # Every majority of n voters meets any n - majority + 1 of those whose disk is intact.
+        needed = len(voters) - (len(voters) // 2 + 1) + 1
+        if len(terms) >= needed and self._term_floor is None:
+            self._term_floor = max(terms)
+            get_logger().info("term_floor", term=self._term_floor, asked=len(terms))
+
+    def _on_join(self, sender: str) -> None:
+        if self.role is not Role.LEADER:
+            return
+        now = self._now()
+        self._joiners[sender] = now
+        peer = self.peers.get(sender)
+        if peer is None:
+            self.peers[sender] = Peer(next_index=self.last_index + 1, now=now)
+        elif peer.match and not peer.is_member and peer.heard_at < now - self._timing.lease_s:
+            peer.match = 0
+
+    def _change_voters(self, target: int) -> None:
+        """Admit a joiner that has caught up, or remove a voter that a joiner replaces.
+
+        One change at a time, and only when the one before is committed.
+        """
+        now = self._now()
+        if self._has_open_change() or self.applied < self._first_own_index:
+            return
+        ready = [
+            name
+            for name in sorted(self._joiners)
+            if name not in self.voters
+            and now - self._joiners[name] < 2.0
+            and name in self.peers
+            and self.peers[name].is_member
+            and self.peers[name].match >= self.commit - MAX_IN_FLIGHT
+        ]
+        silent = [
+            name
+            for name in self.voters
+            if name != self.name and now - self.peers[name].heard_at > REPLACE_AFTER_S
+        ]
+        if len(self.voters) > target and silent:
+            voters = tuple(name for name in self.voters if name != silent[0])
+            self.propose(b"", voters)
+        elif ready and (len(self.voters) < target or silent):
+            self.propose(b"", (*self.voters, ready[0]))
+
+    def _has_open_change(self) -> bool:
+        return any(e.voters is not None for e in self._log[self.commit - self._base.position :])
+
+    # Time and messages
+
+    def tick(self, *, contacts: tuple[str, ...] = (), target: int = 0) -> None:
+        """Send heartbeats, give up leadership or start an election when it is time.
+
+        Args:
+            contacts: Replicas to ask first when this one has no state.
+            target: Number of voters wanted; 0 keeps the present number.
+        """
+        now = self._now()
+        if self.role is Role.LEADER:
+            since_s = now - self._leader_since
+            if not self.has_lease and since_s > self._timing.lease_s:
+                get_logger().warning("lease_over", term=self.term)
+                self._become_follower("")
+                return
+            for name, peer in self.peers.items():
+                if now - peer.sent_at >= self._timing.heartbeat_s:
+                    self._beat(name, peer, now)
+            self._change_voters(max(target, 1))
+        elif not self.is_member or self.name not in self.voters:
+            if now - self._asked_at > 0.25:
+                self._asked_at = now
+                self._ask_status(contacts)
+        elif now >= self._election_at:
+            self.start_election()
+
+    def _beat(self, name: str, peer: Peer, now: float) -> None:
+        if now - peer.heard_at > self._timing.lease_s:
+            # What was sent since may be lost with its connection.
+            peer.next = peer.match + 1
+            peer.snapshot_at = None
+        if peer.snapshot_at is not None:
+            peer.sent_at = now
+            self._send_part(name, peer)
+        else:
+            self._send_entries(name, peer, is_heartbeat=True)
+
+    def hand_over(self) -> None:
+        """Ask the follower with the longest log to lead, before this process ends."""
+        if self.role is not Role.LEADER:
+            return
+        # The follower's election does not wait for this lease to end.
+        self._is_leaving = True
+        candidates = [(peer.match, name) for name, peer in self.peers.items() if peer.is_member]
+        if candidates:
+            self._send_now(max(candidates)[1], Message(MessageKind.TAKE_OVER, self.term))
+
+    def receive(self, sender: str, message: Message) -> Snapshot | None:
+        """Handle a message.
+
+        Returns:
+            A snapshot that the owner must save before it calls ``synced``, if one has arrived.
+        """
+        match message.kind:
+            case MessageKind.PRE_VOTE | MessageKind.VOTE:
+                self._on_vote(sender, message)
+            case MessageKind.VOTE_ANSWER:
+                self._on_vote_answer(sender, message)
+            case MessageKind.APPEND:
+                self._on_append(sender, message)
+            case MessageKind.APPEND_ANSWER:
+                self._on_append_answer(sender, message)
+                peer = self.peers.get(sender)
+                if peer and peer.snapshot_at is not None and "have" in message.fields:
+                    self._on_snapshot_answer(sender, peer, message)
+            case MessageKind.SNAPSHOT:
+                return self._on_snapshot(sender, message)
+            case MessageKind.STATUS:
+                fields = {"member": self.is_member, "voters": self.voters}
+                self._send_when_synced(
+                    sender, Message(MessageKind.STATUS_ANSWER, self.term, fields)
+                )
+            case MessageKind.STATUS_ANSWER:
+                self._on_status_answer(sender, message)
+            case MessageKind.JOIN:
+                self._on_join(sender)
+            case MessageKind.TAKE_OVER:
+                if message.term == self.term and self.role is Role.FOLLOWER:
+                    self.start_election(is_forced=True)
+        return None
--- /dev/null
+++ b/kumquatlift/store/_replica.py
@@ -0,0 +1,134 @@
+"""Runs a replica: its disk, its messages and its clock."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from kumquatlift.channel import Channel, Topic
+from kumquatlift.log import get_logger
+from kumquatlift.store._event_loop import EventLoop
+from kumquatlift.store._journal import Journal, Snapshot
+from kumquatlift.store._messages import Message
+from kumquatlift.store._raft import Raft, StateMachine
+
+TICK_S = 0.05
+# A disk that refuses a write is tried again after this time.
+RETRY_S = 0.25
+
+
+def suspended_clock() -> float:
+    """Return seconds of a steady clock that also counts the time in which the instance slept."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Replica:
+    """One replica of the log.
+
+    All methods but ``start`` and the channel's handler are for the loop's thread.
+
+    Args:
+        name: Name of this process on the channel.
+        channel: Messages to other processes.
+        loop: The process's event loop.
+        journal: Data folder.
+        machine: State machine.
+        founders: Voters of the first formation; empty when this start is not the first formation.
+        contacts: Names of replicas to ask first.
+        target_voters: Number of voters wanted.
+        max_journal_bytes: A longer journal is replaced by a snapshot.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        channel: Channel,
+        loop: EventLoop,
+        journal: Journal,
+        machine: StateMachine,
+        founders: tuple[str, ...],
+        contacts: tuple[str, ...],
+        target_voters: int,
+        max_journal_bytes: int,
+    ) -> None:
+        self._channel = channel
+        self._loop = loop
+        self._journal = journal
+        self._contacts = contacts
+        self._target_voters = target_voters
+        self._max_journal_bytes = max_journal_bytes
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="disk")
+        self._is_writing = False
+        self._whole: tuple[Snapshot, list[bytes]] | None = None
+        self.raft = Raft(
+            name=name,
+            recovered=journal.recovered,
+            founders=founders,
+            machine=machine,
+            send=self._send,
+            now=suspended_clock,
+        )
+        channel.handle(Topic.LOG, self._on_message, workers=1)
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._loop.call_every(TICK_S, self._tick)
+        self._loop.after_batch(self.flush)
+
+    def propose(self, data: bytes) -> int | None:
+        """Append a command; return its index, or None when this replica does not lead."""
+        return self.raft.propose(data)
+
+    def flush(self) -> None:
+        """Replicate, apply and write what the last batch of events has left."""
+        self.raft.flush()
+        if not self._is_writing:
+            self._write()
+
+    def _write(self) -> None:
+        whole, self._whole = self._whole, None
+        is_long = self._journal.size > self._max_journal_bytes
+        if whole is None and is_long and self.raft.applied > 0:
+            whole = self.raft.compact()
+        records = self.raft.take_records()
+        if whole is not None:
+            self._submit(lambda: self._journal.save_snapshot(whole[0], whole[1] + records))
+        elif records:
+            self._submit(lambda: self._journal.append(records))
+
+    def _submit(self, write: Callable[[], None]) -> None:
+        self._is_writing = True
+        self._executor.submit(self._run, write)
+
+    def _run(self, write: Callable[[], None]) -> None:
+        while True:
+            try:
+                write()
+                break
+            except OSError as exc:
+                get_logger().error("disk_refused", error=repr(exc), retry_s=RETRY_S)
+                time.sleep(RETRY_S)
+        self._loop.post(self._on_written)
+
+    def _on_written(self) -> None:
+        self._is_writing = False
+        self.raft.synced()
+
+    def _tick(self) -> None:
+        self.raft.tick(contacts=self._contacts, target=self._target_voters)
+
+    def _send(self, to: str, message: Message) -> None:
+        self._channel.send(to, Topic.LOG, message.to_bytes())
+
+    def _on_message(self, sender: str, body: bytes) -> None:
+        try:
+            message = Message.from_bytes(body)
+        except (ValueError, KeyError, TypeError) as exc:
+            get_logger().warning("log_message_malformed", peer=sender, error=repr(exc))
+            return
+        self._loop.post(self._receive, sender, message)
+
+    def _receive(self, sender: str, message: Message) -> None:
+        snapshot = self.raft.receive(sender, message)
+        if snapshot is not None:
+            self._whole = (snapshot, self.raft.whole_records())
--- a/kumquatlift/tcp_channel.py
+++ b/kumquatlift/tcp_channel.py
@@ -11,7 +11,7 @@
 from kumquatlift._envelope import MAX_FRAME_BYTES, Envelope, Kind, encode, result_of
 from kumquatlift._lanes import Lanes
 from kumquatlift._link import MAX_PEERS, Links
-from kumquatlift.channel import Handler
+from kumquatlift.channel import Handler, LateHandler
 from kumquatlift.failure import Failure
 from kumquatlift.peer_diagnosis import Evidence
 from kumquatlift.settings import Address
@@ -71,6 +71,10 @@
         """
         self._lanes.register(topic, handler, workers)
 
+    def handle_later(self, topic: str, handler: LateHandler) -> None:
+        """Register a handler whose answers come later; it is called in the order of arrival."""
+        self._lanes.register(topic, handler, 1)
+
     def call(
         self, peer: str, topic: str, body: bytes, *, timeout_s: float
     ) -> Future[bytes | Failure]:
--- /dev/null
+++ b/tests/replica_world.py
@@ -0,0 +1,193 @@
+"""Replicas of the log on a manual clock, with a network and disks that lose things."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from kumquatlift.clock import ManualClock
+from kumquatlift.store import Entry, Message, Raft, Role, Timing
+from kumquatlift.store._journal import HardState, Recovered, Snapshot, _replay
+
+STEP_S = 0.01
+SYNC_S = 0.02
+DELAY_S = 0.005
+
+
+class ListMachine:
+    """State machine that keeps every command."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, _index: int, entry: Entry) -> None:
+        self.commands.append(entry.data)
+
+    def snapshot(self) -> bytes:
+        return b"\n".join(self.commands) + b"\n"
+
+    def restore(self, state: bytes) -> None:
+        self.commands = state.split(b"\n")[:-1] if state else []
+
+    def on_role(self, _role: Role, _term: int) -> None:
+        return
+
+
+class Disk:
+    """Journal of one replica: what is synced, and the records whose sync runs."""
+
+    def __init__(self) -> None:
+        self.snapshot = Snapshot()
+        self.synced = b""
+
+    def recover(self) -> Recovered:
+        hard, entries, _ = _replay(self.synced, self.snapshot.position)
+        return Recovered(hard, self.snapshot, entries)
+
+
+class Replica:
+    """A replica that can crash."""
+
+    def __init__(self, world: "World", name: str, founders: tuple[str, ...]) -> None:
+        self.world = world
+        self.name = name
+        self.disk = Disk()
+        self.is_up = False
+        self.sync_done_at: float | None = None
+        self.records: list[bytes] = []
+        self.pending_snapshot: tuple[Snapshot, list[bytes]] | None = None
+        self.start(founders)
+
+    def start(self, founders: tuple[str, ...] = ()) -> None:
+        self.machine = ListMachine()
+        self.raft = Raft(
+            name=self.name,
+            recovered=self.disk.recover(),
+            founders=founders,
+            machine=self.machine,
+            send=lambda to, message: self.world.send(self.name, to, message),
+            now=self.world.clock.now,
+            timing=Timing(),
+            rng=self.world.rng,
+        )
+        self.is_up = True
+        self.sync_done_at = None
+        self.records = []
+        self.pending_snapshot = None
+
+    def crash(self, *, wipe: bool = False) -> None:
+        self.is_up = False
+        if wipe:
+            self.disk = Disk()
+
+    def step(self) -> None:
+        if not self.is_up:
+            return
+        now = self.world.clock.now()
+        if self.sync_done_at is not None and now >= self.sync_done_at:
+            self._finish_sync()
+        self.raft.tick(contacts=self.world.names, target=len(self.world.names))
+        self.raft.flush()
+        if self.sync_done_at is None:
+            snapshot, self.pending_snapshot = self.pending_snapshot, None
+            self.writes_snapshot = snapshot
+            self.records = self.raft.take_records()
+            if self.records or snapshot:
+                self.sync_done_at = now + SYNC_S
+
+    def _finish_sync(self) -> None:
+        if self.writes_snapshot is not None:
+            self.disk.snapshot = self.writes_snapshot[0]
+            self.disk.synced = b"".join(self.writes_snapshot[1] + self.records)
+        else:
+            self.disk.synced += b"".join(self.records)
+        self.sync_done_at = None
+        self.raft.synced()
+
+    def receive(self, sender: str, data: bytes) -> None:
+        if self.is_up:
+            snapshot = self.raft.receive(sender, Message.from_bytes(data))
+            if snapshot is not None:
+                self.pending_snapshot = (snapshot, self.raft.whole_records())
+
+    def compact(self) -> None:
+        if self.is_up and self.raft.applied and self.pending_snapshot is None:
+            self.pending_snapshot = self.raft.compact()
+
+
+class World:
+    """Several replicas and the network between them.
+
+    Args:
+        count: Number of founders.
+        seed: Seed of all random choices.
+    """
+
+    def __init__(self, *, count: int = 3, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock(start=100.0)
+        self.names = tuple(f"n{number}" for number in range(count))
+        self.loss = 0.0
+        self.cut: Callable[[str, str], bool] = lambda sender, to: False
+        self._mail: list[tuple[float, str, str, bytes]] = []
+        self.replicas: dict[str, Replica] = {}
+        for name in self.names:
+            self.replicas[name] = Replica(self, name, self.names)
+        self.acknowledged: list[bytes] = []
+        self._proposed: dict[tuple[str, int, int], bytes] = {}
+
+    def add(self, name: str) -> Replica:
+        self.replicas[name] = Replica(self, name, ())
+        return self.replicas[name]
+
+    def send(self, sender: str, to: str, message: Message) -> None:
+        if self.cut(sender, to) or self.rng.random() < self.loss or to not in self.replicas:
+            return
+        at = self.clock.now() + DELAY_S * (0.5 + self.rng.random())
+        self._mail.append((at, sender, to, message.to_bytes()))
+
+    def step(self) -> None:
+        self.clock.advance(STEP_S)
+        now = self.clock.now()
+        due = sorted(mail for mail in self._mail if mail[0] <= now)
+        self._mail = [mail for mail in self._mail if mail[0] > now]
+        for _, sender, to, data in due:
+            if not self.cut(sender, to):
+                self.replicas[to].receive(sender, data)
+        for replica in self.replicas.values():
+            replica.step()
+        self._acknowledge()
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds / STEP_S)):
+            self.step()
+
+    def propose(self, data: bytes) -> None:
+        leader = self.leader
+        if leader is not None:
+            index = leader.raft.propose(data)
+            if index is not None:
+                self._proposed[leader.name, leader.raft.term, index] = data
+
+    @property
+    def leader(self) -> Any:
+        leaders = [
+            replica
+            for replica in self.replicas.values()
+            if replica.is_up and replica.raft.role is Role.LEADER
+        ]
+        return max(leaders, key=lambda each: each.raft.term, default=None)
+
+    def _acknowledge(self) -> None:
+        """Collect the commands whose proposer saw them committed."""
+        for (name, term, index), data in list(self._proposed.items()):
+            replica = self.replicas[name]
+            if not replica.is_up or replica.raft.role is not Role.LEADER:
+                del self._proposed[name, term, index]
+            elif replica.raft.term == term and replica.raft.applied >= index:
+                self.acknowledged.append(data)
+                del self._proposed[name, term, index]
+
+
+def founded(term: int = 0) -> HardState:
+    """Return the hard state of an intact voter."""
+    return HardState(term, "", True)
--- /dev/null
+++ b/tests/test_store_raft.py
@@ -0,0 +1,209 @@
+"""Agreement on the log under losses, crashes, wiped disks and partitions."""
+
+import pytest
+
+from tests.replica_world import World
+
+
+def settle(world: World) -> None:
+    """Heal everything and wait until all replicas agree."""
+    world.loss = 0.0
+    world.cut = lambda sender, to: False
+    for replica in world.replicas.values():
+        if not replica.is_up:
+            replica.start()
+    world.run(8.0)
+
+
+def check_agreement(world: World) -> None:
+    """Every acknowledged command is held by all, and all hold the same."""
+    logs = [replica.machine.commands for replica in world.replicas.values()]
+    longest = max(logs, key=len)
+    assert all(log == longest for log in logs)
+    missing = [data for data in world.acknowledged if data not in set(longest)]
+    assert missing == []
+    assert len(set(longest)) == len(longest)
+
+
+class TestElection:
+    """Who leads, and when."""
+
+    def test_one_leader_is_elected_and_serves(self) -> None:
+        world = World()
+        world.run(3.0)
+        assert world.leader is not None
+        assert world.leader.raft.is_serving
+
+    def test_a_cut_off_leader_loses_its_lease_before_another_leads(self) -> None:
+        """Guards against two instances that both order upstreams."""
+        world = World()
+        world.run(3.0)
+        old = world.leader
+        world.cut = lambda sender, to: old.name in (sender, to)
+        for _ in range(400):
+            world.step()
+            leaders = [r.name for r in world.replicas.values() if r.raft.has_lease]
+            assert len(leaders) <= 1
+        assert world.leader.name != old.name
+
+    def test_an_isolated_follower_does_not_disturb_when_it_returns(self) -> None:
+        world = World()
+        world.run(3.0)
+        leader = world.leader
+        term = leader.raft.term
+        lonely = next(name for name in world.names if name != leader.name)
+        world.cut = lambda sender, to: lonely in (sender, to)
+        world.run(5.0)
+        world.cut = lambda sender, to: False
+        world.run(2.0)
+        assert world.leader is leader
+        assert leader.raft.term == term
+
+    def test_a_leader_that_stops_hands_over_at_once(self) -> None:
+        world = World()
+        world.run(3.0)
+        leader = world.leader
+        leader.raft.hand_over()
+        world.run(0.3)
+        assert world.leader is not leader
+
+
+class TestDurability:
+    """What was acknowledged survives."""
+
+    def test_commands_survive_a_crash_of_all(self) -> None:
+        world = World()
+        world.run(3.0)
+        world.propose(b"a")
+        world.run(0.3)
+        assert world.acknowledged == [b"a"]
+        for replica in world.replicas.values():
+            replica.crash()
+        settle(world)
+        check_agreement(world)
+
+    def test_a_wiped_replica_does_not_elect_a_leader_without_the_command(self) -> None:
+        """Guards against an empty disk that completes a majority which forgets."""
+        world = World()
+        world.run(3.0)
+        leader = world.leader
+        behind, wiped = [r for r in world.replicas.values() if r is not leader]
+        world.cut = lambda sender, to: behind.name in (sender, to)
+        world.propose(b"a")
+        world.run(0.3)
+        assert world.acknowledged == [b"a"]
+        leader.crash()
+        wiped.crash(wipe=True)
+        world.cut = lambda sender, to: False
+        wiped.start()
+        world.run(10.0)
+        assert world.leader is None
+        leader.start()
+        world.run(8.0)
+        check_agreement(world)
+
+    def test_a_wiped_replica_votes_again_after_it_has_caught_up(self) -> None:
+        world = World()
+        world.run(3.0)
+        wiped = next(r for r in world.replicas.values() if r is not world.leader)
+        world.propose(b"a")
+        world.run(0.3)
+        wiped.crash(wipe=True)
+        wiped.start()
+        world.run(3.0)
+        assert wiped.raft.is_member
+        world.leader.crash()
+        world.run(4.0)
+        assert world.leader is not None
+        settle(world)
+        check_agreement(world)
+
+    def test_a_replica_far_behind_gets_a_snapshot(self) -> None:
+        world = World()
+        world.run(3.0)
+        behind = next(r for r in world.replicas.values() if r is not world.leader)
+        behind.crash()
+        for number in range(50):
+            world.propose(b"c%d" % number)
+            world.run(0.05)
+        world.leader.compact()
+        world.run(0.5)
+        settle(world)
+        check_agreement(world)
+
+    def test_the_term_outlives_a_received_snapshot(self) -> None:
+        """Guards against a journal that begins after a snapshot without the vote."""
+        world = World()
+        world.run(3.0)
+        behind = next(r for r in world.replicas.values() if r is not world.leader)
+        behind.crash()
+        world.propose(b"a")
+        world.run(0.3)
+        world.leader.compact()
+        behind.start()
+        world.run(2.0)
+        term = behind.raft.term
+        behind.crash()
+        behind.start()
+        assert behind.raft.term == term
+        assert behind.raft.is_member
+
+    def test_a_replacement_at_another_address_becomes_a_voter(self) -> None:
+        world = World()
+        world.run(3.0)
+        lost = next(r for r in world.replicas.values() if r is not world.leader)
+        lost.crash(wipe=True)
+        world.propose(b"a")
+        world.run(0.5)
+        joiner = world.add("n9")
+        world.run(15.0)
+        assert joiner.raft.is_member
+        assert joiner.name in joiner.raft.voters
+        assert lost.name not in joiner.raft.voters
+        assert len(joiner.raft.voters) == 3
+
+
+class TestRandomSchedules:
+    """Random crashes, wipes, partitions and losses; nothing acknowledged is lost or reordered."""
+
+    @pytest.mark.parametrize("seed", range(40))
+    def test_nothing_acknowledged_is_lost(self, seed: int) -> None:
+        world = World(count=3 if seed % 3 else 5, seed=seed)
+        rng = world.rng
+        number = 0
+        wiped_at = -100.0
+        world.run(3.0)
+        world.propose(b"first")
+        world.run(0.5)
+        for _ in range(60):
+            world.loss = rng.choice([0.0, 0.0, 0.1, 0.3])
+            victim = rng.choice(list(world.replicas.values()))
+            match rng.randrange(7):
+                case 0 | 1 if victim.is_up:
+                    victim.crash()
+                case 2:
+                    # The next disk may be lost once the former one has caught up.
+                    others = [r for r in world.replicas.values() if r is not victim]
+                    is_safe = all(r.is_up and r.raft.is_member for r in others)
+                    if is_safe and victim.raft.is_member and world.clock.now() - wiped_at > 5:
+                        wiped_at = world.clock.now()
+                        victim.crash(wipe=True)
+                case 3:
+                    name = victim.name
+                    world.cut = lambda sender, to, name=name: name in (sender, to)
+                case 4:
+                    world.cut = lambda sender, to: False
+                case 5:
+                    victim.compact()
+                case _:
+                    for replica in world.replicas.values():
+                        if not replica.is_up:
+                            replica.start()
+            for _ in range(rng.randrange(1, 40)):
+                world.step()
+                if rng.random() < 0.3:
+                    world.propose(b"c%d" % number)
+                    number += 1
+        settle(world)
+        assert world.acknowledged[0] == b"first"
+        check_agreement(world)
