--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -13,11 +13,13 @@
 from kumquatlift.log import get_logger
 from kumquatlift.timer import Timer
 
-# The leader is asked this often whether it still leads.
-PROBE_S = 0.25
+# The leader is asked this often whether it still leads, and without one all instances are.
+PROBE_S = 0.15
+SEARCH_S = 0.1
 PROBE_TIMEOUT_S = 0.4
-# Without an answer for this long the leader is taken for lost, and requests are refused at once.
-LOST_S = 0.8
+# Without an answer for this long the leader is taken for lost, and requests are refused at once;
+# three probes, so that one slow answer does not turn callers away.
+LOST_S = 0.5
 # Instances that are asked one after the other before a request is given up as not sent.
 MAX_HOPS = 4
 
@@ -39,7 +41,8 @@
         self._leader = ""
         self._heard_at = 0.0
         self._is_lost = True
-        timer.call_every(PROBE_S, self._probe)
+        self._probed_at = 0.0
+        timer.call_every(SEARCH_S, self._probe)
 
     @property
     def leader(self) -> str:
@@ -75,6 +78,10 @@
         return Failure(ResultCode.NOT_DELIVERED, "no instance leads at present")
 
     def _probe(self) -> None:
+        now = time.monotonic()
+        if self.leader and now - self._probed_at < PROBE_S:
+            return
+        self._probed_at = now
         if not self.leader and not self._is_lost:
             self._is_lost = True
             get_logger().warning("leader_lost", leader=self._leader)
--- a/kumquatlift/authority/_watch.py
+++ b/kumquatlift/authority/_watch.py
@@ -24,6 +24,7 @@
 FORGET_S = 20.0
 # A run without progress for this long, which is over its expected time by the factor, is stopped.
 STALL_S = 0.5
+STALL_PATIENCE = 4.0
 # Two of the longest leases: what orders for a former life began on the present one has ended.
 FORMER_S = 2.0
 STALL_FACTOR = 2.5
@@ -244,10 +245,14 @@
     def _stop_if_stalled(self, upstream: Upstream, run: Run, now: float) -> None:
         if run.state is not RunState.RUNNING or not run.expected_ms:
             return
-        limit_s = STALL_S + STALL_FACTOR * run.expected_ms / 1000 / upstream.speed
-        if now - run.percent_at < STALL_S or now - run.decided_at < limit_s:
-            return
         progress = self._progress.get(run.task.job)
-        if progress is not None and not progress.job.spec.steps[run.task.step].is_lasting:
+        if progress is None or progress.job.spec.steps[run.task.step].is_lasting:
+            return
+        # A run may be far longer than expected and show progress rarely, so each stop of a task
+        # makes the next one later.
+        patience = STALL_PATIENCE ** len(progress.avoid.get(run.task, ()))
+        limit_s = STALL_S + STALL_FACTOR * run.expected_ms / 1000 / upstream.speed
+        quiet_s = now - run.percent_at
+        if quiet_s > STALL_S * patience and now - run.decided_at > limit_s * patience:
             upstream.failures += 1
             self._runs.stop(upstream, run, f"stalled_at_{run.percent}_percent")
--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -36,7 +36,7 @@
         self._is_closing = False
 
     def leave(self) -> None:
-        """Report as not ready and ask callers to use other connections from now on."""
+        """Report as not ready."""
         self._is_leaving = True
 
     def close(self) -> None:
@@ -51,12 +51,8 @@
     def handle(self, req: ApiRequest) -> ApiResponse:
         """Answer a caller."""
         if self._is_closing:
-            res = _refused(NO_LEADER_RETRY_MS, "this process ends; the request has not run")
-        else:
-            res = self._answer(req)
-        if self._is_leaving:
-            res = res._replace(headers=(*res.headers, ("Connection", "close")))
-        return res
+            return _refused(NO_LEADER_RETRY_MS, "this process ends; the request has not run")
+        return self._answer(req)
 
     def ready(self, _req: ApiRequest) -> ApiResponse:
         """Answer the platform's question whether callers may be sent here."""
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -80,6 +80,7 @@
     stop.wait()
     get_logger().info("stopping", role="frontend")
     frontend.leave()
+    servers[0].leave()
     time.sleep(SERVE_SHARE * cfg.bounds.grace_s)
     frontend.close()
     servers[0].drain(timeout_s=DRAIN_SHARE * cfg.bounds.grace_s)
--- a/kumquatlift/platform/_settings.py
+++ b/kumquatlift/platform/_settings.py
@@ -3,12 +3,14 @@
 import os
 import tomllib
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Annotated, Any, Literal, NamedTuple
 
-from pydantic import ConfigDict, TypeAdapter, ValidationError
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 
-from kumquatlift.settings import Address
+from kumquatlift.settings import Address, AddressText
 
+IpText = Annotated[str, Field(pattern=r"^[0-9]{1,3}(?:\.[0-9]{1,3}){3}$")]
+Port = Annotated[int, Field(gt=0, lt=65_000)]
 SETTINGS_VARIABLE = "KUMQUATLIFT_NODE_FILE"
 
 
@@ -25,9 +27,9 @@
         control: Where upstreams and operators call.
     """
 
-    callers: str = ""
-    readiness: str = ""
-    control: str = ""
+    callers: AddressText | Literal[""] = ""
+    readiness: AddressText | Literal[""] = ""
+    control: AddressText | Literal[""] = ""
 
 
 class Bounds(NamedTuple):
@@ -68,9 +70,9 @@
 
     name: str
     zone: str
-    host: str
-    internal_port: int
-    seeds: tuple[str, ...]
+    host: IpText
+    internal_port: Port
+    seeds: tuple[AddressText, ...]
     is_first_formation: bool
     data_folder: str
     memory_mb: int
--- a/kumquatlift/server.py
+++ b/kumquatlift/server.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 import waitress
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
 
 from kumquatlift.document import MAX_REQUEST_BYTES
 from kumquatlift.settings import Address
@@ -22,6 +24,22 @@
 _IDLE_S = 0.1
 
 
+class _Task(WSGITask):  # type: ignore[misc]
+    """Asks the client to use another connection once the server is leaving.
+
+    An application may not set the header itself, since it belongs to the connection.
+    """
+
+    def execute(self) -> None:
+        if self.channel.server.is_leaving:
+            self.request.headers["CONNECTION"] = "close"
+        super().execute()
+
+
+class _Channel(HTTPChannel):  # type: ignore[misc]
+    task_class = _Task
+
+
 class HttpServer:
     """Waitress on one address, run by one executor thread.
 
@@ -44,6 +62,8 @@
             max_request_body_size=BUFFERED_REQUEST_BYTES,
             ident=None,
         )
+        self._server.channel_class = _Channel
+        self._server.is_leaving = False
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix=f"http-{name}")
         self._running: Future[None] | None = None
 
@@ -59,6 +79,10 @@
             channel.requests or channel.total_outbufs_len or channel.request for channel in channels
         )
 
+    def leave(self) -> None:
+        """Close each connection after its next answer; new ones are still taken."""
+        self._server.is_leaving = True
+
     def drain(self, *, timeout_s: float) -> bool:
         """Wait until every request has its answer.
 
--- a/kumquatlift/store/_raft.py
+++ b/kumquatlift/store/_raft.py
@@ -36,9 +36,9 @@
             Longer than the lease, so that an old leader has stopped before a new one begins.
     """
 
-    heartbeat_s: float = 0.1
-    lease_s: float = 0.7
-    election_s: float = 0.8
+    heartbeat_s: float = 0.08
+    lease_s: float = 0.45
+    election_s: float = 0.5
 
 
 DEFAULT_TIMING = Timing()
--- a/kumquatlift/store/_replica.py
+++ b/kumquatlift/store/_replica.py
@@ -11,7 +11,7 @@
 from kumquatlift.store._messages import Message
 from kumquatlift.store._raft import Raft, StateMachine
 
-TICK_S = 0.05
+TICK_S = 0.04
 # A disk that refuses a write is tried again after this time.
 RETRY_S = 0.25
 
--- /dev/null
+++ b/tests/test_authority.py
@@ -0,0 +1,227 @@
+"""Jobs under one leader: starts, ends, lost answers, changes of leader, silent upstreams."""
+
+import pytest
+
+from kumquatlift.authority import JobSpec, Operation, Queue, Request, Step
+from kumquatlift.codes import ResultCode
+from tools.fleet_model import FleetModel
+
+QUEUE = Queue("q", "h", "/q/", "s", 0, 3, 1.6, 60)
+
+
+def job(tasks: int = 1, *, cpu_milli: int = 6800, estimate_ms: int = 100) -> JobSpec:
+    return JobSpec("text", (Step(tasks, cpu_milli, 64, 0, estimate_ms),))
+
+
+def make(upstreams: int = 3, **options: float) -> FleetModel:
+    world = FleetModel(**options)  # type: ignore[arg-type]
+    for number in range(upstreams):
+        world.add_upstream(f"u{number}")
+    world.run(0.2)
+    world.configure(QUEUE)
+    return world
+
+
+class TestJobs:
+    """What callers are told."""
+
+    def test_a_job_is_accepted_run_and_completed(self) -> None:
+        world = make()
+        reply = world.submit("a" * 16, job(4), work_ms=100)
+        world.run(0.05)
+        assert reply.result().code is ResultCode.ACCEPTED
+        assert world.state_of("a" * 16) == "running"
+        world.run(0.3)
+        assert world.state_of("a" * 16) == "completed"
+        assert world.starts == 4
+        assert world.violations == []
+
+    def test_a_job_that_comes_again_runs_once(self) -> None:
+        world = make()
+        for _ in range(3):
+            world.submit("a" * 16, job(2), work_ms=100)
+        world.run(0.5)
+        again = world.submit("a" * 16, job(2), work_ms=100)
+        world.run(0.5)
+        assert again.result().code is ResultCode.ACCEPTED
+        assert world.starts == 2
+
+    def test_an_unknown_queue_is_refused(self) -> None:
+        world = make()
+        reply = world.submit("a" * 16, job(), work_ms=10, path="/other/")
+        world.run(0.05)
+        assert reply.result().code is ResultCode.UNKNOWN_SERVICE
+
+    def test_a_cancelled_job_stops(self) -> None:
+        world = make()
+        world.submit("a" * 16, job(3), work_ms=5000)
+        world.run(0.2)
+        world.ask(Request(Operation.CANCEL, {"job": "a" * 16}))
+        world.run(0.2)
+        assert world.state_of("a" * 16) == "cancelled"
+        assert not any(upstream.runs for upstream in world.upstreams.values())
+
+    def test_a_task_that_fails_everywhere_fails_the_job_after_its_attempts(self) -> None:
+        world = make()
+        for upstream in world.upstreams.values():
+            upstream.fail_share = 1.0
+        world.submit("a" * 16, job(), work_ms=50)
+        world.run(8.0)
+        assert world.state_of("a" * 16) == "failed"
+        assert world.starts == QUEUE.max_attempts
+
+    def test_dependent_steps_run_in_order(self) -> None:
+        world = make()
+        steps = (Step(2, 6800, 64, 0, 50), Step(1, 6800, 64, 0, 50, (0,)))
+        world.submit("a" * 16, JobSpec("text", steps), work_ms=100)
+        world.run(0.1)
+        assert world.starts == 2
+        world.run(0.4)
+        assert world.starts == 3
+        assert world.state_of("a" * 16) == "completed"
+
+
+class TestCapacity:
+    """Capacity is never exceeded."""
+
+    def test_more_tasks_than_room_wait(self) -> None:
+        world = make(upstreams=2)
+        for number in range(10):
+            world.submit(f"{number:016x}", job(3), work_ms=100)
+        world.run(3.0)
+        assert world.violations == []
+        assert all(world.state_of(f"{n:016x}") in ("completed", "") for n in range(10))
+
+    def test_an_upstream_that_drains_gets_nothing(self) -> None:
+        world = make(upstreams=2)
+        state = world.upstreams["u0"].state._replace(is_draining=True)
+        reply = world.announce(state)
+        world.run(0.1)
+        assert reply.result().code is ResultCode.ACCEPTED
+        world.submit("a" * 16, job(4), work_ms=100)
+        world.run(0.1)
+        assert not world.upstreams["u0"].runs
+        assert world.upstreams["u1"].runs
+
+
+class TestLostAnswers:
+    """Orders without an answer, some carried out seconds later."""
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_late_orders_start_nothing_twice(self, seed: int) -> None:
+        world = make(upstreams=4, seed=seed, unanswered_share=0.2)
+        for number in range(40):
+            world.submit(f"{number:016x}", job(2), work_ms=150)
+            world.run(0.1)
+        world.run(15.0)
+        assert world.violations == []
+        ended = [world.state_of(f"{n:016x}") for n in range(40)]
+        assert "running" not in ended
+        assert "queued" not in ended
+
+    def test_tasks_of_a_silent_upstream_start_elsewhere_after_its_lease(self) -> None:
+        world = make(upstreams=2)
+        world.submit("a" * 16, job(4), work_ms=2000)
+        world.run(0.2)
+        world.upstreams["u0"].is_reachable = False
+        world.run(8.0)
+        assert world.state_of("a" * 16) == "completed"
+        assert world.violations == []
+
+    def test_an_upstream_that_hears_and_is_not_heard_lapses(self) -> None:
+        """Guards against looks that keep the lease of a silent upstream alive.
+
+        Its tasks would never be free, and an end that it lists after the cut would count although
+        the task has started again.
+        """
+        world = make(upstreams=2)
+        world.submit("a" * 16, job(2), work_ms=800)
+        world.run(0.2)
+        holder = next(each for each in world.upstreams.values() if each.runs)
+        holder.is_heard = False
+        world.run(1.6)
+        assert holder.runs == {}
+        other = next(each for each in world.upstreams.values() if each is not holder)
+        assert other.runs or world.state_of("a" * 16) == "completed"
+        holder.is_heard = True
+        world.run(4.0)
+        assert world.state_of("a" * 16) == "completed"
+        assert world.violations == []
+
+    def test_a_run_that_stands_still_is_stopped_and_runs_elsewhere(self) -> None:
+        world = make(upstreams=2)
+        world.submit("a" * 16, job(1), work_ms=100)
+        world.run(0.05)
+        holder = next(each for each in world.upstreams.values() if each.runs)
+        holder.is_hanging = True
+        world.run(3.0)
+        assert world.state_of("a" * 16) == "completed"
+        assert world.violations == []
+
+    def test_a_run_far_longer_than_declared_is_not_stopped_again_and_again(self) -> None:
+        """Guards against a task that never ends, since its progress shows rarely."""
+        world = make(upstreams=2)
+        world.submit("a" * 16, job(1, estimate_ms=100), work_ms=90_000)
+        world.run(130.0)
+        assert world.state_of("a" * 16) == "completed"
+        assert world.starts <= 4
+
+
+class TestChangeOfLeader:
+    """A new leader takes over what runs and repeats nothing."""
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_nothing_runs_twice(self, seed: int) -> None:
+        world = make(upstreams=4, seed=seed, unanswered_share=0.05)
+        for number in range(60):
+            world.submit(f"{number:016x}", job(2), work_ms=120)
+            world.run(0.05)
+            if number in (15, 30, 45):
+                world.change_leader(gap_s=0.3)
+        world.run(15.0)
+        assert world.violations == []
+
+    def test_running_tasks_are_taken_over(self) -> None:
+        world = make()
+        world.submit("a" * 16, job(4), work_ms=900)
+        world.run(0.2)
+        world.change_leader(gap_s=0.3)
+        world.run(1.5)
+        assert world.starts == 4
+        assert world.state_of("a" * 16) == "completed"
+
+    def test_an_end_that_was_listed_holds_its_task_until_the_commit(self) -> None:
+        """Guards against a start between the list of a new leader's first look and its commit."""
+        world = make()
+        world.submit("a" * 16, job(4), work_ms=300)
+        world.run(0.2)
+        world.change_leader(gap_s=0.3)
+        world.run(3.0)
+        assert world.starts == 4
+        assert world.violations == []
+        assert world.state_of("a" * 16) == "completed"
+
+    def test_tasks_of_a_lost_upstream_wait_for_the_longest_lease(self) -> None:
+        world = make(upstreams=2)
+        world.submit("a" * 16, job(2), work_ms=3000)
+        world.run(0.2)
+        for upstream in world.upstreams.values():
+            upstream.is_reachable = not upstream.runs
+        world.change_leader(gap_s=0.3)
+        world.run(8.0)
+        assert world.violations == []
+        assert world.state_of("a" * 16) == "completed"
+
+    def test_a_life_that_began_again_repeats_its_tasks(self) -> None:
+        world = make(upstreams=2)
+        world.submit("a" * 16, job(2), work_ms=1000)
+        world.run(0.2)
+        for name, upstream in list(world.upstreams.items()):
+            if upstream.runs:
+                world.upstreams.pop(name)
+                for task in upstream.runs:
+                    world._running[task].discard(name)
+                world.add_upstream(name)
+        world.run(4.0)
+        assert world.state_of("a" * 16) == "completed"
+        assert world.violations == []
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,176 @@
+"""Messages of the platform, decoded once, and those that cannot be read."""
+
+import json
+from typing import Any
+
+import pytest
+
+from kumquatlift.authority import EndHow, LookOrder, OrderResult, StartOrder, TaskKey
+from kumquatlift.platform._settings import PlatformSettings, SettingsError
+from kumquatlift.platform._wire import (
+    WireError,
+    read_config,
+    read_heartbeat,
+    read_job,
+    read_look_answer,
+    read_order_answer,
+    write_look,
+    write_start,
+)
+
+ROUTE = {
+    "name": "r",
+    "host": "A.example",
+    "pathPrefix": "/p/",
+    "timeoutMs": 1500,
+    "service": "s",
+    "maxAttempts": 4,
+    "slackFactor": 1.6,
+    "targetLatencyMs": 60,
+}
+BEAT = {
+    "service": "s",
+    "address": "10.0.0.9:80",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "requestedMemoryMb": 100, "gpu": 0},
+    "labels": ["a", "r1"],
+    "born": 5,
+}
+
+
+def config(**changes: Any) -> str:
+    fields = {"version": 7, "routes": [ROUTE], "services": [{"name": "s"}], **changes}
+    return json.dumps(fields)
+
+
+class TestJob:
+    """Submitted jobs."""
+
+    def test_fields_are_decoded(self) -> None:
+        step = {"count": 2, "cpu": 500, "requestedMemoryMb": 9, "estimatedMs": 70, "dataRack": "r1"}
+        spec = read_job(json.dumps({"spec": "x", "steps": [step]}).encode())
+        assert spec.steps[0].tasks == 2
+        assert spec.steps[0].cpu_milli == 500
+        assert spec.steps[0].data_rack == "r1"
+        assert spec.steps[0].estimate_ms == 70
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"{",
+            b"[]",
+            b'{"steps": []}',
+            b'{"steps": [1]}',
+            b'{"steps": [{"count": 0}]}',
+            b'{"steps": [{"count": 1, "cpu": -1}]}',
+            b'{"steps": [{"count": 1, "dependsOn": [0]}]}',
+            b'{"steps": [{"count": 1, "dependsOn": 0}]}',
+            b'{"steps": [{"count": 99999}]}',
+            json.dumps({"spec": "x" * 4001, "steps": [{"count": 1}]}).encode(),
+        ],
+    )
+    def test_others_are_refused(self, body: bytes) -> None:
+        with pytest.raises(WireError):
+            read_job(body)
+
+
+class TestConfig:
+    """Configurations of the operator."""
+
+    def test_a_valid_one_is_read(self) -> None:
+        cfg = read_config(config())
+        assert cfg.version == 7
+        assert cfg.queues[0].host == "a.example"
+        assert cfg.queues[0].max_attempts == 4
+
+    @pytest.mark.parametrize(
+        "source",
+        [
+            config()[:-9],
+            config(version=0),
+            config(version="7"),
+            config(services=[]),
+            config(routes=[ROUTE, {**ROUTE, "name": "other"}]),
+            config(routes=[{**ROUTE, "timeoutMs": 0}]),
+            config(routes=[{**ROUTE, "host": ""}]),
+            config(routes={}),
+        ],
+    )
+    def test_invalid_ones_are_refused(self, source: str) -> None:
+        with pytest.raises(WireError):
+            read_config(source)
+
+
+class TestUpstream:
+    """What upstreams say, and orders to them."""
+
+    def test_a_heartbeat_is_decoded(self) -> None:
+        state = read_heartbeat("i-1", json.dumps(BEAT).encode())
+        assert state.born_ms == 5
+        assert state.rack == "r1"
+        assert not state.is_draining
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "new"},
+            {"capacity": None},
+            {"address": "host:80"},
+            {"labels": [1]},
+            {"service": 3},
+            {"born": "x"},
+        ],
+    )
+    def test_one_of_another_writer_is_refused(self, change: dict[str, Any]) -> None:
+        with pytest.raises(WireError):
+            read_heartbeat("i-1", json.dumps({**BEAT, **change}).encode())
+
+    def test_orders_are_encoded(self) -> None:
+        task = TaskKey("a" * 16, 0, 1, 17)
+        start = json.loads(write_start(StartOrder(task, 2, "x", 900, "saved"), 7))
+        assert start["task"] == "a" * 16 + ".0.1.17"
+        assert start["untilMs"] == 900
+        assert start["checkpoint"] == "saved"
+        look = json.loads(write_look(LookOrder(57, 0, 450), 7))
+        assert look == {"fencingToken": 7, "ackedThrough": 57, "waitMs": 450}
+
+    @pytest.mark.parametrize(
+        ("status", "body", "result"),
+        [
+            (200, b'{"clockMs": 5}', OrderResult.OK),
+            (409, b'{"reason": "fence"}', OrderResult.FENCED),
+            (409, b'{"reason": "old"}', OrderResult.STALE_RUN),
+            (409, b"{}", OrderResult.UNKNOWN),
+            (421, b"", OrderResult.OTHER_LIFE),
+            (503, b"", OrderResult.REFUSED),
+            (500, b"", OrderResult.UNKNOWN),
+            (200, b'{"clockMs": 5, "born": 6}', OrderResult.BORN_AGAIN),
+        ],
+    )
+    def test_answers_are_decoded(self, status: int, body: bytes, result: OrderResult) -> None:
+        assert read_order_answer(status, body, 5).result is result
+
+    def test_lists_are_decoded_and_unreadable_rows_passed_over(self) -> None:
+        body = {
+            "clockMs": 9,
+            "running": [["a.0.1.17", 2, "", 41], ["bad", 1], None],
+            "finished": [[58, "a.0.1.9", 1, "done", ""], [59, "a.0.1.8", 1, "new", ""]],
+        }
+        answer = read_look_answer(200, json.dumps(body).encode(), 5)
+        assert [row.task.number for row in answer.running] == [17]
+        assert [(number, end.how) for number, end in answer.ends] == [(58, EndHow.DONE)]
+
+    def test_lists_of_another_life_are_not_taken(self) -> None:
+        answer = read_look_answer(200, b'{"born": 6, "running": []}', 5)
+        assert answer.result is OrderResult.BORN_AGAIN
+
+
+class TestSettings:
+    """The settings file."""
+
+    def test_every_problem_is_named(self) -> None:
+        with pytest.raises(SettingsError, match="host") as caught:
+            PlatformSettings.from_text('name = "n"\nhost = "x"\n')
+        assert "seeds" in str(caught.value)
--- /dev/null
+++ b/tools/fleet_model.py
@@ -0,0 +1,456 @@
+"""Model of upstreams, callers and the log on a manual clock, around the real decisions.
+
+It runs the real ``Authority`` without threads, files or sockets, and checks what a caller and an
+upstream can see: capacity, tasks that run twice, and answers.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any, NamedTuple
+
+from kumquatlift.authority import (
+    Authority,
+    EndHow,
+    JobSpec,
+    Limits,
+    LookAnswer,
+    LookOrder,
+    Operation,
+    OrderAnswer,
+    OrderResult,
+    Queue,
+    Reply,
+    Request,
+    RunningTask,
+    ServingConfig,
+    StartOrder,
+    StopOrder,
+    TaskEnd,
+    TaskKey,
+    UpstreamRef,
+    UpstreamState,
+)
+from kumquatlift.blackboard import Blackboard
+from kumquatlift.clock import ManualClock
+from kumquatlift.store import Entry, EventLoop, Role
+
+TICK_S = 0.001
+COMMIT_S = 0.015
+DELAY_S = 0.001
+ORDER_TIMEOUT_S = 0.15
+MAX_LEASE_MS = 1000
+START_S = 1000.0
+
+
+class ModelRun(NamedTuple):
+    """A run on a model upstream."""
+
+    task: TaskKey
+    run: int
+    started_at: float
+    ends_at: float
+    cpu_milli: int
+
+
+class ModelUpstream:
+    """An upstream that follows the platform's rules for leases, fences and run numbers.
+
+    Args:
+        world: The model.
+        state: What it says of itself.
+        speed: Speed, 1 for the usual one.
+        clock_rate: Rate of its clock.
+    """
+
+    def __init__(
+        self, *, world: "FleetModel", state: UpstreamState, speed: float, clock_rate: float = 1.0
+    ) -> None:
+        self.world = world
+        self.state = state
+        self.speed = speed
+        self._clock_rate = clock_rate
+        self._born_at = world.clock.now()
+        self._token = 0
+        self._until_ms = 0
+        self.runs: dict[TaskKey, ModelRun] = {}
+        self._barred: dict[TaskKey, int] = {}
+        self._ends: list[tuple[int, TaskEnd]] = []
+        self._numbers = itertools.count(1)
+        self._acked = 0
+        self._waiting: list[tuple[float, Callable[[LookAnswer], None]]] = []
+        self.is_reachable = True
+        self.is_heard = True
+        self.is_hanging = False
+        self.fail_share = 0.0
+
+    @property
+    def clock_ms(self) -> int:
+        """Reading of its clock."""
+        return int((self.world.clock.now() - self._born_at) * 1000 * self._clock_rate)
+
+    def start(self, token: int, order: StartOrder) -> OrderAnswer:
+        """Carry out a start."""
+        if token < self._token:
+            return OrderAnswer(OrderResult.FENCED, self.clock_ms)
+        self._token = token
+        held = self.runs.get(order.task)
+        if order.lease_end_ms < self.clock_ms:
+            return OrderAnswer(OrderResult.LEASE_PASSED, self.clock_ms)
+        self._extend(order.lease_end_ms)
+        if held is not None and held.run == order.run:
+            return OrderAnswer(OrderResult.OK, self.clock_ms)
+        if order.run <= self._barred.get(order.task, 0):
+            return OrderAnswer(OrderResult.STALE_RUN, self.clock_ms)
+        work_ms, cpu_milli = self.world.work_of(order.task)
+        now = self.world.clock.now()
+        ends_at = now + work_ms / self.speed / 1000
+        self.runs[order.task] = ModelRun(order.task, order.run, now, ends_at, cpu_milli)
+        used = sum(run.cpu_milli for run in self.runs.values())
+        self.world.check(used <= self.state.cpu_milli, f"capacity of {self.state.upstream_id}")
+        self.world.on_start(order.task, self)
+        return OrderAnswer(OrderResult.OK, self.clock_ms)
+
+    def stop(self, token: int, order: StopOrder) -> OrderAnswer:
+        """Carry out a stop."""
+        if token < self._token:
+            return OrderAnswer(OrderResult.FENCED, self.clock_ms)
+        self._token = token
+        self._barred[order.task] = max(order.run, self._barred.get(order.task, 0))
+        held = self.runs.get(order.task)
+        if held is not None and held.run <= order.run:
+            self._end(held, EndHow.STOPPED)
+        return OrderAnswer(OrderResult.OK, self.clock_ms)
+
+    def look(self, token: int, order: LookOrder, answer: Callable[[LookAnswer], None]) -> None:
+        """Carry out a look; the answer may wait for an end."""
+        if token < self._token:
+            answer(LookAnswer(OrderResult.FENCED, self.clock_ms))
+            return
+        self._token = token
+        self._extend(order.lease_end_ms)
+        for number, end in self._ends:
+            if number <= order.acked_end:
+                self.world.on_end_acked(self, end)
+        self._acked = max(self._acked, order.acked_end)
+        self._ends = [row for row in self._ends if row[0] > order.acked_end]
+        if self._ends or not order.wait_ms:
+            answer(self._lists())
+        else:
+            self._waiting.append((self.world.clock.now() + order.wait_ms / 1000, answer))
+
+    def step(self) -> None:
+        """Let time pass."""
+        now = self.world.clock.now()
+        for run in list(self.runs.values()):
+            if self._until_ms < self.clock_ms:
+                self._end(run, EndHow.LAPSED)
+            elif run.ends_at <= now and not self.is_hanging:
+                is_bad = self.world.rng.random() < self.fail_share
+                self._end(run, EndHow.FAILED if is_bad else EndHow.DONE)
+        waiting, self._waiting = self._waiting, []
+        for until, answer in waiting:
+            if self._ends or until <= now:
+                answer(self._lists())
+            else:
+                self._waiting.append((until, answer))
+
+    def _extend(self, lease_end_ms: int) -> None:
+        allowed = min(lease_end_ms, self.clock_ms + MAX_LEASE_MS)
+        self._until_ms = max(self._until_ms, allowed)
+
+    def _end(self, run: ModelRun, how: EndHow) -> None:
+        del self.runs[run.task]
+        self._barred[run.task] = max(run.run, self._barred.get(run.task, 0))
+        self._ends.append((next(self._numbers), TaskEnd(run.task, run.run, how)))
+        self.world.on_end(run.task, self, how, self._until_ms)
+
+    def is_lapsed_since(self, until_ms: int) -> bool:
+        """Whether its lease ended after a time at which it was known to end at ``until_ms``."""
+        return self._until_ms < self.clock_ms or self._until_ms < until_ms
+
+    def _lists(self) -> LookAnswer:
+        now = self.world.clock.now()
+        running = tuple(
+            RunningTask(run.task, run.run, "", 0 if self.is_hanging else self._percent(run, now))
+            for run in self.runs.values()
+        )
+        return LookAnswer(OrderResult.OK, self.clock_ms, running, tuple(self._ends[:500]))
+
+    @staticmethod
+    def _percent(run: ModelRun, now: float) -> int:
+        return min(99, int(100 * (now - run.started_at) / (run.ends_at - run.started_at)))
+
+
+class ModelLog:
+    """A log that commits after a fixed time; it stands for all replicas.
+
+    Args:
+        world: The model.
+    """
+
+    def __init__(self, *, world: "FleetModel") -> None:
+        self._world = world
+        self.term = 1
+        self.is_serving = True
+        self._applied = 0
+        self._last = 0
+
+    leader = "model"
+    voters = ("model",)
+
+    @property
+    def has_lease(self) -> bool:
+        """Whether the leader may order."""
+        return self.is_serving
+
+    def propose(self, data: bytes) -> int | None:
+        """Append a command that is committed a little later."""
+        if not self.is_serving:
+            return None
+        self._last += 1
+        self._world.later(COMMIT_S, self._commit, self._last, Entry(self.term, data))
+        return self._last
+
+    def _commit(self, index: int, entry: Entry) -> None:
+        # Entries of a leader that is lost before the commit stay.
+        self._world.authority.apply(index, entry)
+
+
+class FleetModel:
+    """Upstreams, a log and the authority between them.
+
+    Args:
+        seed: Seed of all random choices.
+        unanswered_share: Share of orders that get no answer, and are carried out later.
+    """
+
+    def __init__(self, *, seed: int = 1, unanswered_share: float = 0.0) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock(start=START_S)
+        self.loop = EventLoop(clock=self.clock)
+        self.unanswered_share = unanswered_share
+        self.upstreams: dict[str, ModelUpstream] = {}
+        self.violations: list[str] = []
+        self.starts = 0
+        self._due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._order = itertools.count()
+        self._work: dict[str, tuple[float, int]] = {}
+        self._running: dict[TaskKey, set[str]] = {}
+        # Upstreams and leases at the end of runs that were done and are not acknowledged.
+        self._open_done: dict[TaskKey, list[tuple[ModelUpstream, int, float]]] = {}
+        self._started_at: dict[TaskKey, list[float]] = {}
+        self.config = ServingConfig()
+        self.authority = Authority(
+            read_config=lambda _source: self.config,
+            gateway=self,
+            loop=self.loop,
+            clock=self.clock,
+            limits=Limits(),
+            section=Blackboard().section("authority"),
+        )
+        self.log = ModelLog(world=self)
+        self.authority.attach(self.log)
+        self.loop.run_pending()
+
+    # Set-up
+
+    def configure(self, *queues: Queue) -> None:
+        """Put queues in force."""
+        services = tuple({queue.service for queue in queues})
+        self.config = ServingConfig(self.config.version + 1, queues, services, "{}")
+        fields = {"version": self.config.version, "source": "{}"}
+        self.ask(Request(Operation.REPLACE_CONFIG, fields))
+        self.run(0.1)
+
+    def add_upstream(
+        self,
+        name: str,
+        *,
+        speed: float = 1.0,
+        cpu_milli: int = 16_000,
+        clock_rate: float = 1.0,
+        service: str = "s",
+    ) -> ModelUpstream:
+        """Add an upstream that announces itself."""
+        state = UpstreamState(
+            name,
+            int(self.clock.now() * 1000),
+            f"10.0.0.1:{len(self.upstreams) + 1}",
+            service,
+            "z",
+            cpu_milli,
+            32_768,
+            0,
+            ("a", "r1"),
+            False,
+        )
+        upstream = ModelUpstream(world=self, state=state, speed=speed, clock_rate=clock_rate)
+        self.upstreams[name] = upstream
+        self.announce(state)
+        return upstream
+
+    def announce(self, state: UpstreamState) -> "Future[Reply]":
+        """Send what an upstream says of itself."""
+        return self.ask(Request(Operation.ANNOUNCE, {"upstream": list(state)}))
+
+    def submit(
+        self, job: str, spec: JobSpec, *, work_ms: float, host: str = "h", path: str = "/q/"
+    ) -> "Future[Reply]":
+        """Submit a job whose tasks take ``work_ms`` at speed 1."""
+        self._work[job] = (work_ms, spec.steps[0].cpu_milli)
+        fields = {
+            "job": job,
+            "spec": spec.to_plain(),
+            "zone": "z",
+            "host": host,
+            "path": path + job,
+        }
+        return self.ask(Request(Operation.SUBMIT, fields))
+
+    def ask(self, request: Request) -> "Future[Reply]":
+        """Ask the authority."""
+        plain = Request.from_bytes(request.to_bytes())
+        return self.authority.ask(plain)
+
+    def state_of(self, job: str) -> str:
+        """Return the state that a caller is shown."""
+        fut = self.ask(Request(Operation.STATUS, {"job": job}))
+        self.loop.run_pending()
+        return str(fut.result().fields.get("state", ""))
+
+    def change_leader(self, *, gap_s: float = 1.0) -> None:
+        """Lose the leader; another one serves after a while."""
+        self.log.is_serving = False
+        self.log.term += 1
+        self.authority.on_role(Role.FOLLOWER, self.log.term)
+        self.later(gap_s, self._lead)
+
+    def _lead(self) -> None:
+        self.log.is_serving = True
+
+    # Time
+
+    def later(self, seconds: float, function: Callable[..., None], *args: Any) -> None:
+        """Call a function after a while."""
+        at = self.clock.now() + seconds
+        heapq.heappush(self._due, (at, next(self._order), function, args))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end:
+            self.clock.advance(TICK_S)
+            while self._due and self._due[0][0] <= self.clock.now():
+                _, _, function, args = heapq.heappop(self._due)
+                function(*args)
+            for upstream in self.upstreams.values():
+                upstream.step()
+            self.loop.run_pending()
+
+    # Gateway
+
+    def start(
+        self, ref: UpstreamRef, order: StartOrder, done: Callable[[OrderAnswer], None]
+    ) -> None:
+        """Carry a start."""
+        self._order_call(ref, lambda upstream: upstream.start(ref.token, order), done)
+
+    def stop(self, ref: UpstreamRef, order: StopOrder, done: Callable[[OrderAnswer], None]) -> None:
+        """Carry a stop."""
+        self._order_call(ref, lambda upstream: upstream.stop(ref.token, order), done)
+
+    def _order_call(
+        self,
+        ref: UpstreamRef,
+        call: Callable[[ModelUpstream], OrderAnswer],
+        done: Callable[[OrderAnswer], None],
+    ) -> None:
+        unknown = OrderAnswer(OrderResult.UNKNOWN, reason="no answer")
+
+        def arrive() -> None:
+            upstream = self._at(ref)
+            if upstream is None:
+                return
+            answer = call(upstream)
+            if upstream.is_heard:
+                self.later(DELAY_S, self.loop.post, once, answer)
+
+        is_answered = False
+
+        def once(answer: OrderAnswer) -> None:
+            nonlocal is_answered
+            if not is_answered:
+                is_answered = True
+                done(answer)
+
+        is_late = self.rng.random() < self.unanswered_share
+        self.later(self.rng.uniform(2, 12) if is_late else DELAY_S, arrive)
+        self.later(ORDER_TIMEOUT_S, self.loop.post, once, unknown)
+
+    def look(self, ref: UpstreamRef, order: LookOrder, done: Callable[[LookAnswer], None]) -> None:
+        """Carry a look."""
+        is_answered = False
+
+        def once(answer: LookAnswer) -> None:
+            nonlocal is_answered
+            if not is_answered:
+                is_answered = True
+                done(answer)
+
+        def answer_from(upstream: ModelUpstream) -> Callable[[LookAnswer], None]:
+            def answer(lists: LookAnswer) -> None:
+                if upstream.is_heard and upstream.is_reachable:
+                    self.later(DELAY_S, self.loop.post, once, lists)
+
+            return answer
+
+        def arrive() -> None:
+            upstream = self._at(ref)
+            if upstream is not None:
+                upstream.look(ref.token, order, answer_from(upstream))
+
+        self.later(DELAY_S, arrive)
+        timeout_s = 0.2 + order.wait_ms / 1000
+        self.later(timeout_s, self.loop.post, once, LookAnswer(OrderResult.UNKNOWN))
+
+    def _at(self, ref: UpstreamRef) -> ModelUpstream | None:
+        upstream = self.upstreams.get(ref.upstream_id)
+        return upstream if upstream is not None and upstream.is_reachable else None
+
+    # Checks
+
+    def check(self, holds: bool, text: str) -> None:
+        """Take note of a broken promise."""
+        if not holds:
+            self.violations.append(f"{self.clock.now() - START_S:.3f} s: {text}")
+
+    def work_of(self, task: TaskKey) -> tuple[float, int]:
+        """Return run time at speed 1 and size of a task."""
+        return self._work[task.job]
+
+    def on_start(self, task: TaskKey, upstream: ModelUpstream) -> None:
+        """Check that a task runs once."""
+        self.starts += 1
+        running = self._running.setdefault(task, set())
+        self.check(not running, f"{task} runs twice")
+        running.add(upstream.state.upstream_id)
+        self._started_at.setdefault(task, []).append(self.clock.now())
+
+    def on_end(self, task: TaskKey, upstream: ModelUpstream, how: EndHow, until_ms: int) -> None:
+        """Take note of an end."""
+        self._running.get(task, set()).discard(upstream.state.upstream_id)
+        if how is EndHow.DONE:
+            row = (upstream, until_ms, self.clock.now())
+            self._open_done.setdefault(task, []).append(row)
+
+    def on_end_acked(self, upstream: ModelUpstream, end: TaskEnd) -> None:
+        """Check that no run began after an end whose lease did not lapse."""
+        for where, until_ms, at in self._open_done.get(end.task, []):
+            if where is not upstream or end.how is not EndHow.DONE:
+                continue
+            is_repeated = any(started > at for started in self._started_at[end.task])
+            is_lapsed = where.is_lapsed_since(until_ms)
+            self.check(not is_repeated or is_lapsed, f"{end.task} was started after it was done")
