Hold the tasks of earlier leaders until recovery ends; refuse late jobs; resend to a new leader

After a change of leader, the committed end of one task let all tasks of its job wait for room, although an upstream that ran another of them had not been heard yet. Jobs that could only be late were taken and blocked others in bursts. Submits that a lost leader had got were given up with an unknown outcome, although a repeat is harmless.

Change: jobs of earlier terms are held until the recovery ends. A job is taken only if it is expected in time; a place is taken for slow work only with twice the time in hand. The client for the leader repeats a request to the leader of that time, and lets callers with long jobs wait for one. Elections start after 0.35 to 0.7 s. Callbacks of an earlier term order nothing when an instance leads again.

--- a/kumquatlift/_channel_loop.py
+++ b/kumquatlift/_channel_loop.py
@@ -32,11 +32,11 @@
 # Time for the TCP connection and for the peer's hello on it.
 CONNECT_TIMEOUT_S = 1.0
 # While calls wait, a quiet connection is probed this often.
-BUSY_PING_S = 0.25
+BUSY_PING_S = 0.15
 # On an idle connection a heartbeat with headers and acknowledgements takes about 200 bytes.
 IDLE_PING_S = 5.0
 # A connection with a heartbeat unanswered for this long is replaced.
-SILENCE_S = 1.0
+SILENCE_S = 0.5
 # The side that accepted a connection closes it after three missed idle heartbeats.
 IDLE_DEADLINE_S = 3 * IDLE_PING_S
 _BUSY_TICK_S = 0.05
--- a/kumquatlift/authority/_admission.py
+++ b/kumquatlift/authority/_admission.py
@@ -7,9 +7,9 @@
 
 from typing import NamedTuple
 
-# A job is taken while it is expected to be complete within this share of the time after which it is
-# of no use. Beyond it the run times' spread makes the outcome a matter of luck.
-TAKE_SHARE = 0.6
+# A job is taken while it is expected to be complete by its objective plus this share of the time
+# until it is of no use. With 0.6 the burst of 1.8 in tools/experiment.py makes twice as many late.
+TAKE_SHARE = 0.0
 # Returning callers are spread over this share of the wait, so that they do not come back together.
 RETRY_SPREAD = 0.5
 MIN_RETRY_MS = 100
--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -168,15 +168,17 @@
     def _begin(self) -> None:
         log = self._log
         assert log is not None
+        term = log.term
         self._leader = Leader(
-            term=log.term,
+            term=term,
             state=self.state,
             gateway=self._gateway,
             loop=self._loop,
             clock=self._clock,
             limits=self._limits,
             propose=self._propose,
-            may_order=lambda: log.has_lease,
+            # The callbacks of an earlier term must not order when this instance leads again.
+            may_order=lambda: log.has_lease and log.term == term,
             section=self._section,
         )
         self._leader.begin()
--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -20,8 +20,8 @@
 # Without an answer for this long the leader is taken for lost, and requests are refused at once;
 # three probes, so that one slow answer does not turn callers away.
 LOST_S = 0.5
-# Instances that are asked one after the other before a request is given up as not sent.
-MAX_HOPS = 4
+# A commit takes about 20 ms, and ten times that with a slow disk.
+ATTEMPT_S = 0.3
 
 
 class LeaderClient:
@@ -36,7 +36,7 @@
     def __init__(self, *, channel: Channel, timer: Timer, contacts: tuple[str, ...]) -> None:
         self._channel = channel
         self._contacts = contacts
-        self._lock = threading.Lock()
+        self._found = threading.Condition()
         self._others: tuple[str, ...] = ()
         self._leader = ""
         self._heard_at = 0.0
@@ -49,34 +49,69 @@
         """Name of the leader; empty when none has answered of late."""
         return self._leader if time.monotonic() - self._heard_at < LOST_S else ""
 
-    def call(self, request: Request, *, timeout_s: float) -> Reply | Failure:
-        """Send a request and wait for its answer.
+    def call(
+        self,
+        request: Request,
+        *,
+        timeout_s: float,
+        patience_s: float = 0.0,
+        attempt_s: float = ATTEMPT_S,
+    ) -> Reply | Failure:
+        """Send a request and wait for its answer; requests are idempotent and sent again.
+
+        Args:
+            request: The request.
+            timeout_s: Limit for the whole call.
+            patience_s: How long to wait for a leader while the request was sent to none.
+            attempt_s: Limit for one leader's answer; the request is then sent again, to the leader
+                of that time.
 
         Returns:
             The reply; a ``NOT_DELIVERED`` failure when no leader took it, which is certain, or a
             ``TIMED_OUT`` failure when its effect is unknown.
         """
-        deadline = time.monotonic() + timeout_s
+        started_at = time.monotonic()
+        deadline = started_at + timeout_s
         body = request.to_bytes()
-        target = self.leader
-        for _ in range(MAX_HOPS):
+        is_sent = False
+        while True:
+            limit = deadline if is_sent else min(deadline, started_at + patience_s)
+            target = self._await_leader(limit)
             left_s = deadline - time.monotonic()
             if not target or left_s <= 0:
                 break
-            answer = self._channel.call(target, Topic.AUTHORITY, body, timeout_s=left_s).result()
+            fut = self._channel.call(
+                target, Topic.AUTHORITY, body, timeout_s=min(left_s, attempt_s)
+            )
+            answer = fut.result()
             if isinstance(answer, Failure):
-                if answer.code is not ResultCode.NOT_DELIVERED:
-                    return answer
-                self._forget(target)
-                return answer
+                if answer.code is ResultCode.NOT_DELIVERED:
+                    self._forget(target)
+                else:
+                    is_sent = True
+                continue
             reply = Reply.from_bytes(answer)
-            if reply.code is not ResultCode.NOT_LEADER:
-                self._hear(target)
-                return reply
-            self._forget(target)
-            target = str(reply.fields.get("leader", ""))
+            if reply.code is ResultCode.CLAIM_UNKNOWN:
+                is_sent = True
+            if reply.code in (ResultCode.NOT_LEADER, ResultCode.CLAIM_UNKNOWN):
+                self._forget(target)
+                continue
+            self._hear(target)
+            return reply
+        if is_sent:
+            return Failure(ResultCode.TIMED_OUT, f"no answer within {timeout_s} s")
         return Failure(ResultCode.NOT_DELIVERED, "no instance leads at present")
 
+    def _await_leader(self, limit: float) -> str:
+        """Return the leader, or nothing when there is none until a time."""
+        with self._found:
+            while not self.leader:
+                left_s = limit - time.monotonic()
+                if left_s <= 0:
+                    return ""
+                self._found.wait(left_s)
+            return self._leader
+
     def _probe(self) -> None:
         now = time.monotonic()
         if self.leader and now - self._probed_at < PROBE_S:
@@ -107,15 +142,16 @@
             self._forget(target)
 
     def _hear(self, leader: str) -> None:
-        with self._lock:
+        with self._found:
             if self._is_lost or leader != self._leader:
                 get_logger().info("leader_found", leader=leader, before=self._leader)
             self._leader = leader
             self._heard_at = time.monotonic()
             self._is_lost = False
+            self._found.notify_all()
 
     def _forget(self, leader: str) -> None:
-        with self._lock:
+        with self._found:
             if leader == self._leader:
                 self._heard_at = 0.0
 
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -204,8 +204,9 @@
             arrived=self._arrivals,
         )
         self.progress[job.job_id] = progress
-        if not self._is_recovering or job.term == self._term:
-            self.runs.release(progress)
+        if self._is_recovering and job.term != self._term:
+            self.runs.held_jobs.add(job.job_id)
+        self.runs.release(progress)
 
     def on_cancelled(self, job: Job) -> None:
         """Stop what runs of a cancelled job."""
@@ -349,6 +350,7 @@
 
     def _end_recovery(self) -> None:
         self._is_recovering = False
+        self.runs.held_jobs.clear()
         get_logger().info(
             "recovery_ended",
             term=self._term,
--- a/kumquatlift/authority/_placement.py
+++ b/kumquatlift/authority/_placement.py
@@ -8,8 +8,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-# Run times vary about their estimate; a place must meet the objective with this much in hand.
-SAFETY_FACTOR = 1.15
+# Run times vary about their estimate; a place must meet the objective with this much in hand. The
+# factor comes from tools/experiment.py: 1.0 and 1.15 make more jobs late at the usual load.
+SAFETY_FACTOR = 2.2
 # Time from a decision until the task works, and from its end until callers see it.
 OVERHEAD_MS = 25.0
 # Upstreams on which a task failed or lapsed are avoided by this factor in run time.
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -76,6 +76,8 @@
         self._may_order = may_order
         self._section = section
         self.needs_placing = False
+        # Jobs of earlier leaders whose tasks may run on upstreams that have not been heard.
+        self.held_jobs: set[str] = set()
         self.on_change: Callable[[Upstream], None] = lambda upstream: None
 
     # Starts
@@ -328,6 +330,8 @@
     def release(self, progress: Progress) -> None:
         """Let the tasks of all steps wait whose predecessors are done and whose time has come."""
         job = progress.job
+        if job.job_id in self.held_jobs:
+            return
         for occurrence, number in job.left:
             if (occurrence, number) in progress.released:
                 continue
--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -8,9 +8,12 @@
 from kumquatlift.platform._wire import WireError, is_job_id, read_job
 from kumquatlift.wsgi import ApiRequest, ApiResponse
 
-# A commit takes about 20 ms; the limit is most of the time that callers wait at least, so that a
-# caller learns of an unknown outcome while it still listens.
-CALL_TIMEOUT_S = 1.0
+# Most of the time that callers wait at least, so that a caller learns of an unknown outcome while
+# it still listens. It covers the election of a new leader.
+CALL_TIMEOUT_S = 1.2
+# A caller whose job was sent to no leader waits for one for this share of the declared work; longer
+# waits would use up what makes the job useful.
+PATIENCE_SHARE = 0.4
 # Jobs that are answered at their end wait for the work.
 END_TIMEOUT_S = 10.0
 # Sent when nothing is known of when a leader will be there; elections take about a second.
@@ -81,8 +84,12 @@
             self._section.count("jobs_malformed")
             return ApiResponse.from_json(400, {"reason": str(exc)})
         fields = {"job": job_id, "spec": spec.to_plain(), "zone": self._zone, **place}
-        timeout_s = END_TIMEOUT_S if spec.answers_at_end else CALL_TIMEOUT_S
-        reply = self._client.call(Request(Operation.SUBMIT, fields), timeout_s=timeout_s)
+        request = Request(Operation.SUBMIT, fields)
+        if spec.answers_at_end:
+            reply = self._client.call(request, timeout_s=END_TIMEOUT_S, attempt_s=END_TIMEOUT_S)
+        else:
+            patience_s = PATIENCE_SHARE * max(step.estimate_ms for step in spec.steps) / 1000
+            reply = self._client.call(request, timeout_s=CALL_TIMEOUT_S, patience_s=patience_s)
         self._section.count("submits")
         if isinstance(reply, Failure) or reply.code is not ResultCode.ACCEPTED:
             return self._refuse_submit(job_id, reply)
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -26,7 +26,7 @@
 from kumquatlift.timer import Timer
 from kumquatlift.wsgi import ApiRequest, ApiResponse, application
 
-CALLER_THREADS = 32
+CALLER_THREADS = 48
 CONTROL_THREADS = 16
 CHANNEL_WORKERS = 4
 # A process that stops goes on serving for this share of its grace, so that the platform has sent
--- a/kumquatlift/store/_raft.py
+++ b/kumquatlift/store/_raft.py
@@ -36,9 +36,9 @@
             Longer than the lease, so that an old leader has stopped before a new one begins.
     """
 
-    heartbeat_s: float = 0.08
-    lease_s: float = 0.45
-    election_s: float = 0.5
+    heartbeat_s: float = 0.06
+    lease_s: float = 0.3
+    election_s: float = 0.35
 
 
 DEFAULT_TIMING = Timing()
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -201,6 +201,26 @@
         assert world.violations == []
         assert world.state_of("a" * 16) == "completed"
 
+    def test_the_end_of_one_task_does_not_release_the_others_during_recovery(self) -> None:
+        """Guards against a start while an upstream that may run the task has not been heard.
+
+        Found by a hunt: the committed end of a sibling let all tasks of the job wait for room.
+        """
+        world = FleetModel()
+        world.add_upstream("fast", speed=4.0, cpu_milli=6800)
+        world.add_upstream("slow", speed=0.5, cpu_milli=6800)
+        world.run(0.2)
+        world.configure(QUEUE)
+        world.submit("a" * 16, job(2), work_ms=800)
+        world.run(0.1)
+        world.change_leader(gap_s=0.2)
+        world.upstreams["slow"].is_heard = False
+        world.run(0.4)
+        world.upstreams["slow"].is_heard = True
+        world.run(4.0)
+        assert world.violations == []
+        assert world.state_of("a" * 16) == "completed"
+
     def test_tasks_of_a_lost_upstream_wait_for_the_longest_lease(self) -> None:
         world = make(upstreams=2)
         world.submit("a" * 16, job(2), work_ms=3000)
--- /dev/null
+++ b/tests/test_load_patterns.py
@@ -0,0 +1,105 @@
+"""Decisions under load: pure functions, and replays of the load patterns that they answer."""
+
+import pytest
+
+from kumquatlift.authority import _admission, _placement, _scheduler
+from kumquatlift.authority._admission import Ask, Load, judge
+from kumquatlift.authority._placement import Candidate, Place, Waiting, choose, order_key
+from tools.experiment import PATTERNS, replay
+
+TASK = Waiting(6800, 64, 0, 100.0, 10.0)
+
+
+def place(
+    name: str, *, speed: float = 1.0, cpu_milli: int = 16_000, failures: float = 0.0
+) -> Place:
+    return Place(name, cpu_milli, 32_768, 0, speed, ("a", "r1"), "r1", failures)
+
+
+class TestChoose:
+    """Where a task starts."""
+
+    def test_the_slowest_place_in_time_keeps_the_fast_ones_free(self) -> None:
+        places = [place("slow", speed=0.5), place("fast", speed=2.0)]
+        assert choose(TASK, places, 9.0).upstream_id == "slow"  # type: ignore[union-attr]
+
+    def test_the_fastest_place_when_none_is_in_time(self) -> None:
+        places = [place("slow", speed=0.5), place("fast", speed=2.0)]
+        assert choose(TASK, places, 9.95).upstream_id == "fast"  # type: ignore[union-attr]
+
+    def test_a_place_without_room_or_label_is_not_taken(self) -> None:
+        assert choose(TASK, [place("full", cpu_milli=6000)], 0.0) is None
+        assert choose(TASK._replace(label="gpu"), [place("plain")], 0.0) is None
+
+    def test_a_place_on_which_the_task_failed_comes_last(self) -> None:
+        task = TASK._replace(avoid=frozenset({"bad"}), objective_at=0.0)
+        places = [place("bad", speed=1.6), place("good", speed=0.6)]
+        assert choose(task, places, 0.0).upstream_id == "good"  # type: ignore[union-attr]
+
+    def test_data_draws_a_task_to_its_rack(self) -> None:
+        task = TASK._replace(data_rack="r1", remote_factor=3.0, objective_at=0.0)
+        far = place("far", speed=1.6)._replace(rack="r2")
+        assert choose(task, [far, place("near")], 0.0).upstream_id == "near"  # type: ignore[union-attr]
+
+
+class TestOrder:
+    """Which job is served first."""
+
+    def test_jobs_in_time_come_before_late_ones_and_useless_ones(self) -> None:
+        in_time = Candidate(0, 12.0, 14.0, 500.0, 3)
+        late = Candidate(0, 9.0, 14.0, 500.0, 2)
+        useless = Candidate(0, 5.0, 9.0, 500.0, 1)
+        ranked = sorted([useless, late, in_time], key=lambda each: order_key(each, 10.0))
+        assert ranked == [in_time, late, useless]
+
+    def test_the_job_that_must_start_first_comes_first(self) -> None:
+        long = Candidate(2, 12.0, 20.0, 1500.0, 1)
+        short = Candidate(0, 11.0, 13.0, 60.0, 2)
+        assert min([short, long], key=lambda each: order_key(each, 10.0)) is long
+
+
+class TestAdmission:
+    """Which job is taken, and when the others should come back."""
+
+    def test_a_job_is_taken_while_it_can_be_in_time(self) -> None:
+        ask = Ask(200.0, 100.0, 220.0, 660.0)
+        assert judge(ask, Load(48, 1.0, 0.0), 0.5).is_taken
+        assert not judge(ask, Load(48, 1.0, 20_000.0), 0.5).is_taken
+
+    def test_nothing_is_taken_without_a_usable_upstream(self) -> None:
+        verdict = judge(Ask(200.0, 100.0, 220.0, 660.0), Load(0, 1.0, 0.0), 0.5)
+        assert not verdict.is_taken
+        assert verdict.retry_after_ms > 0
+
+    def test_callers_come_back_spread_over_time(self) -> None:
+        """Guards against refused callers that return together and are refused again."""
+        ask, load = Ask(200.0, 100.0, 220.0, 660.0), Load(48, 1.0, 20_000.0)
+        times = {judge(ask, load, number / 10).retry_after_ms for number in range(10)}
+        assert len(times) == 10
+
+
+class TestReplays:
+    """Whole bursts against the model fleet; the naive version serves in order of arrival."""
+
+    @pytest.mark.parametrize("pattern", PATTERNS[1:], ids=lambda pattern: pattern.name)
+    def test_more_is_served_than_by_the_naive_version(
+        self, pattern: object, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        ours = replay(pattern, 1, 9.0)  # type: ignore[arg-type]
+        with monkeypatch.context() as patch:
+            patch.setattr(_admission, "TAKE_SHARE", 1000.0)
+            patch.setattr(_scheduler, "order_key", lambda each, _now: (0, each.arrived, 0))
+            patch.setattr(_placement, "SAFETY_FACTOR", 0.0)
+            naive = replay(pattern, 1, 9.0)  # type: ignore[arg-type]
+        assert ours.worth > naive.worth
+        assert ours.worst_window > naive.worst_window
+
+    def test_refusals_make_fewer_late_in_a_burst(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against jobs that are taken, wait past their objective and block others."""
+        burst = PATTERNS[2]
+        ours = replay(burst, 2, 9.0)
+        with monkeypatch.context() as patch:
+            patch.setattr(_admission, "TAKE_SHARE", 0.6)
+            before = replay(burst, 2, 9.0)
+        assert ours.late < before.late
+        assert ours.worth > before.worth
--- a/tests/test_platform_programs.py
+++ b/tests/test_platform_programs.py
@@ -164,7 +164,8 @@
                 statuses.append(
                     call(cluster.frontend.callers, "POST", f"/q/{number:016x}", body)[0]
                 )
-            except ConnectionRefusedError:
+            except (ConnectionRefusedError, ConnectionResetError):
+                # The process has ended; what the kernel took after that was never read.
                 break
             time.sleep(0.02)
         assert set(statuses) <= {200, 503}
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -64,7 +64,12 @@
         world.run(3.0)
         leader = world.leader
         leader.raft.hand_over()
-        world.run(0.3)
+        world.step()
+        # The old leader hears nothing of the election that it asked for.
+        world.cut = lambda sender, to: to == leader.name
+        for _ in range(30):
+            assert sum(replica.raft.has_lease for replica in world.replicas.values()) <= 1
+            world.step()
         assert world.leader is not leader
 
 
--- /dev/null
+++ b/tools/experiment.py
@@ -0,0 +1,237 @@
+"""Replays arrivals against the real decisions on a model fleet and prints what callers get.
+
+Run ``python -m tools.experiment`` for the load patterns below; each figure is the mean over seeds.
+"""
+
+import logging
+import random
+import statistics
+import sys
+from collections import defaultdict
+from concurrent.futures import Future
+from functools import partial
+from typing import NamedTuple
+
+import structlog
+
+from kumquatlift.authority import JobSpec, Operation, Queue, Reply, Request, Step
+from kumquatlift.codes import ResultCode
+from tools.fleet_model import FleetModel
+
+LATE_FACTOR = 3.0
+LATE_WORTH = 0.2
+WINDOW_S = 2.0
+POLL_S = 0.01
+
+
+class Kind(NamedTuple):
+    """One kind of job.
+
+    Args:
+        name: Name of its queue.
+        rate: Jobs a second.
+        tasks: Mean number of tasks.
+        work_ms: Mean run time of a task at speed 1.
+        worth: Worth of a mean job in time.
+        priority: Priority of the queue.
+        attempts: Attempts of a task.
+    """
+
+    name: str
+    rate: float
+    tasks: float
+    work_ms: float
+    worth: float
+    priority: int
+    attempts: int
+
+
+KINDS = (
+    Kind("count", 17.2, 8, 60, 0.0291, 0, 3),
+    Kind("reorder", 3.12, 4, 900, 0.16, 2, 2),
+    Kind("swap", 49.9, 2, 200, 0.01, 1, 2),
+)
+SPEEDS = (0.6, 1.0, 1.6)
+SIZES = (16_000, 16_000, 24_000)
+SLACK = 1.6
+TARGET_MS = 60
+
+
+class Pattern(NamedTuple):
+    """A load pattern.
+
+    Args:
+        name: Name in the report.
+        factor: Load as a multiple of the usual one while the burst lasts.
+        burst_s: Start and end of the burst.
+        silent: Upstreams that are silent while the burst lasts.
+    """
+
+    name: str
+    factor: float
+    burst_s: tuple[float, float]
+    silent: int = 0
+
+
+PATTERNS = (
+    Pattern("usual load", 1.0, (0, 0)),
+    Pattern("burst of 1.3", 1.3, (4, 8)),
+    Pattern("burst of 1.8", 1.8, (4, 8)),
+    Pattern("a quarter of the upstreams silent", 1.0, (4, 10), 6),
+)
+
+
+class Asked(NamedTuple):
+    """A job that was submitted."""
+
+    job: str
+    kind: Kind
+    at: float
+    objective_s: float
+    worth: float
+
+
+class Outcome(NamedTuple):
+    """What callers got.
+
+    Args:
+        worth: Worth earned, as a share of what was asked.
+        worst_kind: The same for the kind that got least.
+        worst_window: The same for the two worst windows.
+        refused: Share of the jobs that were refused.
+        late: Share of the jobs that were accepted and not in time.
+    """
+
+    worth: float
+    worst_kind: float
+    worst_window: float
+    refused: float
+    late: float
+
+
+def replay(pattern: Pattern, seed: int, length_s: float = 14.0) -> Outcome:
+    """Run one pattern and return what callers got."""
+    rng = random.Random(seed)
+    world = FleetModel(seed=seed)
+    for number in range(24):
+        world.add_upstream(
+            f"u{number}", speed=SPEEDS[number % 3], cpu_milli=SIZES[(number // 3) % 3]
+        )
+    world.run(0.2)
+    world.configure(
+        *(
+            Queue(
+                kind.name,
+                "h",
+                f"/{kind.name}/",
+                "s",
+                kind.priority,
+                kind.attempts,
+                SLACK,
+                TARGET_MS,
+            )
+            for kind in KINDS
+        )
+    )
+    start = world.clock.now()
+    open_jobs: list[Asked] = []
+    earned: dict[str, float] = {}
+    asked: list[Asked] = []
+    refused: set[str] = set()
+    silent = list(world.upstreams.values())[: pattern.silent]
+    arrivals = sorted(_arrivals(rng, pattern, length_s), key=lambda row: row[0])
+    while arrivals or open_jobs:
+        now = world.clock.now() - start
+        in_burst = pattern.burst_s[0] <= now < pattern.burst_s[1]
+        for upstream in silent:
+            upstream.is_reachable = not in_burst
+        while arrivals and arrivals[0][0] <= now:
+            _, kind, tasks, work_ms = arrivals.pop(0)
+            job = f"{len(asked):016x}"
+            worth = kind.worth * min(4, 0.3 + 0.7 * tasks * work_ms / (kind.tasks * kind.work_ms))
+            row = Asked(job, kind, now, (SLACK * work_ms + TARGET_MS) / 1000, worth)
+            declared_ms = max(1, int(work_ms * rng.lognormvariate(0, 0.4)))
+            spec = JobSpec("x", (Step(tasks, 6800, 64, 0, declared_ms),))
+            fut = world.submit(job, spec, work_ms=work_ms, path=f"/{kind.name}/")
+            fut.add_done_callback(partial(_note_refusal, refused, job))
+            asked.append(row)
+            open_jobs.append(row)
+        world.run(POLL_S)
+        open_jobs = [row for row in open_jobs if not _settle(world, row, start, earned, refused)]
+    return _summarize(asked, earned, refused)
+
+
+def _arrivals(
+    rng: random.Random, pattern: Pattern, length_s: float
+) -> list[tuple[float, Kind, int, float]]:
+    rows = []
+    for kind in KINDS:
+        at = 0.0
+        while at < length_s:
+            is_burst = pattern.burst_s[0] <= at < pattern.burst_s[1]
+            at += rng.expovariate(kind.rate * (pattern.factor if is_burst else 1.0))
+            tasks = max(
+                1, min(int(4 * kind.tasks), round(kind.tasks * rng.lognormvariate(-0.08, 0.4)))
+            )
+            work_ms = min(4 * kind.work_ms, kind.work_ms * rng.lognormvariate(-0.08, 0.4))
+            rows.append((at, kind, tasks, work_ms))
+    return rows
+
+
+def _note_refusal(refused: set[str], job: str, fut: "Future[Reply]") -> None:
+    if fut.result().code is not ResultCode.ACCEPTED:
+        refused.add(job)
+
+
+def _settle(
+    world: FleetModel, row: Asked, start: float, earned: dict[str, float], refused: set[str]
+) -> bool:
+    if row.job in refused:
+        return True
+    fut = world.ask(Request(Operation.STATUS, {"job": row.job}))
+    world.loop.run_pending()
+    state = fut.result().fields.get("state")
+    taken_s = world.clock.now() - start - row.at
+    if state == "completed":
+        if taken_s <= row.objective_s:
+            earned[row.job] = row.worth
+        elif taken_s <= LATE_FACTOR * row.objective_s:
+            earned[row.job] = LATE_WORTH * row.worth
+        return True
+    return state == "failed" or taken_s > 20
+
+
+def _summarize(asked: list[Asked], earned: dict[str, float], refused: set[str]) -> Outcome:
+    kinds: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+    windows: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
+    for row in asked:
+        got = earned.get(row.job, 0.0)
+        for cell in (kinds[row.kind.name], windows[int(row.at / WINDOW_S)], kinds["all"]):
+            cell[0] += got
+            cell[1] += row.worth
+    shares = {name: got / owed for name, (got, owed) in kinds.items()}
+    worst = sorted(got / owed for got, owed in windows.values())[:2]
+    late = [row for row in asked if earned.get(row.job, 0) < row.worth and row.job not in refused]
+    return Outcome(
+        shares.pop("all"),
+        min(shares.values()),
+        statistics.mean(worst),
+        len(refused) / len(asked),
+        len(late) / len(asked),
+    )
+
+
+def main() -> None:
+    """Print the outcome of each pattern."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 3
+    print(f"{'pattern':36}{'worth':>8}{'kind':>8}{'window':>8}{'refused':>9}{'late':>8}")
+    for pattern in PATTERNS:
+        rows = [replay(pattern, seed) for seed in range(seeds)]
+        means = [statistics.mean(column) for column in zip(*rows, strict=True)]
+        cells = "".join(f"{value:8.3f}" for value in means)
+        print(f"{pattern.name:36}{cells}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
