Keep jobs that are answered at their end out of the log

Cause: callers of both sites wait for the end of a job and ask for nothing later, and the platform does not require such a job to be stored.

Ruled out: logging them without waiting for the commit (the followers would still pay for it, and a new leader could not tell which entries it misses).

Change: the leader alone knows such a job. A process that waits for its answer sends it to the next leader, which takes over the runs and ends that upstreams list for it, and starts nothing while a run of the task may still work. A job of which nothing has started and that can be of no use any more is refused; the work of a caller that has left is stopped.

Eight tests on the model of the fleet cover changes of leader.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -5,13 +5,14 @@
 from concurrent.futures import Future
 from typing import Any, Protocol
 
+from kumquatlift.authority._admission import MIN_RETRY_MS
 from kumquatlift.authority._api import Operation, Reply, Request
 from kumquatlift.authority._commands import Command, CommandKind, UpstreamState
 from kumquatlift.authority._leader import Leader, Limits
 from kumquatlift.authority._orders import UpstreamGateway
 from kumquatlift.authority._serving import ConfigReader, Queue
-from kumquatlift.authority._state import Applied, State
-from kumquatlift.authority._work import Job, JobSpec
+from kumquatlift.authority._state import Applied, State, job_of
+from kumquatlift.authority._work import Job, JobSpec, JobState
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.codes import ResultCode
@@ -127,9 +128,6 @@
             self._tell_leader(leader, applied)
         if applied.job is not None:
             self._open_submits.pop(applied.job.job_id, None)
-            self._tell_job_waiters(applied.job)
-        for end in applied.ends:
-            self._tell_job_waiters(self.state.jobs[end.task.job])
         for waiter in self._waiters.pop(applied.position, ()):
             waiter(_DONE)
 
@@ -152,9 +150,11 @@
                 leader.on_config()
 
     def _tell_job_waiters(self, job: Job) -> None:
-        if not job.is_open:
-            for waiter in self._job_waiters.pop(job.job_id, ()):
-                waiter(Reply(ResultCode.ACCEPTED, {"state": job.state}))
+        reply = Reply(ResultCode.ACCEPTED, {"state": job.state})
+        if job.state == JobState.REFUSED:
+            reply = Reply(ResultCode.OVERLOADED, {"retry_after_ms": MIN_RETRY_MS})
+        for waiter in self._job_waiters.pop(job.job_id, ()):
+            waiter(reply)
 
     # Time
 
@@ -179,6 +179,7 @@
             propose=self._propose,
             # The callbacks of an earlier term must not order when this instance leads again.
             may_order=lambda: log.has_lease and log.term == term,
+            on_closed=self._tell_job_waiters,
             section=self._section,
         )
         self._leader.begin()
@@ -218,11 +219,11 @@
         fields = request.fields
         match request.operation:
             case Operation.SUBMIT:
-                self._submit(leader, fields, answer)
+                self._submit(leader, log.term, fields, answer)
             case Operation.STATUS:
-                self._status(fields, answer)
+                self._status(leader, fields, answer)
             case Operation.CANCEL:
-                self._cancel(fields, answer)
+                self._cancel(leader, fields, answer)
             case Operation.PENDING:
                 self._pending(leader, fields, answer)
             case Operation.REPLACE_CONFIG:
@@ -254,9 +255,11 @@
             answer(Reply(ResultCode.UNKNOWN_SERVICE, {"version": self.state.routing.cfg.version}))
         return queue
 
-    def _submit(self, leader: Leader, fields: dict[str, Any], answer: Waiter) -> None:
+    def _submit(
+        self, leader: Leader, log_term: int, fields: dict[str, Any], answer: Waiter
+    ) -> None:
         job_id = fields["job"]
-        known = self.state.jobs.get(job_id)
+        known = leader.find_job(job_id)
         if known is not None:
             self._answer_known(known, answer)
             return
@@ -269,7 +272,7 @@
             return
         spec = JobSpec.from_plain(fields["spec"])
         verdict = leader.judge(queue, spec)
-        if not verdict.is_taken or len(self.state.jobs) >= MAX_JOBS:
+        if not verdict.is_taken or len(self.state.jobs) + len(leader.unkept) >= MAX_JOBS:
             get_logger().info(
                 "job_refused",
                 job=job_id,
@@ -293,10 +296,14 @@
                 "zone": fields["zone"],
             },
         )
-        done = self._when_ended(job_id, answer) if spec.answers_at_end else answer
-        index = self._commit(command, done)
-        if index is not None:
-            self._open_submits[job_id] = index
+        index = None
+        if spec.answers_at_end:
+            self._job_waiters.setdefault(job_id, []).append(answer)
+            leader.add_job(job_of(command, log_term, is_kept=False))
+        else:
+            index = self._commit(command, answer)
+            if index is not None:
+                self._open_submits[job_id] = index
         get_logger().info(
             "job_accepted",
             job=job_id,
@@ -314,31 +321,27 @@
         else:
             answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
 
-    def _when_ended(self, job_id: str, answer: Waiter) -> Waiter:
-        def wait(reply: Reply) -> None:
-            if reply.code is not ResultCode.ACCEPTED:
-                answer(reply)
-                return
-            self._answer_known(self.state.jobs[job_id], answer)
-
-        return wait
-
-    def _status(self, fields: dict[str, Any], answer: Waiter) -> None:
-        job = self.state.jobs.get(fields["job"])
+    def _status(self, leader: Leader, fields: dict[str, Any], answer: Waiter) -> None:
+        job = leader.find_job(fields["job"])
         if job is None:
             answer(Reply(ResultCode.NOT_FOUND))
             return
         state = "running" if job.is_open and job.is_started else job.state
         answer(Reply(ResultCode.ACCEPTED, {"state": state}))
 
-    def _cancel(self, fields: dict[str, Any], answer: Waiter) -> None:
-        job = self.state.jobs.get(fields["job"])
+    def _cancel(self, leader: Leader, fields: dict[str, Any], answer: Waiter) -> None:
+        job = leader.find_job(fields["job"])
         if job is None and fields["job"] not in self._open_submits:
             answer(Reply(ResultCode.NOT_FOUND))
             return
         if job is not None and not job.is_open:
             answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
             return
+        if job is not None and not job.is_kept:
+            job.close(JobState.CANCELLED, self.state.wall_ms())
+            leader.on_cancelled(job)
+            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
+            return
         fields = {"job": fields["job"], "at_ms": self.state.wall_ms()}
         get_logger().info("job_cancelled", job=fields["job"])
         self._section.count("cancels")
--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -22,6 +22,11 @@
 LOST_S = 0.5
 # A commit takes about 20 ms, and ten times that with a slow disk.
 ATTEMPT_S = 0.3
+# An election takes about this long; a request whose leader was lost for longer is given up, since
+# its caller may reach another zone.
+ELECTION_S = 0.9
+# How often a waiting request looks whether its leader or its caller has gone.
+CHECK_S = 0.1
 
 
 class LeaderClient:
@@ -56,6 +61,7 @@
         timeout_s: float,
         patience_s: float = 0.0,
         attempt_s: float = ATTEMPT_S,
+        is_abandoned: Callable[[], bool] = lambda: False,
     ) -> Reply | Failure:
         """Send a request and wait for its answer; requests are idempotent and sent again.
 
@@ -65,6 +71,7 @@
             patience_s: How long to wait for a leader while the request was sent to none.
             attempt_s: Limit for one leader's answer; the request is then sent again, to the leader
                 of that time.
+            is_abandoned: Tells whether nobody waits for the answer any more.
 
         Returns:
             The reply; a ``NOT_DELIVERED`` failure when no leader took it, which is certain, or a
@@ -74,34 +81,50 @@
         deadline = started_at + timeout_s
         body = request.to_bytes()
         is_sent = False
-        while True:
-            limit = deadline if is_sent else min(deadline, started_at + patience_s)
-            target = self._await_leader(limit)
+        while not is_abandoned():
+            now = time.monotonic()
+            wait_s = ELECTION_S if is_sent else patience_s + started_at - now
+            target = self._await_leader(min(deadline, now + wait_s))
             left_s = deadline - time.monotonic()
             if not target or left_s <= 0:
                 break
-            fut = self._channel.call(
-                target, Topic.AUTHORITY, body, timeout_s=min(left_s, attempt_s)
-            )
-            answer = fut.result()
+            answer = self._attempt(target, body, min(left_s, attempt_s), is_abandoned)
             if isinstance(answer, Failure):
+                is_sent = is_sent or answer.code is not ResultCode.NOT_DELIVERED
                 if answer.code is ResultCode.NOT_DELIVERED:
                     self._forget(target)
-                else:
-                    is_sent = True
                 continue
             reply = Reply.from_bytes(answer)
-            if reply.code is ResultCode.CLAIM_UNKNOWN:
-                is_sent = True
+            is_sent = is_sent or reply.code is ResultCode.CLAIM_UNKNOWN
             if reply.code in (ResultCode.NOT_LEADER, ResultCode.CLAIM_UNKNOWN):
                 self._forget(target)
                 continue
             self._hear(target)
+            if is_sent and reply.code is ResultCode.OVERLOADED:
+                # An earlier leader may have started it, so it cannot be said not to have run.
+                break
             return reply
         if is_sent:
-            return Failure(ResultCode.TIMED_OUT, f"no answer within {timeout_s} s")
+            return Failure(ResultCode.TIMED_OUT, "no answer of a leader")
         return Failure(ResultCode.NOT_DELIVERED, "no instance leads at present")
 
+    def _attempt(
+        self, target: str, body: bytes, timeout_s: float, is_abandoned: Callable[[], bool]
+    ) -> bytes | Failure:
+        """Send a request to one leader, and give up when another one is found."""
+        fut = self._channel.call(target, Topic.AUTHORITY, body, timeout_s=timeout_s)
+        lost_at: float | None = None
+        while True:
+            try:
+                return fut.result(timeout=CHECK_S)
+            except TimeoutError:
+                now = time.monotonic()
+            leader = self.leader
+            lost_at = None if leader else lost_at or now
+            is_lost = lost_at is not None and now - lost_at > ELECTION_S
+            if is_lost or is_abandoned() or leader not in ("", target):
+                return Failure(ResultCode.TIMED_OUT, "the leader was lost")
+
     def _await_leader(self, limit: float) -> str:
         """Return the leader, or nothing when there is none until a time."""
         with self._found:
--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -121,6 +121,8 @@
         self.listed_end = 0
         self.durable_end = 0
         self.acked_end = 0
+        # Commands with its ends that are not committed yet.
+        self.open_batches = 0
         self.durable_at = now
         self.leased_at = now
         self.added_at = now
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -21,7 +21,7 @@
 from kumquatlift.authority._serving import Queue
 from kumquatlift.authority._state import State
 from kumquatlift.authority._watch import FORGET_S, Watch
-from kumquatlift.authority._work import Job, JobSpec
+from kumquatlift.authority._work import Job, JobSpec, JobState
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.log import get_logger
@@ -31,6 +31,9 @@
 RECOVERY_MARGIN_S = 0.15
 # Fencing tokens of one leader: lives of one upstream that it can tell apart.
 LIVES_PER_TERM = 1 << 16
+# Callers whose answer was lost ask again within a few seconds; until then the end of a job that is
+# not in the log is remembered.
+KEEP_UNKEPT_S = 10.0
 
 
 class Limits(NamedTuple):
@@ -59,6 +62,7 @@
         limits: Bounds of the platform.
         propose: Appends a command to the log and returns its index, or None.
         may_order: Whether this instance still leads with a lease.
+        on_closed: Is called when a job has ended.
         section: Section of the blackboard.
     """
 
@@ -73,6 +77,7 @@
         limits: Limits,
         propose: Callable[[Command], int | None],
         may_order: Callable[[], bool],
+        on_closed: Callable[[Job], None],
         section: Section,
     ) -> None:
         self._term = term
@@ -95,8 +100,13 @@
         self._recovers_until += limits.lease_s / (1 - MAX_CLOCK_SLOWNESS)
         self._is_recovering = True
         self._forgot_at = clock.now()
+        # Jobs that are not in the log; those that have ended stay for callers that ask again.
+        self.unkept: dict[str, Job] = {}
+        self._on_closed = on_closed
         self.runs = Runs(
             state=state,
+            find_job=self.find_job,
+            on_closed=on_closed,
             fleet=self.fleet,
             progress=self.progress,
             estimates=self.estimates,
@@ -108,7 +118,7 @@
             section=section,
         )
         self._watch = Watch(
-            state=state,
+            find_job=self.find_job,
             fleet=self.fleet,
             progress=self.progress,
             runs=self.runs,
@@ -184,8 +194,14 @@
             )
         return Load(slots, sum(speeds) / len(speeds) if speeds else 1.0, ahead_ms)
 
+    def find_job(self, job_id: str) -> Job | None:
+        """Return a job, in the log or not."""
+        return self.unkept.get(job_id) or self._state.jobs.get(job_id)
+
     def add_job(self, job: Job) -> None:
-        """Begin a job whose command was committed."""
+        """Begin a job whose command was committed, or one that is not kept."""
+        if not job.is_kept:
+            self.unkept[job.job_id] = job
         if job.is_open and job.job_id not in self.progress:
             self._add_job(job)
 
@@ -204,7 +220,13 @@
             arrived=self._arrivals,
         )
         self.progress[job.job_id] = progress
-        if self._is_recovering and job.term != self._term:
+        if not job.is_kept:
+            self.runs.adopt(progress)
+            if not job.is_open:
+                self.runs.close(progress)
+                return
+        # A job that is not kept may have run under an earlier leader.
+        if self._is_recovering and (job.term != self._term or not job.is_kept):
             self.runs.held_jobs.add(job.job_id)
         self.runs.release(progress)
 
@@ -302,7 +324,20 @@
     # Ends
 
     def _log_ends(self, upstream: Upstream, ends: list[TaskEnd]) -> None:
-        self._new_ends.append((upstream, ends))
+        kept: list[TaskEnd] = []
+        for end in ends:
+            job = self.unkept.get(end.task.job)
+            if job is not None:
+                if job.end_task(end, self._state.wall_ms()):
+                    self.runs.on_end_committed(end)
+            elif end.task.job in self._state.jobs:
+                kept.append(end)
+        if kept:
+            upstream.open_batches += 1
+            self._new_ends.append((upstream, kept))
+        elif not upstream.open_batches:
+            upstream.durable_end = upstream.listed_end
+            upstream.durable_at = self._clock.now()
 
     def _propose_ends(self) -> None:
         batch, self._new_ends = self._new_ends, []
@@ -318,6 +353,9 @@
         for end in ends:
             self.runs.on_end_committed(end)
         for upstream, number in self._open_ends.pop(index, ()):
+            upstream.open_batches -= 1
+            # Ends listed since then that are not kept need no command.
+            number = number if upstream.open_batches else upstream.listed_end
             upstream.durable_end = max(upstream.durable_end, number)
             upstream.durable_at = now
             self._watch.pump(upstream)
@@ -342,12 +380,36 @@
         for progress in self.runs.unreleased():
             self.runs.release(progress)
         self._forget_silent(now)
+        self._withdraw_hopeless(now)
+        self._forget_unkept(now)
         if now - self._forgot_at > self._limits.keep_s / 4:
             self._forgot_at = now
             before_ms = self._state.wall_ms() - int(self._limits.keep_s * 1000)
             self._propose(Command(CommandKind.FORGET, {"ended_before_ms": before_ms}))
         self.runs.needs_placing = True
 
+    def _withdraw_hopeless(self, now: float) -> None:
+        """Give up jobs of which nothing has started and that can be of no use any more."""
+        for progress in list(self.progress.values()):
+            job = progress.job
+            if job.is_kept or job.is_started or progress.running:
+                continue
+            if now + progress.chain_ms / 1000 > progress.late_at:
+                job.close(JobState.REFUSED, self._state.wall_ms())
+                del self.unkept[job.job_id]
+                self.runs.close(progress)
+
+    def _forget_unkept(self, now: float) -> None:
+        self.runs.forget_orphan_ends(now - KEEP_UNKEPT_S)
+        before_ms = self._state.wall_ms() - int(KEEP_UNKEPT_S * 1000)
+        old = [
+            job.job_id
+            for job in self.unkept.values()
+            if not job.is_open and job.ended_at_ms < before_ms
+        ]
+        for job_id in old:
+            del self.unkept[job_id]
+
     def _end_recovery(self) -> None:
         self._is_recovering = False
         self.runs.held_jobs.clear()
--- a/kumquatlift/authority/_progress.py
+++ b/kumquatlift/authority/_progress.py
@@ -62,7 +62,9 @@
         self.queue = queue
         self.expected_ms = expected_ms
         self.arrived = arrived
-        self.base_run = (term - job.term) * RUNS_PER_TERM
+        # The job may have run under an earlier leader, of which nothing is known when it is not in
+        # the log.
+        self.base_run = (term - (job.term if job.is_kept else 1)) * RUNS_PER_TERM
         self.runs: dict[TaskKey, int] = {}
         self.waiting: deque[TaskKey] = deque()
         self.waiting_ms = 0.0
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -31,6 +31,8 @@
 # An order without an answer is sent again after this pause.
 RESEND_S = 0.02
 SILENT_RESEND_S = 0.1
+# Ends of unknown jobs that are remembered; about those of one second at the largest size.
+MAX_ORPHAN_ENDS = 2000
 # An upstream that could not read a start is left alone for a while.
 MALFORMED_REST_S = 1.0
 
@@ -40,6 +42,8 @@
 
     Args:
         state: Replicated state.
+        find_job: Finds a job by its identity, in the log or not.
+        on_closed: Is called when a job has ended.
         fleet: Upstreams by identity.
         progress: Open jobs by identity.
         estimates: Learned run times.
@@ -55,6 +59,8 @@
         self,
         *,
         state: State,
+        find_job: Callable[[str], Job | None],
+        on_closed: Callable[[Job], None],
         fleet: dict[str, Upstream],
         progress: dict[str, Progress],
         estimates: Estimates,
@@ -66,6 +72,8 @@
         section: Section,
     ) -> None:
         self._state = state
+        self._find_job = find_job
+        self._on_closed = on_closed
         self._fleet = fleet
         self._progress = progress
         self._estimates = estimates
@@ -78,6 +86,10 @@
         self._job_ms = section.histogram("job_ms", "time from acceptance to the end of a job")
         self._wait_ms = section.histogram("wait_ms", "time from acceptance to the first start")
         self.needs_placing = False
+        # Runs of jobs that this leader does not know, until their callers ask again, and ends of
+        # such runs.
+        self.orphans: dict[TaskKey, Upstream] = {}
+        self.orphan_ends: dict[TaskKey, tuple[TaskEnd, float]] = {}
         # Jobs of earlier leaders whose tasks may run on upstreams that have not been heard.
         self.held_jobs: set[str] = set()
         self.on_change: Callable[[Upstream], None] = lambda upstream: None
@@ -108,7 +120,7 @@
         self._send_start(upstream, entry)
 
     def _send_start(self, upstream: Upstream, run: Run) -> None:
-        job = self._state.jobs.get(run.task.job)
+        job = self._find_job(run.task.job)
         if job is None or not self._may_order():
             return
         now = self._clock.now()
@@ -252,6 +264,8 @@
         """
         run = upstream.runs.get(end.task)
         progress = self._progress.get(end.task.job)
+        if self.orphans.pop(end.task, None) is not None or self._find_job(end.task.job) is None:
+            self._note_orphan_end(end)
         if run is None:
             if progress is not None:
                 self._hold_until_committed(upstream, end, progress)
@@ -268,6 +282,33 @@
         del progress.running[end.task]
         self._wait_again(progress, end.task, upstream.state.upstream_id, end.how.value)
 
+    def _note_orphan_end(self, end: TaskEnd) -> None:
+        if end.how is EndHow.DONE and len(self.orphan_ends) < MAX_ORPHAN_ENDS:
+            self.orphan_ends[end.task] = (end, self._clock.now())
+
+    def adopt(self, progress: Progress) -> None:
+        """Give a job the runs and ends that an earlier leader left for it."""
+        job = progress.job
+        for task in [task for task in self.orphan_ends if task.job == job.job_id]:
+            job.end_task(self.orphan_ends.pop(task)[0], self._state.wall_ms())
+        for task in [task for task in self.orphans if task.job == job.job_id]:
+            upstream = self.orphans.pop(task)
+            run = upstream.runs.get(task)
+            if run is not None and run.state is RunState.RUNNING:
+                run.expected_ms = progress.expected_ms[task.step]
+                progress.running[task] = upstream.state.upstream_id
+                progress.note_run(task, run.number)
+
+    def forget_orphan_ends(self, before: float) -> None:
+        """Drop ends of unknown jobs that were listed before a time."""
+        old = [task for task, (_, at) in self.orphan_ends.items() if at < before]
+        for task in old:
+            del self.orphan_ends[task]
+
+    def is_live(self, task: TaskKey) -> bool:
+        """Whether a run of a task that does not belong to its job may still work."""
+        return task in self.orphans
+
     def _hold_until_committed(self, upstream: Upstream, end: TaskEnd, progress: Progress) -> None:
         """Keep a task from starting while the end of a run of an earlier leader is not durable."""
         task = end.task
@@ -356,6 +397,7 @@
         """Stop what still runs of a job that has ended."""
         job = progress.job
         self._progress.pop(job.job_id, None)
+        self._on_closed(job)
         now = self._clock.now()
         self._job_ms.record((now - progress.accepted_at) * 1000)
         for task, upstream_id in progress.running.items():
@@ -382,6 +424,8 @@
     def requeue(self, upstream: Upstream, run: Run, reason: str, *, is_first: bool = True) -> None:
         """Free a run that certainly does not run, and let its task wait again."""
         upstream.remove(run.task)
+        if self.orphans.get(run.task) is upstream:
+            del self.orphans[run.task]
         progress = self._progress.get(run.task.job)
         self.needs_placing = True
         if progress is None or progress.running.get(run.task) != upstream.state.upstream_id:
@@ -393,6 +437,8 @@
         """Free the runs of the former life that did not reach the present one."""
         former, upstream.former = upstream.former, {}
         for task, run in former.items():
+            if task not in listed:
+                self.orphans.pop(task, None)
             progress = self._progress.get(task.job)
             if task in listed or progress is None:
                 continue
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -95,6 +95,8 @@
         seen_gangs: set[tuple[int, int]] = set()
         for task in list(progress.waiting):
             step = progress.job.spec.steps[task.step]
+            if self._runs.is_live(task):
+                continue
             if step.is_gang:
                 gang = (task.occurrence, task.step)
                 if gang not in seen_gangs:
--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -90,15 +90,7 @@
         known = self.jobs.get(fields["job"])
         if known is not None:
             return known
-        job = Job(
-            job_id=fields["job"],
-            queue=fields["queue"],
-            spec=JobSpec.from_plain(fields["spec"]),
-            term=term,
-            accepted_at_ms=fields["at_ms"],
-            max_attempts=fields["max_attempts"],
-            zone=fields["zone"],
-        )
+        job = job_of(command, term)
         self.jobs[job.job_id] = job
         return job
 
@@ -147,3 +139,24 @@
             self.jobs[job.job_id] = job
         for row in plain["upstreams"]:
             self._add_upstream(UpstreamState(*row))
+
+
+def job_of(command: Command, term: int, *, is_kept: bool = True) -> Job:
+    """Return the job that a command describes.
+
+    Args:
+        command: A command of the kind ``JOB``.
+        term: Term of the leader that took the job.
+        is_kept: Whether the command is in the log.
+    """
+    fields = command.fields
+    return Job(
+        job_id=fields["job"],
+        queue=fields["queue"],
+        spec=JobSpec.from_plain(fields["spec"]),
+        term=term,
+        accepted_at_ms=fields["at_ms"],
+        max_attempts=fields["max_attempts"],
+        zone=fields["zone"],
+        is_kept=is_kept,
+    )
--- a/kumquatlift/authority/_watch.py
+++ b/kumquatlift/authority/_watch.py
@@ -8,7 +8,7 @@
 from kumquatlift.authority._orders import LookAnswer, LookOrder, OrderResult, UpstreamGateway
 from kumquatlift.authority._progress import Progress
 from kumquatlift.authority._runs import Runs, ref_of
-from kumquatlift.authority._state import State
+from kumquatlift.authority._work import Job
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.log import get_logger
@@ -27,6 +27,8 @@
 STALL_PATIENCE = 4.0
 # Two of the longest leases: what orders for a former life began on the present one has ended.
 FORMER_S = 2.0
+# Callers of a lost leader ask the next one within about this time.
+ORPHAN_S = 1.0
 STALL_FACTOR = 2.5
 
 
@@ -34,7 +36,7 @@
     """Looks at all upstreams under one leader.
 
     Args:
-        state: Replicated state.
+        find_job: Finds a job by its identity, in the log or not.
         fleet: Upstreams by identity.
         progress: Open jobs by identity.
         runs: Runs of all tasks.
@@ -49,7 +51,7 @@
     def __init__(
         self,
         *,
-        state: State,
+        find_job: Callable[[str], Job | None],
         fleet: dict[str, Upstream],
         progress: dict[str, Progress],
         runs: Runs,
@@ -60,7 +62,7 @@
         log_ends: Callable[[Upstream, list[TaskEnd]], None],
         section: Section,
     ) -> None:
-        self._state = state
+        self._find_job = find_job
         self._fleet = fleet
         self._progress = progress
         self._runs = runs
@@ -104,7 +106,10 @@
                 self._runs.free_former(upstream, set())
         for upstream in list(self._fleet.values()):
             for run in list(upstream.runs.values()):
-                self._stop_if_stalled(upstream, run, now)
+                if run.task in self._runs.orphans:
+                    self._stop_if_unclaimed(upstream, run, now)
+                else:
+                    self._stop_if_stalled(upstream, run, now)
 
     def _look(self, upstream: Upstream, now: float, wait_s: float) -> None:
         upstream.is_look_open = True
@@ -201,7 +206,7 @@
 
     def _take_over(self, upstream: Upstream, task: TaskKey, number: int, now: float) -> None:
         """Count a run that this leader did not start here, and keep it if its task needs it."""
-        job = self._state.jobs.get(task.job)
+        job = self._find_job(task.job)
         step = job.spec.steps[task.step] if job is not None else None
         # Nothing is known of the size of a run of an unknown job, so nothing else may start.
         room = upstream.room
@@ -226,6 +231,10 @@
             return
         run.state = RunState.RUNNING
         upstream.add(run)
+        if job is None:
+            # Its caller may ask again, since a leader that was lost did not log it.
+            self._runs.orphans[task] = upstream
+            return
         progress = self._progress.get(task.job)
         holder = progress.running.get(task) if progress is not None else None
         is_elsewhere = holder is not None and task not in upstream.former
@@ -242,6 +251,10 @@
         if task in progress.waiting:
             progress.take_waiting(task)
 
+    def _stop_if_unclaimed(self, upstream: Upstream, run: Run, now: float) -> None:
+        if now - run.decided_at > ORPHAN_S:
+            self._runs.stop(upstream, run, "unknown_job")
+
     def _stop_if_stalled(self, upstream: Upstream, run: Run, now: float) -> None:
         if run.state is not RunState.RUNNING or not run.expected_ms:
             return
--- a/kumquatlift/authority/_work.py
+++ b/kumquatlift/authority/_work.py
@@ -82,6 +82,8 @@
     COMPLETED = "completed"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    REFUSED = "refused"
+    """Given up before any task started; only for jobs that are not in the log."""
 
 
 class Job:
@@ -95,6 +97,7 @@
         accepted_at_ms: Wall clock of the leader that accepted it, Unix milliseconds.
         max_attempts: Failed runs of a task after which the job has failed.
         zone: Availability zone of the process that took it from the caller.
+        is_kept: Whether it is in the log; others are known to their leader only.
     """
 
     __slots__ = (
@@ -103,6 +106,7 @@
         "ended_at_ms",
         "ended_run",
         "failures",
+        "is_kept",
         "is_started",
         "job_id",
         "left",
@@ -125,7 +129,9 @@
         accepted_at_ms: int,
         max_attempts: int,
         zone: str,
+        is_kept: bool = True,
     ) -> None:
+        self.is_kept = is_kept
         self.job_id = job_id
         self.queue = queue
         self.spec = spec
--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -16,8 +16,10 @@
 # A caller whose job was sent to no leader waits for one for this share of the declared work; longer
 # waits would use up what makes the job useful.
 PATIENCE_SHARE = 0.4
-# Jobs that are answered at their end wait for the work.
+# Jobs that are answered at their end wait for the work; callers without a deadline this long.
 END_TIMEOUT_S = 10.0
+# Limit for the cancel of a job whose caller has left; nobody waits for its answer.
+ATTEMPT_S = 0.3
 # Sent when nothing is known of when a leader will be there; elections take about a second.
 NO_LEADER_RETRY_MS = 1000
 
@@ -89,10 +91,19 @@
         fields = {"job": job_id, "spec": spec.to_plain(), "zone": self._zone, **place}
         started_at = time.monotonic()
         request = Request(Operation.SUBMIT, fields)
+        patience_s = PATIENCE_SHARE * max(step.estimate_ms for step in spec.steps) / 1000
         if spec.answers_at_end:
-            reply = self._client.call(request, timeout_s=END_TIMEOUT_S, attempt_s=END_TIMEOUT_S)
+            timeout_s = _deadline_s(req)
+            reply = self._client.call(
+                request,
+                timeout_s=timeout_s,
+                patience_s=patience_s,
+                attempt_s=timeout_s,
+                is_abandoned=req.is_client_gone,
+            )
+            if isinstance(reply, Failure) and req.is_client_gone():
+                self._withdraw(job_id)
         else:
-            patience_s = PATIENCE_SHARE * max(step.estimate_ms for step in spec.steps) / 1000
             reply = self._client.call(request, timeout_s=CALL_TIMEOUT_S, patience_s=patience_s)
         self._section.count("submits")
         self._submit_ms.record((time.monotonic() - started_at) * 1000)
@@ -102,6 +113,12 @@
             return ApiResponse.from_json(200, {"state": reply.fields.get("state")})
         return ApiResponse.from_json(200, {})
 
+    def _withdraw(self, job_id: str) -> None:
+        """Cancel a job that is not stored and whose caller has left; its work is of no use."""
+        get_logger().info("caller_left", job=job_id)
+        self._section.count("callers_left")
+        self._client.call(Request(Operation.CANCEL, {"job": job_id}), timeout_s=ATTEMPT_S)
+
     def _refuse_submit(self, job_id: str, reply: Reply | Failure) -> ApiResponse:
         reason = reply.reason if isinstance(reply, Failure) else reply.fields.get("reason", "")
         get_logger().info(
@@ -154,5 +171,11 @@
         return _refused(NO_LEADER_RETRY_MS, "the count is not known here at present")
 
 
+def _deadline_s(req: ApiRequest) -> float:
+    """Return how long a caller waits for an answer; the header is in milliseconds."""
+    text = req.headers.get("deadline-ms", "")
+    return min(END_TIMEOUT_S, int(text) / 1000) if text.isdigit() else END_TIMEOUT_S
+
+
 def _refused(retry_after_ms: int, reason: str) -> ApiResponse:
     return ApiResponse.from_failure(Failure(ResultCode.OVERLOADED, reason, retry_after_ms))
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -27,7 +27,8 @@
 from kumquatlift.timer import Timer
 from kumquatlift.wsgi import ApiRequest, ApiResponse, application
 
-CALLER_THREADS = 48
+# A caller whose job is answered at its end holds a thread; in a burst some wait for seconds.
+CALLER_THREADS = 128
 CONTROL_THREADS = 16
 CHANNEL_WORKERS = 4
 # A process that stops goes on serving for this share of its grace, so that the platform has sent
@@ -73,7 +74,7 @@
     client = LeaderClient(channel=channel, timer=timer, contacts=cfg.contacts)
     frontend = Frontend(client=client, zone=cfg.zone, section=board.section("frontend"))
     servers = [
-        _serve(frontend.handle, cfg.listen.callers, CALLER_THREADS, "callers"),
+        _serve(frontend.handle, cfg.listen.callers, CALLER_THREADS, "callers", 1),
         _serve(frontend.ready, cfg.listen.readiness, 1, "readiness"),
     ]
     _serve_metrics(cfg, board, FRONTEND_COUNTERS)
@@ -170,10 +171,18 @@
 
 
 def _serve(
-    handler: Callable[[ApiRequest], ApiResponse], address: str, threads: int, name: str
+    handler: Callable[[ApiRequest], ApiResponse],
+    address: str,
+    threads: int,
+    name: str,
+    lookahead: int = 0,
 ) -> HttpServer:
     server = HttpServer(
-        app=application(handler), address=Address.parse(address), threads=threads, name=name
+        app=application(handler),
+        address=Address.parse(address),
+        threads=threads,
+        name=name,
+        lookahead=lookahead,
     )
     server.start()
     return server
--- a/kumquatlift/server.py
+++ b/kumquatlift/server.py
@@ -48,9 +48,13 @@
         address: Where to listen; the port is open when the constructor returns.
         threads: Requests served at a time.
         name: Prefix of thread names.
+        lookahead: Requests read ahead on a connection while one is served, which is how a client
+            that has left is noticed; 0 looks for none.
     """
 
-    def __init__(self, *, app: WsgiApp, address: Address, threads: int, name: str) -> None:
+    def __init__(
+        self, *, app: WsgiApp, address: Address, threads: int, name: str, lookahead: int = 0
+    ) -> None:
         self._server: Any = waitress.create_server(
             app,
             host=address.host,
@@ -61,6 +65,7 @@
             channel_timeout=IDLE_TIMEOUT_S,
             max_request_body_size=BUFFERED_REQUEST_BYTES,
             ident=None,
+            channel_request_lookahead=lookahead,
         )
         self._server.channel_class = _Channel
         self._server.is_leaving = False
--- a/kumquatlift/wsgi.py
+++ b/kumquatlift/wsgi.py
@@ -41,6 +41,7 @@
         query: First value of each query parameter.
         headers: Header values by lower-case name.
         body: Whole body.
+        is_client_gone: Tells whether the client has closed the connection, where the server looks.
     """
 
     method: str
@@ -48,6 +49,7 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    is_client_gone: Callable[[], bool] = lambda: False
 
     @classmethod
     def from_environ(cls, environ: dict[str, Any]) -> "ApiRequest":
@@ -65,6 +67,7 @@
             {name: values[0] for name, values in query.items()},
             headers,
             environ["wsgi.input"].read(),
+            environ.get("waitress.client_disconnected", _never),
         )
 
     def json_object(self) -> dict[str, Any] | Failure:
@@ -119,6 +122,10 @@
     return fields
 
 
+def _never() -> bool:
+    return False
+
+
 def _too_large(environ: dict[str, Any]) -> ApiResponse | None:
     size = int(environ.get("CONTENT_LENGTH") or 0)
     if size <= MAX_REQUEST_BYTES:
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -13,6 +13,10 @@
     return JobSpec("text", (Step(tasks, cpu_milli, 64, 0, estimate_ms),))
 
 
+def answered_at_end(tasks: int = 1) -> JobSpec:
+    return job(tasks)._replace(answers_at_end=True)
+
+
 def make(upstreams: int = 3, **options: float) -> FleetModel:
     world = FleetModel(**options)  # type: ignore[arg-type]
     for number in range(upstreams):
@@ -245,3 +249,92 @@
         world.run(4.0)
         assert world.state_of("a" * 16) == "completed"
         assert world.violations == []
+
+
+class TestJobsThatAreNotKept:
+    """Jobs that are answered at their end and known to their leader only."""
+
+    def test_the_answer_comes_at_the_end_and_without_the_log(self) -> None:
+        world = make()
+        entries = world.log.entries
+        reply = world.submit("a" * 16, answered_at_end(3), work_ms=100)
+        world.run(0.05)
+        assert not reply.done()
+        world.run(0.2)
+        assert reply.result().fields == {"state": "completed"}
+        assert world.log.entries == entries
+
+    def test_one_that_comes_again_gets_the_same_answer(self) -> None:
+        world = make()
+        world.submit("a" * 16, answered_at_end(3), work_ms=100)
+        again = world.submit("a" * 16, answered_at_end(3), work_ms=100)
+        world.run(0.5)
+        later = world.submit("a" * 16, answered_at_end(3), work_ms=100)
+        world.run(0.1)
+        assert again.result().fields == later.result().fields == {"state": "completed"}
+        assert world.starts == 3
+
+    @pytest.mark.parametrize("gap_s", [0.05, 0.4])
+    def test_a_new_leader_takes_over_the_runs_when_the_caller_asks_again(
+        self, gap_s: float
+    ) -> None:
+        world = make()
+        lost = world.submit("a" * 16, answered_at_end(4), work_ms=700)
+        world.run(0.2)
+        world.change_leader(gap_s=0.2)
+        world.run(0.2 + gap_s)
+        assert lost.result().code is ResultCode.CLAIM_UNKNOWN
+        again = world.submit("a" * 16, answered_at_end(4), work_ms=700)
+        world.run(1.5)
+        assert again.result().fields == {"state": "completed"}
+        assert world.starts == 4
+        assert world.violations == []
+
+    def test_an_end_that_nobody_waited_for_counts_when_the_caller_asks_again(self) -> None:
+        world = make()
+        world.submit("a" * 16, answered_at_end(4), work_ms=300)
+        world.run(0.2)
+        world.change_leader(gap_s=0.3)
+        world.run(0.6)
+        again = world.submit("a" * 16, answered_at_end(4), work_ms=300)
+        world.run(0.1)
+        assert again.result().fields == {"state": "completed"}
+        assert world.starts == 4
+
+    def test_runs_that_nobody_asks_for_are_stopped(self) -> None:
+        world = make()
+        world.submit("a" * 16, answered_at_end(4), work_ms=9000)
+        world.run(0.2)
+        world.change_leader(gap_s=0.2)
+        world.run(2.0)
+        assert not any(upstream.runs for upstream in world.upstreams.values())
+
+    def test_a_task_does_not_start_while_a_run_of_it_is_being_stopped(self) -> None:
+        """Guards against two runs at a time when the caller asks after the grace."""
+        world = make(upstreams=4)
+        world.submit("a" * 16, answered_at_end(2), work_ms=9000)
+        world.run(0.2)
+        world.change_leader(gap_s=0.2)
+        for _ in range(30):
+            world.run(0.05)
+            world.submit("a" * 16, answered_at_end(2), work_ms=9000)
+        world.run(1.0)
+        assert world.violations == []
+
+    def test_one_that_is_hopeless_and_has_not_started_is_refused_at_once(self) -> None:
+        world = make(upstreams=1)
+        replies = [
+            world.submit(f"{number:016x}", answered_at_end(2), work_ms=1500) for number in range(2)
+        ]
+        world.run(1.0)
+        assert replies[1].result().code is ResultCode.OVERLOADED
+        assert not replies[0].done()
+        assert world.starts == 2
+
+    def test_one_whose_caller_has_left_is_stopped(self) -> None:
+        world = make()
+        world.submit("a" * 16, answered_at_end(3), work_ms=5000)
+        world.run(0.2)
+        world.ask(Request(Operation.CANCEL, {"job": "a" * 16}))
+        world.run(0.3)
+        assert not any(upstream.runs for upstream in world.upstreams.values())
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -195,8 +195,7 @@
         self._world = world
         self.term = 1
         self.is_serving = True
-        self._applied = 0
-        self._last = 0
+        self.entries = 0
 
     leader = "model"
     voters = ("model",)
@@ -210,9 +209,9 @@
         """Append a command that is committed a little later."""
         if not self.is_serving:
             return None
-        self._last += 1
-        self._world.later(COMMIT_S, self._commit, self._last, Entry(self.term, data))
-        return self._last
+        self.entries += 1
+        self._world.later(COMMIT_S, self._commit, self.entries, Entry(self.term, data))
+        return self.entries
 
     def _commit(self, index: int, entry: Entry) -> None:
         # Entries of a leader that is lost before the commit stay.
