Let a run of unknown size fill its upstream until its caller asks again

A new leader counted the first run of an unknown job for all free room and the next for none, so the end of the first freed too much.

Ruled out: a start by the old leader (it was fenced before), a wrong capacity of the upstream.

Change: each run of an unknown job counts for the whole capacity; when its job comes again its true size is set. Room is a type with sums in place of three counters.

The test fails without the change.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -26,15 +26,43 @@
     STOPPING = auto()
 
 
+class Room(NamedTuple):
+    """Room on an upstream.
+
+    Args:
+        cpu_milli: Processor, in thousandths of a core.
+        memory_mb: Memory.
+        gpus: Accelerators.
+    """
+
+    cpu_milli: int
+    memory_mb: int
+    gpus: int
+
+    def plus(self, other: "Room") -> "Room":
+        """Return the sum of both."""
+        return Room(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+        )
+
+    def without(self, other: "Room") -> "Room":
+        """Return what is left without the other; it may be negative."""
+        return Room(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mb - other.memory_mb,
+            self.gpus - other.gpus,
+        )
+
+
 class Run:
     """One start of a task on an upstream; it holds its room until it is removed.
 
     Args:
         task: The task.
         number: Number of the run.
-        cpu_milli: Room that it takes.
-        memory_mb: Room that it takes.
-        gpus: Room that it takes.
+        size: Room that it takes.
         expected_ms: Run time expected at speed 1; 0 when nothing is known.
         now: Time of the decision to start it.
     """
@@ -42,15 +70,13 @@
     __slots__ = (
         "attempts",
         "confirmed_at",
-        "cpu_milli",
         "decided_at",
         "expected_ms",
-        "gpus",
-        "memory_mb",
         "number",
         "percent",
         "percent_at",
         "saved",
+        "size",
         "state",
         "task",
         "was_doubtful",
@@ -61,17 +87,13 @@
         *,
         task: TaskKey,
         number: int,
-        cpu_milli: int,
-        memory_mb: int,
-        gpus: int,
+        size: Room,
         expected_ms: float,
         now: float,
     ) -> None:
         self.task = task
         self.number = number
-        self.cpu_milli = cpu_milli
-        self.memory_mb = memory_mb
-        self.gpus = gpus
+        self.size = size
         self.expected_ms = expected_ms
         self.decided_at = now
         self.state = RunState.STARTING
@@ -84,14 +106,6 @@
         self.saved = ""
 
 
-class Room(NamedTuple):
-    """Free capacity of an upstream."""
-
-    cpu_milli: int
-    memory_mb: int
-    gpus: int
-
-
 class Upstream:
     """One life of an upstream, as the leader knows it.
 
@@ -110,9 +124,7 @@
         # Runs of the former life; an order sent about the time of the crash may have reached this
         # one, so their tasks are free only once this life has listed its runs.
         self.former: dict[TaskKey, Run] = {}
-        self.used_cpu = 0
-        self.used_memory = 0
-        self.used_gpus = 0
+        self._used = Room(0, 0, 0)
         self.speed = 1.0
         self.speed_samples = 0
         # Whether all its runs are known, by a list that it gave this leader.
@@ -144,14 +156,15 @@
         """Whether a reading of its clock is known."""
         return self._clock_at > 0
 
+    @property
+    def capacity(self) -> Room:
+        """All of its room."""
+        return Room(self.state.cpu_milli, self.state.memory_mb, self.state.gpus)
+
     @property
     def room(self) -> Room:
         """Free capacity."""
-        return Room(
-            self.state.cpu_milli - self.used_cpu,
-            self.state.memory_mb - self.used_memory,
-            self.state.gpus - self.used_gpus,
-        )
+        return self.capacity.without(self._used)
 
     def is_usable(self, now: float) -> bool:
         """Whether tasks may be started on it."""
@@ -165,19 +178,20 @@
     def add(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.task] = run
-        self.used_cpu += run.cpu_milli
-        self.used_memory += run.memory_mb
-        self.used_gpus += run.gpus
+        self._used = self._used.plus(run.size)
 
     def remove(self, task: TaskKey) -> Run | None:
         """Free the room of a run, if there is one of the task."""
         run = self.runs.pop(task, None)
         if run is not None:
-            self.used_cpu -= run.cpu_milli
-            self.used_memory -= run.memory_mb
-            self.used_gpus -= run.gpus
+            self._used = self._used.without(run.size)
         return run
 
+    def resize(self, run: Run, size: Room) -> None:
+        """Correct the room that a run takes."""
+        self._used = self._used.without(run.size).plus(size)
+        run.size = size
+
     def clock_ms(self, now: float) -> int:
         """Return a reading that the upstream's clock has certainly reached."""
         passed_ms = (now - self._clock_at) * 1000 * (1 - MAX_CLOCK_SLOWNESS)
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -5,7 +5,7 @@
 
 from kumquatlift.authority._commands import EndHow, TaskEnd, TaskKey
 from kumquatlift.authority._estimates import Estimates
-from kumquatlift.authority._fleet import Run, RunState, Upstream
+from kumquatlift.authority._fleet import Room, Run, RunState, Upstream
 from kumquatlift.authority._orders import (
     MAX_ORDER_TIMEOUT_S,
     ORDER_TIMEOUT_S,
@@ -18,7 +18,7 @@
 )
 from kumquatlift.authority._progress import Progress
 from kumquatlift.authority._state import State
-from kumquatlift.authority._work import Job, JobState
+from kumquatlift.authority._work import Job, JobState, Step
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.log import get_logger
@@ -111,9 +111,7 @@
         entry = Run(
             task=task,
             number=run,
-            cpu_milli=0 if step.is_filler else step.cpu_milli,
-            memory_mb=step.memory_mb,
-            gpus=step.gpus,
+            size=size_of(step),
             expected_ms=progress.expected_ms[task.step],
             now=now,
         )
@@ -300,6 +298,7 @@
             run = upstream.runs.get(task)
             if run is not None and run.state is RunState.RUNNING:
                 run.expected_ms = progress.expected_ms[task.step]
+                upstream.resize(run, size_of(job.spec.steps[task.step]))
                 progress.running[task] = upstream.state.upstream_id
                 progress.note_run(task, run.number)
 
@@ -476,6 +475,11 @@
         return (each for each in self._progress.values() if each.job.spec.occurrences)
 
 
+def size_of(step: Step) -> Room:
+    """Return the room that a task of a step takes; fillers use what others leave."""
+    return Room(0 if step.is_filler else step.cpu_milli, step.memory_mb, step.gpus)
+
+
 def ref_of(upstream: Upstream) -> UpstreamRef:
     """Return the address of a life of an upstream, with this leader's token."""
     state = upstream.state
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -3,10 +3,10 @@
 from collections import Counter
 
 from kumquatlift.authority._commands import TaskKey
-from kumquatlift.authority._fleet import Upstream
+from kumquatlift.authority._fleet import Room, Upstream
 from kumquatlift.authority._placement import Candidate, Place, Waiting, choose, order_key
 from kumquatlift.authority._progress import Progress
-from kumquatlift.authority._runs import Runs
+from kumquatlift.authority._runs import Runs, size_of
 from kumquatlift.authority._work import Step
 from kumquatlift.clock import Clock
 from kumquatlift.log import get_logger
@@ -115,9 +115,7 @@
         self, progress: Progress, task: TaskKey, step: Step, free: dict[str, Place], now: float
     ) -> Place | None:
         need = Waiting(
-            0 if step.is_filler else step.cpu_milli,
-            step.memory_mb,
-            step.gpus,
+            *size_of(step),
             progress.expected_ms[task.step],
             progress.objective_at,
             step.label,
@@ -177,12 +175,8 @@
 
 
 def _without(place: Place, step: Step) -> Place:
-    cpu_milli = 0 if step.is_filler else step.cpu_milli
-    return place._replace(
-        cpu_milli=place.cpu_milli - cpu_milli,
-        memory_mb=place.memory_mb - step.memory_mb,
-        gpus=place.gpus - step.gpus,
-    )
+    left = Room(place.cpu_milli, place.memory_mb, place.gpus).without(size_of(step))
+    return place._replace(cpu_milli=left.cpu_milli, memory_mb=left.memory_mb, gpus=left.gpus)
 
 
 def candidate_of(progress: Progress) -> Candidate:
--- a/kumquatlift/authority/_watch.py
+++ b/kumquatlift/authority/_watch.py
@@ -4,10 +4,10 @@
 from functools import partial
 
 from kumquatlift.authority._commands import TaskEnd, TaskKey
-from kumquatlift.authority._fleet import Run, RunState, Upstream
+from kumquatlift.authority._fleet import Room, Run, RunState, Upstream
 from kumquatlift.authority._orders import LookAnswer, LookOrder, OrderResult, UpstreamGateway
 from kumquatlift.authority._progress import Progress
-from kumquatlift.authority._runs import Runs, ref_of
+from kumquatlift.authority._runs import Runs, ref_of, size_of
 from kumquatlift.authority._work import Job
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
@@ -227,17 +227,9 @@
         """Count a run that this leader did not start here, and keep it if its task needs it."""
         job = self._find_job(task.job)
         step = job.spec.steps[task.step] if job is not None else None
-        # Nothing is known of the size of a run of an unknown job, so nothing else may start.
-        room = upstream.room
-        run = Run(
-            task=task,
-            number=number,
-            cpu_milli=step.cpu_milli if step and not step.is_filler else max(0, room.cpu_milli),
-            memory_mb=step.memory_mb if step else 0,
-            gpus=step.gpus if step else 0,
-            expected_ms=0.0,
-            now=now,
-        )
+        # Nothing is known of the size of a run of an unknown job, so each fills the upstream.
+        size = size_of(step) if step else Room(*upstream.capacity)
+        run = Run(task=task, number=number, size=size, expected_ms=0.0, now=now)
         run.confirmed_at = now
         if task in upstream.runs:
             get_logger().warning(
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -323,6 +323,27 @@
         world.run(2.0)
         assert not any(upstream.runs for upstream in world.upstreams.values())
 
+    def test_runs_of_unknown_size_keep_an_upstream_full(self) -> None:
+        """Guards against starts beside a run whose job the new leader does not know.
+
+        Found by a day with a replaced leader: the first of two such runs counted for all room, and
+        its end made room for more than there was.
+        """
+        world = FleetModel()
+        world.add_upstream("u0", cpu_milli=32_000)
+        world.run(0.2)
+        world.configure(QUEUE)
+        spec = JobSpec("text", (Step(1, 12_000, 64, 0, 100),), answers_at_end=True)
+        world.submit("a" * 16, spec, work_ms=800)
+        world.submit("b" * 16, spec, work_ms=2000)
+        world.run(0.2)
+        world.change_leader(gap_s=0.2)
+        world.run(0.3)
+        two = spec._replace(steps=(spec.steps[0]._replace(tasks=2),))
+        world.submit("c" * 16, two, work_ms=800)
+        world.run(3.0)
+        assert world.violations == []
+
     def test_a_task_does_not_start_while_a_run_of_it_is_being_stopped(self) -> None:
         """Guards against two runs at a time when the caller asks after the grace."""
         world = make(upstreams=4)
