Ask for more time in hand while many jobs end late; forget silent upstreams sooner

Cause: in a long burst with a fifth of the upstreams gone, a sixth of the jobs that were taken ended late and blocked others, since estimates are off by 40% and always look hopeful in a queue. A new leader waited the longest lease for upstreams that had died 20 s before.

Change: the share of jobs that end late sets a caution, which lowers the limit for jobs that have to wait. Upstreams that are silent and have not announced themselves for 5 s are forgotten.

--- a/kumquatlift/authority/_admission.py
+++ b/kumquatlift/authority/_admission.py
@@ -10,6 +10,15 @@
 # A job is taken while it is expected to be complete by its objective plus this share of the time
 # until it is of no use. With 0.6 the burst of 1.8 in tools/experiment.py makes twice as many late.
 TAKE_SHARE = 0.0
+# While more than this share of the jobs that were taken ends late, the estimates are too hopeful,
+# and more time has to be in hand: the gain times the excess, as a share of the objective, up to a
+# limit. Gains of 2 and 4 serve less in the bursts of tools/experiment.py, and all three leave the
+# usual load as it is.
+LATE_SHARE_TARGET = 0.08
+CAUTION_GAIN = 8.0
+MAX_CAUTION = 0.8
+# Weight of the newest ended job in that share; about the last thirty count.
+LATE_WEIGHT = 0.03
 # Returning callers are spread over this share of the wait, so that they do not come back together.
 RETRY_SPREAD = 0.5
 MIN_RETRY_MS = 100
@@ -30,6 +39,23 @@
     backlog_ms: float
 
 
+class LateShare:
+    """Share of the jobs that were taken and ended late, and the caution that follows from it."""
+
+    def __init__(self) -> None:
+        self._share = 0.0
+
+    def note(self, is_late: bool) -> None:
+        """Take note of a job that ended."""
+        self._share += LATE_WEIGHT * (float(is_late) - self._share)
+
+    @property
+    def caution(self) -> float:
+        """Share of its objective that a job must have in hand."""
+        excess = self._share - LATE_SHARE_TARGET
+        return min(MAX_CAUTION, max(0.0, CAUTION_GAIN * excess))
+
+
 class Ask(NamedTuple):
     """A job that asks to be taken.
 
@@ -60,19 +86,23 @@
     retry_after_ms: int = 0
 
 
-def judge(ask: Ask, load: Load, spread: float) -> Verdict:
+def judge(ask: Ask, load: Load, spread: float, caution: float = 0.0) -> Verdict:
     """Return whether a job is taken.
 
     Args:
         ask: The job.
         load: The load of its service.
         spread: A number from 0 to 1 that differs from caller to caller.
+        caution: Share of its objective that the job must have in hand if it has to wait.
     """
     if load.slots <= 0:
         return Verdict(False, ask.late_ms, retry_after(ask.late_ms, spread))
     wait_ms = load.backlog_ms / (load.slots * load.speed)
     finish_ms = wait_ms + ask.chain_ms / load.speed
-    if finish_ms <= ask.objective_ms + TAKE_SHARE * (ask.late_ms - ask.objective_ms):
+    limit_ms = ask.objective_ms + TAKE_SHARE * (ask.late_ms - ask.objective_ms)
+    if wait_ms > 0:
+        limit_ms -= caution * ask.objective_ms
+    if finish_ms <= limit_ms:
         return Verdict(True, wait_ms)
     excess_ms = finish_ms - ask.objective_ms
     return Verdict(False, wait_ms, retry_after(excess_ms, spread))
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -166,7 +166,7 @@
         cpu = max((step.cpu_milli for step in spec.steps), default=0)
         load = self._load(queue.service, cpu, now + (objective_ms - chain) / 1000)
         ask = Ask(work, chain, objective_ms, LATE_FACTOR * objective_ms)
-        return judge(ask, load, random.random())
+        return judge(ask, load, random.random(), self.runs.late_share.caution)
 
     def _expected(self, queue: str, spec: JobSpec) -> tuple[float, ...]:
         return tuple(self.estimates.expected_ms(queue, step.estimate_ms) for step in spec.steps)
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from functools import partial
 
+from kumquatlift.authority._admission import LateShare
 from kumquatlift.authority._commands import EndHow, TaskEnd, TaskKey
 from kumquatlift.authority._estimates import Estimates
 from kumquatlift.authority._fleet import Room, Run, RunState, Upstream
@@ -87,6 +88,7 @@
         self._section = section
         self._job_ms = section.histogram("job_ms", "time from acceptance to the end of a job")
         self._wait_ms = section.histogram("wait_ms", "time from acceptance to the first start")
+        self.late_share = LateShare()
         self.needs_placing = False
         # Runs of jobs that this leader does not know, until their callers ask again, and ends of
         # such runs.
@@ -421,6 +423,8 @@
             objective_ms=round(progress.objective_ms),
         )
         self._section.count(f"jobs_{job.state}")
+        if job.state in (JobState.COMPLETED, JobState.REFUSED):
+            self.late_share.note(now > progress.objective_at)
         if job.state == JobState.COMPLETED and now <= progress.objective_at:
             self._section.count("jobs_in_time")
 
--- a/kumquatlift/authority/_watch.py
+++ b/kumquatlift/authority/_watch.py
@@ -20,8 +20,9 @@
 # Silent upstreams are looked at this often, and after some time less often.
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
-# A silent upstream that has not announced itself for this long is forgotten.
-FORGET_S = 20.0
+# A silent upstream that has not announced itself for this long, three heartbeats, is forgotten: a
+# new leader waits for every upstream that is not.
+FORGET_S = 5.0
 # A run without progress for this long, which is over its expected time by the factor, is stopped.
 STALL_S = 0.5
 STALL_PATIENCE = 4.0
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kumquatlift.authority import _admission, _placement, _scheduler
-from kumquatlift.authority._admission import Ask, Load, judge
+from kumquatlift.authority._admission import Ask, LateShare, Load, judge
 from kumquatlift.authority._placement import Candidate, Place, Waiting, choose, order_key
 from tools.experiment import PATTERNS, replay
 
@@ -78,6 +78,30 @@
         assert len(times) == 10
 
 
+class TestCaution:
+    """Caution grows while jobs that were taken end late."""
+
+    def test_late_ends_ask_for_more_time_in_hand(self) -> None:
+        share = LateShare()
+        assert share.caution == 0.0
+        for _ in range(60):
+            share.note(True)
+        assert share.caution == _admission.MAX_CAUTION
+        ask, load = Ask(200.0, 100.0, 220.0, 660.0), Load(48, 1.0, 3000.0)
+        assert judge(ask, load, 0.5).is_taken
+        assert not judge(ask, load, 0.5, share.caution).is_taken
+
+    def test_it_passes_when_jobs_end_in_time(self) -> None:
+        share = LateShare()
+        for is_late in [True] * 60 + [False] * 200:
+            share.note(is_late)
+        assert share.caution == 0.0
+
+    def test_a_job_that_need_not_wait_is_always_taken(self) -> None:
+        """Guards against refusals while upstreams are free."""
+        assert judge(Ask(200.0, 200.0, 220.0, 660.0), Load(48, 1.0, 0.0), 0.5, 0.8).is_taken
+
+
 class TestReplays:
     """Whole bursts against the model fleet; the naive version serves in order of arrival."""
 
@@ -103,3 +127,11 @@
             before = replay(burst, 2, 9.0)
         assert ours.late < before.late
         assert ours.worth > before.worth
+
+    def test_caution_serves_more_in_a_long_burst(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against estimates that stay too hopeful while a fifth of the room is gone."""
+        ours = [replay(PATTERNS[4], seed, 12.0).worth for seed in (1, 2)]
+        with monkeypatch.context() as patch:
+            patch.setattr(_admission, "MAX_CAUTION", 0.0)
+            before = [replay(PATTERNS[4], seed, 12.0).worth for seed in (1, 2)]
+        assert sum(ours) > sum(before)
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -78,6 +78,7 @@
     Pattern("burst of 1.3", 1.3, (4, 8)),
     Pattern("burst of 1.8", 1.8, (4, 8)),
     Pattern("a quarter of the upstreams silent", 1.0, (4, 10), 6),
+    Pattern("burst of 1.5 with a fifth silent", 1.5, (4, 10), 5),
 )
 
 
