Keep a randomized soak of the real programs

Ruled out: proxies between the cores (their channel names a process by its address), clocks that step (no decision depends on the time of day but the age of a job).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The stamp carries the checksum of the lock file, so that a changed lock file is installed anew.
 STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock 2>/dev/null | cut -c1-16)
 
-.PHONY: setup test format check unit features demo build bench lock clean fuzz docs recovery capacity
+.PHONY: setup test soak format check unit features demo build bench lock clean fuzz docs recovery capacity
 
 setup: $(STAMP)
 
@@ -34,6 +34,11 @@
 
 # 200,000 steps take about half a minute; SEED=2 runs another schedule.
 SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 20
+soak: setup
+	$(PY) -m tools.soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 fuzz: setup
 	$(PY) -m tools.fuzz_register --steps 200000 --seed $(SEED)
 
--- a/tests/test_platform_programs.py
+++ b/tests/test_platform_programs.py
@@ -1,111 +1,25 @@
 """The programs as real processes in front of stand-in upstreams, without the platform's bench."""
 
-import json
 import signal
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 from urllib.request import urlopen
 
 import pytest
 
-from tools.platform_stand_in import Journal, Program, StandInUpstream, call
+from tools.platform_cluster import CONFIG, Cluster, try_call, wait_until
+from tools.platform_stand_in import Program, call
 
 PORT = 17720
-CONFIG = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "r1",
-            "host": "h.example",
-            "pathPrefix": "/q/",
-            "kind": "non_idempotent",
-            "timeoutMs": 1500,
-            "targetLatencyMs": 60,
-            "priority": 0,
-            "service": "s",
-            "maxAttempts": 3,
-            "slackFactor": 1.6,
-        }
-    ],
-    "services": [{"name": "s", "rejectsOverload": False}],
-    "limits": {},
-}
-
-
-def wait_until(condition: Callable[[], bool], timeout_s: float = 15.0) -> None:
-    deadline = time.monotonic() + timeout_s
-    while not condition():
-        assert time.monotonic() < deadline, "the condition did not come true in time"
-        time.sleep(0.05)
-
-
-def try_call(*args: object, **options: object) -> tuple[int, object]:
-    """Call and take a lost connection for status 0."""
-    try:
-        return call(*args, **options)  # type: ignore[arg-type]
-    except OSError:
-        return 0, None
-
-
-class Cluster:
-    """Three cores, one frontend and four upstreams."""
-
-    def __init__(self, folder: Path) -> None:
-        hosts = [f"127.0.7.{number}" for number in (1, 2, 3)]
-        seeds = [f"{host}:{PORT + 1}" for host in hosts]
-        options = {"seeds": seeds, "port": PORT}
-        self.cores = [
-            Program(role="core", host=host, folder=folder / host, **options) for host in hosts
-        ]
-        self.frontend = Program(
-            role="frontend", host="127.0.7.4", folder=folder / "frontend", **options
-        )
-        self.journal = Journal()
-        self.upstreams = [
-            StandInUpstream(
-                upstream_id=f"i-{number}",
-                address=f"127.0.7.{10 + number}:{PORT}",
-                controls=seeds,
-                journal=self.journal,
-            )
-            for number in range(4)
-        ]
-
-    def configure(self, version: int = 3) -> None:
-        body = {**CONFIG, "version": version}
-        wait_until(lambda: self.ask_any("POST", "/api/config/replace", body) == 200)
-
-    def ask_any(self, method: str, path: str, body: object = None) -> int:
-        for core in self.cores:
-            status, _ = try_call(core.control, method, path, body)
-            if status == 200:
-                return status
-        return 0
-
-    def submit(self, number: int, *, tasks: int = 2, run_ms: int = 50) -> int:
-        spec = json.dumps({"ms": run_ms, "cpu": 6800})
-        step = {"count": tasks, "cpu": 6800, "requestedMemoryMb": 64, "estimatedMs": run_ms}
-        body = {"spec": spec, "steps": [step]}
-        return try_call(self.frontend.callers, "POST", f"/q/{number:016x}", body)[0]
-
-    def state(self, number: int) -> str:
-        _, body = try_call(self.frontend.callers, "GET", f"/q/{number:016x}")
-        return str(body.get("state")) if isinstance(body, dict) else ""
-
-    def close(self) -> None:
-        for upstream in self.upstreams:
-            upstream.close()
-        for program in (*self.cores, self.frontend):
-            program.kill()
 
 
 @pytest.fixture
 def cluster(tmp_path: Path) -> Iterator[Cluster]:
-    made = Cluster(tmp_path)
+    made = Cluster(folder=tmp_path, port=PORT)
     try:
         made.configure()
-        wait_until(lambda: try_call(made.frontend.readiness, "GET", "/api/readyz")[0] == 200)
+        wait_until(lambda: try_call(made.frontends[0].readiness, "GET", "/api/readyz")[0] == 200)
         wait_until(lambda: made.submit(1) == 200)
         yield made
     finally:
@@ -138,14 +52,16 @@
         assert cluster.journal.violations == []
 
     def test_answers_of_the_protocol(self, cluster: Cluster) -> None:
-        frontend, control = cluster.frontend.callers, cluster.cores[0].control
+        frontend, control = cluster.frontends[0].callers, cluster.cores[0].control
         assert call(frontend, "POST", "/none/" + "a" * 16, {"steps": [{"count": 1}]})[0] == 404
         assert call(frontend, "POST", "/q/" + "a" * 16, {"steps": []})[0] == 400
         assert call(frontend, "GET", "/q/" + "b" * 16)[0] == 410
         assert call(frontend, "DELETE", "/q/" + "b" * 16)[0] == 410
         assert call(frontend, "GET", "/q/")[0] == 200
         assert call(frontend, "GET", "/none/")[0] == 404
-        with urlopen(f"http://{cluster.frontend.host}:{PORT + 10}/metrics", timeout=5) as answer:
+        with urlopen(
+            f"http://{cluster.frontends[0].host}:{PORT + 10}/metrics", timeout=5
+        ) as answer:
             assert b"kumquatlift_submit_ms_bucket" in answer.read()
         with urlopen(f"http://{cluster.cores[0].host}:{PORT + 10}/metrics", timeout=5) as answer:
             assert b"kumquatlift_jobs_accepted_total" in answer.read()
@@ -158,7 +74,7 @@
 
     def test_a_frontend_that_stops_answers_what_it_reads(self, cluster: Cluster) -> None:
         """Guards against a request that is read during the drain and never answered."""
-        cluster.frontend.signal(signal.SIGTERM)
+        cluster.frontends[0].signal(signal.SIGTERM)
         deadline = time.monotonic() + 5.0
         statuses = []
         while time.monotonic() < deadline:
@@ -167,7 +83,7 @@
                 body = {"spec": '{"ms": 5, "cpu": 1000}', "steps": [step]}
                 number = 100 + len(statuses)
                 statuses.append(
-                    call(cluster.frontend.callers, "POST", f"/q/{number:016x}", body)[0]
+                    call(cluster.frontends[0].callers, "POST", f"/q/{number:016x}", body)[0]
                 )
             except (ConnectionRefusedError, ConnectionResetError):
                 # The process has ended; what the kernel took after that was never read.
@@ -175,7 +91,7 @@
             time.sleep(0.02)
         assert set(statuses) <= {200, 503}
         assert statuses[:50].count(200) > 40
-        assert cluster.frontend.wait() == 0
+        assert cluster.frontends[0].wait() == 0
 
     def test_bad_settings_end_the_program_with_a_reason(self, tmp_path: Path) -> None:
         program = Program(
--- /dev/null
+++ b/tools/platform_cluster.py
@@ -0,0 +1,158 @@
+"""A small system of real programs with stand-in upstreams, for tests and the soak."""
+
+import json
+import time
+from collections.abc import Callable
+from http.client import HTTPException
+from pathlib import Path
+from typing import Any
+
+from kumquatlift.settings import Address
+from tools.fault_proxy import FaultProxy
+from tools.platform_stand_in import Journal, Program, StandInUpstream, call
+
+CORES = 3
+CONFIG: dict[str, Any] = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "h.example",
+            "pathPrefix": "/q/",
+            "kind": "non_idempotent",
+            "timeoutMs": 1500,
+            "targetLatencyMs": 60,
+            "priority": 0,
+            "service": "s",
+            "maxAttempts": 3,
+            "slackFactor": 1.6,
+        }
+    ],
+    "services": [{"name": "s", "rejectsOverload": False}],
+    "limits": {},
+}
+
+
+def wait_until(condition: Callable[[], bool], timeout_s: float = 15.0) -> None:
+    """Wait for a condition; fail when it does not come true in time."""
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError("the condition did not come true in time")
+        time.sleep(0.05)
+
+
+def try_call(*args: Any, **options: Any) -> tuple[int, Any]:
+    """Call and return status 0 when no whole answer came."""
+    try:
+        return call(*args, **options)
+    except (OSError, HTTPException, ValueError):
+        return 0, None
+
+
+class Cluster:
+    """Three cores, frontends, and upstreams behind fault proxies.
+
+    Args:
+        folder: Where settings, logs and data lie.
+        port: First of the ports that the programs use.
+        frontends: Number of frontends.
+        upstreams: Number of upstreams.
+        network: First three numbers of the loopback addresses.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        port: int,
+        frontends: int = 1,
+        upstreams: int = 4,
+        network: str = "127.0.7",
+    ) -> None:
+        self._port = port
+        self._network = network
+        hosts = [f"{network}.{number + 1}" for number in range(CORES)]
+        self.seeds = [f"{host}:{port + 1}" for host in hosts]
+        self.cores = [
+            Program(role="core", host=host, seeds=self.seeds, port=port, folder=folder / host)
+            for host in hosts
+        ]
+        front_hosts = [f"{network}.{10 + number}" for number in range(frontends)]
+        self.frontends = [
+            Program(role="frontend", host=host, seeds=self.seeds, port=port, folder=folder / host)
+            for host in front_hosts
+        ]
+        self.journal = Journal()
+        self.proxies = [self._proxy(number) for number in range(upstreams)]
+        self.upstreams = [self.new_upstream(number, f"i-{number}") for number in range(upstreams)]
+
+    def _proxy(self, number: int) -> FaultProxy:
+        host = f"{self._network}.{20 + number}"
+        return FaultProxy(
+            target=Address(host, self._port),
+            listen=Address(host, self._port + 1),
+            control=Address(host, self._port + 2),
+        )
+
+    def new_upstream(self, number: int, upstream_id: str) -> StandInUpstream:
+        """Start an upstream at the address of a number."""
+        host = f"{self._network}.{20 + number}"
+        return StandInUpstream(
+            upstream_id=upstream_id,
+            address=f"{host}:{self._port}",
+            announced=f"{host}:{self._port + 1}",
+            controls=self.seeds,
+            journal=self.journal,
+        )
+
+    def configure(self, version: int = 3) -> None:
+        """Put a version of the configuration in force."""
+        body = {**CONFIG, "version": version}
+        wait_until(lambda: self.ask_any("POST", "/api/config/replace", body) == 200)
+
+    def wait_ready(self) -> None:
+        """Wait until a job is served."""
+        wait_until(lambda: try_call(self.frontends[0].readiness, "GET", "/api/readyz")[0] == 200)
+        wait_until(lambda: self.submit(1) == 200)
+
+    def ask_any(self, method: str, path: str, body: object = None) -> int:
+        """Ask the cores one after the other until one answers with 200."""
+        for core in self.cores:
+            if try_call(core.control, method, path, body)[0] == 200:
+                return 200
+        return 0
+
+    def submit(
+        self,
+        number: int,
+        *,
+        tasks: int = 2,
+        run_ms: int = 50,
+        is_kept: bool = True,
+        frontend: int = 0,
+    ) -> int:
+        """Submit a job and return the status; 0 when no answer came."""
+        spec = json.dumps({"ms": run_ms, "cpu": 6800})
+        step = {"count": tasks, "cpu": 6800, "requestedMemoryMb": 64, "estimatedMs": run_ms}
+        body = {"spec": spec, "steps": [step], "bestEffort": not is_kept}
+        callers = self.frontends[frontend].callers
+        status, _ = try_call(callers, "POST", f"/q/{number:016x}", body, timeout_s=12.0)
+        return status
+
+    def state(self, number: int) -> str:
+        """Return the state of a job; empty when it is not known."""
+        for frontend in self.frontends:
+            _, body = try_call(frontend.callers, "GET", f"/q/{number:016x}")
+            if isinstance(body, dict) and "state" in body:
+                return str(body["state"])
+        return ""
+
+    def close(self) -> None:
+        """End everything."""
+        for upstream in self.upstreams:
+            upstream.close()
+        for program in (*self.cores, *self.frontends):
+            program.kill()
+        for proxy in self.proxies:
+            proxy.close()
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -45,6 +45,7 @@
         self.events: list[Seen] = []
         self.violations: list[str] = []
         self._running: dict[str, str] = {}
+        self._done: dict[str, float] = {}
 
     def start(self, task: str, upstream: str) -> None:
         """Take note of a start."""
@@ -52,9 +53,23 @@
             other = self._running.get(task)
             if other is not None:
                 self.violations.append(f"{task} starts on {upstream} while it runs on {other}")
+            if task in self._done:
+                self.violations.append(f"{task} starts after an end that was acknowledged")
             self._running[task] = upstream
             self.events.append(Seen(time.monotonic(), "start", task, upstream))
 
+    def acknowledge(self, task: str, ended_at: float) -> None:
+        """Take note that an end ``done`` was acknowledged while its lease had not lapsed."""
+        with self._lock:
+            self._done.setdefault(task, ended_at)
+            late = [seen for seen in self.events if seen.task == task and seen.what == "start"]
+            if any(seen.at > ended_at for seen in late):
+                self.violations.append(f"{task} was started after an end that was acknowledged")
+
+    def started(self, job: str) -> bool:
+        """Whether a task of a job was ever started."""
+        return any(seen.what == "start" and seen.task.startswith(job) for seen in self.events)
+
     def end(self, task: str, upstream: str, how: str) -> None:
         """Take note of an end."""
         with self._lock:
@@ -77,6 +92,7 @@
         journal: Where it notes what it sees.
         cpu_milli: Capacity.
         speed: Speed, 1 for the usual one.
+        announced: Address that it announces, when a proxy stands before it.
     """
 
     def __init__(
@@ -88,9 +104,10 @@
         journal: Journal,
         cpu_milli: int = 16_000,
         speed: float = 1.0,
+        announced: str = "",
     ) -> None:
         self.upstream_id = upstream_id
-        self.address = address
+        self.address = announced or address
         self._controls = controls
         self._journal = journal
         self._cpu_milli = cpu_milli
@@ -100,9 +117,11 @@
         self._changed = threading.Condition()
         self._token = 0
         self._until_ms = 0
+        self._lapsed_at = time.monotonic()
         self._runs: dict[str, tuple[int, float]] = {}
         self._barred: dict[str, int] = {}
         self._ends: list[list[Any]] = []
+        self._ended_at: dict[int, float] = {}
         self._number = 0
         self._sequence = 0
         self._is_closed = False
@@ -158,6 +177,8 @@
             time.sleep(POLL_S)
             now = time.monotonic()
             with self._changed:
+                if self._until_ms < self._clock_ms():
+                    self._lapsed_at = now
                 for task, (run, ends_at) in list(self._runs.items()):
                     if self._until_ms < self._clock_ms():
                         self._end(task, run, "lapsed")
@@ -169,6 +190,7 @@
         self._barred[task] = max(run, self._barred.get(task, 0))
         self._number += 1
         self._ends.append([self._number, task, run, how, ""])
+        self._ended_at[self._number] = time.monotonic()
         self._journal.end(task, self.upstream_id, how)
         self._changed.notify_all()
 
@@ -215,6 +237,9 @@
     def _look(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         self._extend(fields.get("untilMs", 0))
         acked = fields.get("ackedThrough", 0)
+        for number, task, _, how, _ in self._ends:
+            if number <= acked and how == "done" and self._ended_at[number] > self._lapsed_at:
+                self._journal.acknowledge(task, self._ended_at[number])
         self._ends = [row for row in self._ends if row[0] > acked]
         if not self._ends and fields.get("waitMs"):
             self._changed.wait(fields["waitMs"] / 1000)
