Keep free room and slot counts beside the upstreams

Cause: at 176 upstreams every pass of the scheduler and every submit went over all of them and computed their room anew; a profile of the model at that size showed 1.8 s of 9.5 s there. Ruled out: indexes by free room (the choice needs speeds as well). Change: the room is kept when runs come and go, places are collected only when a job waits, slots and mean speed are kept for 100 ms. Measured: the same profile, the collection of places 1.816 s in 1,579 passes before, 0.260 s in 270 passes after; the outcome for callers is the same.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -124,7 +124,8 @@
         # Runs of the former life; an order sent about the time of the crash may have reached this
         # one, so their tasks are free only once this life has listed its runs.
         self.former: dict[TaskKey, Run] = {}
-        self._used = Room(0, 0, 0)
+        # Kept beside the runs, since every placement reads it for all upstreams.
+        self.room = self.capacity
         self.speed = 1.0
         self.speed_samples = 0
         # Whether all its runs are known, by a list that it gave this leader.
@@ -161,11 +162,6 @@
         """All of its room."""
         return Room(self.state.cpu_milli, self.state.memory_mb, self.state.gpus)
 
-    @property
-    def room(self) -> Room:
-        """Free capacity."""
-        return self.capacity.without(self._used)
-
     def is_usable(self, now: float) -> bool:
         """Whether tasks may be started on it."""
         return (
@@ -178,20 +174,26 @@
     def add(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.task] = run
-        self._used = self._used.plus(run.size)
+        self.room = self.room.without(run.size)
 
     def remove(self, task: TaskKey) -> Run | None:
         """Free the room of a run, if there is one of the task."""
         run = self.runs.pop(task, None)
         if run is not None:
-            self._used = self._used.without(run.size)
+            self.room = self.room.plus(run.size)
         return run
 
     def resize(self, run: Run, size: Room) -> None:
         """Correct the room that a run takes."""
-        self._used = self._used.without(run.size).plus(size)
+        self.room = self.room.plus(run.size).without(size)
         run.size = size
 
+    def update(self, state: UpstreamState) -> None:
+        """Take note of what it says of itself now."""
+        before = self.capacity
+        self.state = state
+        self.room = self.room.plus(self.capacity).without(before)
+
     def clock_ms(self, now: float) -> int:
         """Return a reading that the upstream's clock has certainly reached."""
         passed_ms = (now - self._clock_at) * 1000 * (1 - MAX_CLOCK_SLOWNESS)
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -31,6 +31,9 @@
 RECOVERY_MARGIN_S = 0.15
 # Fencing tokens of one leader: lives of one upstream that it can tell apart.
 LIVES_PER_TERM = 1 << 16
+# The number of slots changes with upstreams that come and go, within heartbeats of 1.5 s.
+SLOTS_S = 0.1
+MAX_SLOT_COUNTS = 1000
 # Callers whose answer was lost ask again within a few seconds; until then the end of a job that is
 # not in the log is remembered.
 KEEP_UNKEPT_S = 10.0
@@ -90,6 +93,7 @@
         self.fleet: dict[str, Upstream] = {}
         self.progress: dict[str, Progress] = {}
         self.estimates = Estimates()
+        self._slot_counts: dict[tuple[str, int], tuple[float, float, float]] = {}
         self._lives = 0
         self._arrivals = 0
         self._heard_at: dict[str, float] = {}
@@ -179,20 +183,34 @@
             for upstream in self.fleet.values()
             if upstream.state.service == service and upstream.is_usable(now)
         ]
-        slots = sum(upstream.state.cpu_milli // max(1, cpu_milli) for upstream in usable)
-        speeds = [upstream.speed for upstream in usable]
-        free = sum(max(0, upstream.room.cpu_milli) // max(1, cpu_milli) for upstream in usable)
+        slots, speed = self._slots(service, cpu_milli, usable, now)
+        is_free = any(upstream.room.cpu_milli >= cpu_milli for upstream in usable)
         ahead_ms = 0.0
         for progress in self.progress.values():
             if progress.waiting and progress.queue and progress.queue.service == service:
                 latest = progress.objective_at - progress.chain_ms / 1000
                 if latest <= start_by and progress.late_at > now:
                     ahead_ms += progress.waiting_ms
-        if not free:
+        if not is_free:
             ahead_ms += sum(
                 0.25 * run.expected_ms for upstream in usable for run in upstream.runs.values()
             )
-        return Load(slots, sum(speeds) / len(speeds) if speeds else 1.0, ahead_ms)
+        return Load(slots, speed, ahead_ms)
+
+    def _slots(
+        self, service: str, cpu_milli: int, usable: list[Upstream], now: float
+    ) -> tuple[float, float]:
+        """Return how many tasks of a size run at a time, and the mean speed; kept for a while."""
+        key = (service, cpu_milli)
+        known = self._slot_counts.get(key)
+        if known is not None and now - known[0] < SLOTS_S:
+            return known[1], known[2]
+        if len(self._slot_counts) >= MAX_SLOT_COUNTS:
+            self._slot_counts.clear()
+        slots = sum(upstream.state.cpu_milli // max(1, cpu_milli) for upstream in usable)
+        speed = sum(upstream.speed for upstream in usable) / len(usable) if usable else 1.0
+        self._slot_counts[key] = (now, slots, speed)
+        return slots, speed
 
     def find_job(self, job_id: str) -> Job | None:
         """Return a job, in the log or not."""
@@ -261,7 +279,7 @@
         """Take note of a committed change of an upstream."""
         known = self.fleet.get(state.upstream_id)
         if known is not None and known.state.born_ms == state.born_ms:
-            known.state = state
+            known.update(state)
         else:
             former = known.runs if known is not None else {}
             self._add_upstream(state, former)
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -46,10 +46,10 @@
         """Start as many waiting tasks as there is room for, in the order of the decisions."""
         self._runs.needs_placing = False
         now = self._clock.now()
-        places = self._places(now)
-        if not any(places.values()):
-            return
         waiting = [each for each in self._progress.values() if each.waiting and each.queue]
+        places = self._places(now) if waiting else {}
+        if not places:
+            return
         waiting.sort(key=lambda each: order_key(candidate_of(each), now))
         skipped: Counter[str] = Counter()
         for progress in waiting:
