Let crashed stand-ins answer nothing and a failed start of the cluster leave nothing

Ruled out: an early free of tasks in the product (421 of a live process means that the named one is gone). Change: a crashed stand-in closes its connections without an answer; a cluster whose start fails ends what it started. Conclusion: the checks are unchanged.

--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -72,20 +72,33 @@
     ) -> None:
         self._port = port
         self._network = network
-        hosts = [f"{network}.{number + 1}" for number in range(CORES)]
-        self.seeds = [f"{host}:{port + 1}" for host in hosts]
-        self.cores = [
-            Program(role="core", host=host, seeds=self.seeds, port=port, folder=folder / host)
-            for host in hosts
-        ]
-        front_hosts = [f"{network}.{10 + number}" for number in range(frontends)]
-        self.frontends = [
-            Program(role="frontend", host=host, seeds=self.seeds, port=port, folder=folder / host)
-            for host in front_hosts
-        ]
+        self.seeds = [f"{network}.{number + 1}:{port + 1}" for number in range(CORES)]
         self.journal = Journal()
-        self.proxies = [self._proxy(number) for number in range(upstreams)]
-        self.upstreams = [self.new_upstream(number, f"i-{number}") for number in range(upstreams)]
+        self.cores: list[Program] = []
+        self.frontends: list[Program] = []
+        self.proxies: list[FaultProxy] = []
+        self.upstreams: list[StandInUpstream] = []
+        try:
+            self._start(folder, frontends, upstreams)
+        except BaseException:
+            # Nothing that was started may outlive a start that failed.
+            self.close()
+            raise
+
+    def _start(self, folder: Path, frontends: int, upstreams: int) -> None:
+        for number in range(CORES):
+            self.cores.append(self._program("core", f"{self._network}.{number + 1}", folder))
+        for number in range(frontends):
+            host = f"{self._network}.{10 + number}"
+            self.frontends.append(self._program("frontend", host, folder))
+        for number in range(upstreams):
+            self.proxies.append(self._proxy(number))
+            self.upstreams.append(self.new_upstream(number, f"i-{number}"))
+
+    def _program(self, role: str, host: str, folder: Path) -> Program:
+        return Program(
+            role=role, host=host, seeds=self.seeds, port=self._port, folder=folder / host
+        )
 
     def _proxy(self, number: int) -> FaultProxy:
         host = f"{self._network}.{20 + number}"
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -265,6 +265,9 @@
 
             def do_POST(self) -> None:
                 fields = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                if upstream._is_closed:
+                    # A process that has crashed answers nothing, not even a mistaken order.
+                    raise ConnectionAbortedError("the upstream has crashed")
                 if self.headers.get("Expected-Instance") != upstream.upstream_id:
                     status, answer = 421, dict[str, Any]()
                 else:
