Judge a leader's own membership by the newest voters only

After a loss of power each instance applies the log from its start; a new leader that had joined later stepped down when it applied the voters of the first formation, which do not name it.

Change: only the newest voters decide whether the leader is one of them.

--- a/kumquatlift/store/_raft.py
+++ b/kumquatlift/store/_raft.py
@@ -489,7 +489,8 @@
                 self._machine.apply(self.applied, entry)
             elif entry.voters is not None:
                 get_logger().info("voters", index=self.applied, voters=",".join(entry.voters))
-                if self.role is Role.LEADER and self.name not in entry.voters:
+                # Entries of former days are applied again after a start; only the newest counts.
+                if self.role is Role.LEADER and self.name not in self.voters:
                     self._become_follower("")
 
     # Snapshots
--- a/tests/replica_world.py
+++ b/tests/replica_world.py
@@ -85,7 +85,7 @@
         now = self.world.clock.now()
         if self.sync_done_at is not None and now >= self.sync_done_at:
             self._finish_sync()
-        self.raft.tick(contacts=self.world.names, target=len(self.world.names))
+        self.raft.tick(contacts=self.world.names, target=self.world.target)
         self.raft.flush()
         if self.sync_done_at is None:
             snapshot, self.pending_snapshot = self.pending_snapshot, None
@@ -126,6 +126,7 @@
         self.rng = random.Random(seed)
         self.clock = ManualClock(start=100.0)
         self.names = tuple(f"n{number}" for number in range(count))
+        self.target = count
         self.loss = 0.0
         self.cut: Callable[[str, str], bool] = lambda sender, to: False
         self._mail: list[tuple[float, str, str, bytes]] = []
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -168,6 +168,35 @@
         assert len(joiner.raft.voters) == 3
 
 
+    @pytest.mark.parametrize("seed", range(8))
+    def test_a_voter_that_joined_later_leads_after_a_crash_of_all(self, seed: int) -> None:
+        """Guards against a leader that steps down while it applies the voters of former days.
+
+        Found on a grown deployment: after a loss of power no instance that had joined later could
+        lead, and for seconds no other was elected.
+        """
+        world = World(seed=seed)
+        world.target = 5
+        world.run(2.0)
+        for name in ("n8", "n9"):
+            world.add(name)
+        world.run(3.0)
+        assert len(world.leader.raft.voters) == 5
+        world.leader.crash()
+        world.run(1.0)
+        for replica in world.replicas.values():
+            replica.crash()
+        for name in ("n8", "n9", "n0", "n1"):
+            world.replicas[name].start()
+        lost = 0
+        for _ in range(200):
+            leader = world.leader
+            world.step()
+            lost += leader is not None and world.leader is not leader
+        assert world.leader.raft.is_serving
+        assert lost == 0
+
+
 class TestRandomSchedules:
     """Random crashes, wipes, partitions and losses; nothing acknowledged is lost or reordered."""
 
