Find a leader that is not among the contacts

A process that starts knows three instances. When none of them led, it asked only those and never learned of the others, since the answer of an instance that does not lead was dropped.

Change: every answer names the voters and the leader, and the probe asks them next.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -214,7 +214,7 @@
         leader = self._leader
         log = self._log
         if log is None or leader is None or not log.is_serving:
-            answer(Reply(ResultCode.NOT_LEADER, {"leader": log.leader if log else ""}))
+            answer(Reply(ResultCode.NOT_LEADER, _members(log)))
             return
         fields = request.fields
         match request.operation:
@@ -236,7 +236,7 @@
             case Operation.LEAVE:
                 self._leave(fields, answer)
             case Operation.WHO_LEADS:
-                answer(Reply(ResultCode.ACCEPTED, {"members": list(log.voters)}))
+                answer(Reply(ResultCode.ACCEPTED, _members(log)))
 
     def _commit(self, command: Command, answer: Waiter) -> int | None:
         index = self._propose(command)
@@ -405,3 +405,10 @@
             "open_jobs": len(self._leader.progress) if self._leader else 0,
             "upstreams": len(self.state.upstreams),
         }
+
+
+def _members(log: Log | None) -> dict[str, Any]:
+    """Return where else a process may find the leader."""
+    if log is None:
+        return {}
+    return {"members": [*log.voters, *([log.leader] if log.leader else [])]}
--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -158,8 +158,9 @@
         except ValueError as exc:
             get_logger().warning("probe_malformed", peer=target, error=repr(exc))
             return
+        # The leader need not be among the contacts, and those that follow it know where it is.
+        self._others = tuple(dict.fromkeys(reply.fields.get("members", ()))) or self._others
         if reply.code is ResultCode.ACCEPTED:
-            self._others = tuple(reply.fields.get("members", ()))
             self._hear(target)
         elif target == self._leader:
             self._forget(target)
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -27,8 +27,8 @@
 from kumquatlift.log import get_logger
 from kumquatlift.store import EventLoop
 
-# An earlier leader has stopped 50 ms before this one is elected, by the difference of their periods;
-# this is for the length of its last call.
+# An earlier leader has stopped 50 ms before this one is elected, by the difference of their
+# periods; this is for the length of its last call.
 RECOVERY_MARGIN_S = 0.05
 # Fencing tokens of one leader: lives of one upstream that it can tell apart.
 LIVES_PER_TERM = 1 << 16
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -167,7 +167,6 @@
         assert lost.name not in joiner.raft.voters
         assert len(joiner.raft.voters) == 3
 
-
     @pytest.mark.parametrize("seed", range(8))
     def test_a_voter_that_joined_later_leads_after_a_crash_of_all(self, seed: int) -> None:
         """Guards against a leader that steps down while it applies the voters of former days.
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -333,6 +333,7 @@
         self._port = port
         self._seeds = seeds
         self._is_first_formation = is_first_formation
+        self._log_start = 0
         self._process: subprocess.Popen[bytes] | None = None
         folder.mkdir(parents=True, exist_ok=True)
         self.start()
@@ -369,6 +370,7 @@
             "remote_factor = 2\n"
         )
         self._is_first_formation = False
+        self._log_start = len(self.log) if (self._folder / "log.txt").exists() else 0
         env = {**os.environ, "KUMQUATLIFT_NODE_FILE": str(settings)}
         log = (self._folder / "log.txt").open("ab")
         self._process = subprocess.Popen(
@@ -394,6 +396,11 @@
         """Wait for the end of the process and return its exit code."""
         return None if self._process is None else self._process.wait(timeout_s)
 
+    @property
+    def is_started(self) -> bool:
+        """Whether the present process has said that it has started."""
+        return "event='started'" in self.log[self._log_start :]
+
     @property
     def log(self) -> str:
         """Everything that it has logged."""
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -173,8 +173,11 @@
         program.signal(signal.SIGCONT)
 
     def _stop(self, program: Program) -> None:
+        # Python ends at once on a signal that comes before the program has set its handlers; it
+        # serves nothing yet.
+        is_started = program.is_started
         program.signal(signal.SIGTERM)
-        if program.wait() != 0:
+        if program.wait() != 0 and is_started:
             self._violate(f"{program.role} {program.host} did not end in order")
         program.start()
 
