Serve the metrics at an address of the settings and drop settings that nothing reads

Settings and fields for advice, memory and priority were decoded and never read.

Ruled out: a metrics port in the deploy file that follows the internal ports (it is a fixed text).

Candidate.priority, Queue.needs_advice and the settings advice and memory_mb are gone.

--- a/kumquatlift/authority/_placement.py
+++ b/kumquatlift/authority/_placement.py
@@ -118,14 +118,12 @@
     """A job with tasks that could start, for the order in which jobs are served.
 
     Args:
-        priority: 0 is the most urgent.
         objective_at: Time at which the job should be complete.
         late_at: Time after which it is of no use to its caller.
         expected_ms: Run time expected of its longest remaining chain, at the usual speed.
         arrived: Order of arrival.
     """
 
-    priority: int
     objective_at: float
     late_at: float
     expected_ms: float
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -182,7 +182,6 @@
 def candidate_of(progress: Progress) -> Candidate:
     """Return what decides the place of a job in the order of service."""
     return Candidate(
-        progress.queue.priority if progress.queue else 0,
         progress.objective_at,
         progress.late_at,
         progress.chain_ms,
--- a/kumquatlift/authority/_serving.py
+++ b/kumquatlift/authority/_serving.py
@@ -16,7 +16,6 @@
         max_attempts: Failed runs of a task after which the job has failed.
         slack_factor: The objective of a job is this many times its chain of work, ...
         target_ms: ... and this much more.
-        needs_advice: Only upstreams named by the advice service may run a step.
     """
 
     name: str
@@ -27,7 +26,6 @@
     max_attempts: int
     slack_factor: float
     target_ms: int
-    needs_advice: bool = False
 
     @property
     def key(self) -> str:
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -39,8 +39,6 @@
 HAND_OVER_S = 0.5
 # The journal is replaced by a snapshot at this share of the disk; two of them fit beside snapshots.
 JOURNAL_SHARE = 0.2
-# Port of the metrics, counted from the first internal port; ``deploy/system.toml`` names it.
-METRICS_OFFSET = 10
 EXIT_SETTINGS = 2
 
 
@@ -158,7 +156,8 @@
             made.append(Metrics(board=board, counters=counters))
         return ApiResponse(200, made[0].scrape(), "text/plain; version=0.0.4")
 
-    _serve(handle, f"{cfg.host}:{cfg.internal_port + METRICS_OFFSET}", 1, "metrics")
+    if cfg.listen.metrics:
+        _serve(handle, cfg.listen.metrics, 1, "metrics")
 
 
 def _open_channel(cfg: PlatformSettings) -> TcpChannel:
--- a/kumquatlift/platform/_settings.py
+++ b/kumquatlift/platform/_settings.py
@@ -25,11 +25,13 @@
         callers: Where the platform forwards callers.
         readiness: Where the platform asks whether to send callers.
         control: Where upstreams and operators call.
+        metrics: Where engineers read the metrics.
     """
 
     callers: AddressText | Literal[""] = ""
     readiness: AddressText | Literal[""] = ""
     control: AddressText | Literal[""] = ""
+    metrics: AddressText | Literal[""] = ""
 
 
 class Bounds(NamedTuple):
@@ -61,9 +63,7 @@
         seeds: Control addresses of up to three instances with a disk.
         is_first_formation: Whether the whole system starts for the first time.
         data_folder: Folder for durable state; empty without a disk.
-        memory_mb: Memory of the process.
         disk_mb: Size of the disk.
-        advice: Address of the service that names allowed upstreams; empty for none.
         listen: Addresses served.
         bounds: Bounds of the platform.
     """
@@ -75,9 +75,7 @@
     seeds: tuple[AddressText, ...]
     is_first_formation: bool
     data_folder: str
-    memory_mb: int
     disk_mb: int
-    advice: str
     listen: Listen
     bounds: Bounds
 
--- a/kumquatlift/platform/_wire.py
+++ b/kumquatlift/platform/_wire.py
@@ -156,7 +156,6 @@
         max(1, _integer(row, "maxAttempts", 1)),
         float(slack),
         _integer(row, "targetLatencyMs"),
-        bool(row.get("advice")),
     )
 
 
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -46,15 +46,15 @@
     """Which job is served first."""
 
     def test_jobs_in_time_come_before_late_ones_and_useless_ones(self) -> None:
-        in_time = Candidate(0, 12.0, 14.0, 500.0, 3)
-        late = Candidate(0, 9.0, 14.0, 500.0, 2)
-        useless = Candidate(0, 5.0, 9.0, 500.0, 1)
+        in_time = Candidate(12.0, 14.0, 500.0, 3)
+        late = Candidate(9.0, 14.0, 500.0, 2)
+        useless = Candidate(5.0, 9.0, 500.0, 1)
         ranked = sorted([useless, late, in_time], key=lambda each: order_key(each, 10.0))
         assert ranked == [in_time, late, useless]
 
     def test_the_job_that_must_start_first_comes_first(self) -> None:
-        long = Candidate(2, 12.0, 20.0, 1500.0, 1)
-        short = Candidate(0, 11.0, 13.0, 60.0, 2)
+        long = Candidate(12.0, 20.0, 1500.0, 1)
+        short = Candidate(11.0, 13.0, 60.0, 2)
         assert min([short, long], key=lambda each: order_key(each, 10.0)) is long
 
 
--- a/tests/test_platform_programs.py
+++ b/tests/test_platform_programs.py
@@ -59,11 +59,9 @@
         assert call(frontend, "DELETE", "/q/" + "b" * 16)[0] == 410
         assert call(frontend, "GET", "/q/")[0] == 200
         assert call(frontend, "GET", "/none/")[0] == 404
-        with urlopen(
-            f"http://{cluster.frontends[0].host}:{PORT + 10}/metrics", timeout=5
-        ) as answer:
+        with urlopen(f"http://{cluster.frontends[0].metrics}/metrics", timeout=5) as answer:
             assert b"kumquatlift_submit_ms_bucket" in answer.read()
-        with urlopen(f"http://{cluster.cores[0].host}:{PORT + 10}/metrics", timeout=5) as answer:
+        with urlopen(f"http://{cluster.cores[0].metrics}/metrics", timeout=5) as answer:
             assert b"kumquatlift_jobs_accepted_total" in answer.read()
         bad = {**CONFIG, "version": 9, "services": []}
         assert call(control, "POST", "/api/config/replace", bad)[0] == 400
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -348,6 +348,11 @@
         """Address for callers of a frontend."""
         return f"{self.host}:{self._port + 2}"
 
+    @property
+    def metrics(self) -> str:
+        """Address of the metrics."""
+        return f"{self.host}:{self._port + 4}"
+
     @property
     def readiness(self) -> str:
         """Address for the readiness check of a frontend."""
@@ -362,10 +367,11 @@
             f"internal_port = {self._port}\nseeds = {json.dumps(self._seeds)}\n"
             f"is_first_formation = {str(self._is_first_formation).lower()}\n"
             f'data_folder = "{self._folder / "data" if is_core else ""}"\n'
-            f'memory_mb = 300\ndisk_mb = 128\nadvice = ""\n[listen]\n'
+            "disk_mb = 128\n[listen]\n"
             f'callers = "{"" if is_core else self.callers}"\n'
             f'readiness = "{"" if is_core else self.readiness}"\n'
-            f'control = "{self.control if is_core else ""}"\n[bounds]\n'
+            f'control = "{self.control if is_core else ""}"\n'
+            f'metrics = "{self.metrics}"\n[bounds]\n'
             "tolerated_machines = 1\nlease_ms = 1000\ngrace_s = 6\nstate_kept_s = 120\n"
             "remote_factor = 2\n"
         )
