--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 	$(PY) -m tools.measure_capacity
 
 bench: setup
-	$(PY) -m kumquatlift.bench
+	$(PY) -m kumquatlift.bench.comparison
 
 # Two repetitions of seven faults take about four and a half minutes.
 recovery: setup
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 
 from features.world import ANSWER_BOUND_S, RUNNERS
-from kumquatlift.start_record import LEAVING_GRACE_S
+from kumquatlift.upstreams.start_record import LEAVING_GRACE_S
 from tools.cluster import wait_for
 
 
--- a/kumquatlift/_schema.py
+++ b/kumquatlift/_schema.py
@@ -10,7 +10,11 @@
 
 
 def load_schema(name: str) -> Any:
-    """Return the module of ``<name>.capnp``; pycapnp is imported by the first call."""
+    """Return the module of ``<name>.capnp``; pycapnp is imported by the first call.
+
+    Args:
+        name: Path in the package, such as ``jobs/ledger``.
+    """
     module = _loaded.get(name)
     if module is not None:
         return module
--- /dev/null
+++ b/kumquatlift/administration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' API and console."""
--- a/kumquatlift/operator_access.py
+++ b/kumquatlift/administration/access.py
@@ -9,7 +9,7 @@
 from urllib.parse import urlsplit
 
 from kumquatlift.settings import OperatorToken
-from kumquatlift.wsgi import ApiRequest
+from kumquatlift.transport.wsgi import ApiRequest
 
 COOKIE = "kumquatlift-token"
 _FORM_PURPOSE = b"kumquatlift console form"
--- a/kumquatlift/console.py
+++ b/kumquatlift/administration/console.py
@@ -11,22 +11,22 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, quote, urlencode
 
-from kumquatlift.codes import ResultCode
-from kumquatlift.config_diff import differences
-from kumquatlift.config_value import Change
-from kumquatlift.console_forms import Place, find
-from kumquatlift.document import Document
-from kumquatlift.failure import Failure
-from kumquatlift.identity import is_name
-from kumquatlift.operator_access import (
+from kumquatlift.administration.access import (
     Operator,
     OperatorAccess,
     cookie_header,
     is_own_form,
     is_same_origin,
 )
-from kumquatlift.register import Register
-from kumquatlift.wsgi import ApiRequest, ApiResponse
+from kumquatlift.administration.console_forms import Place, find
+from kumquatlift.codes import ResultCode
+from kumquatlift.configuration.diff import differences
+from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.register import Register
+from kumquatlift.configuration.value import Change
+from kumquatlift.failure import Failure
+from kumquatlift.jobs.identity import is_name
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
 
 MAX_FORM_FIELDS = 100
 
--- a/kumquatlift/console_forms.py
+++ b/kumquatlift/administration/console_forms.py
@@ -5,8 +5,8 @@
 from enum import Enum
 from typing import Any, NamedTuple
 
-from kumquatlift.document import Document
-from kumquatlift.field_table import FieldRow, Shape, row, rows
+from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.field_table import FieldRow, Shape, row, rows
 
 PREFIX = "field."
 FIRST_KIND = "first_kind"
--- a/kumquatlift/operators.py
+++ b/kumquatlift/administration/operators.py
@@ -6,19 +6,19 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from kumquatlift.administration.access import Operator, OperatorAccess
+from kumquatlift.administration.console import Base, Console
 from kumquatlift.codes import ResultCode
-from kumquatlift.config_diff import differences
-from kumquatlift.config_value import Change, Proposal
-from kumquatlift.console import Base, Console
-from kumquatlift.document import Document, Problem
+from kumquatlift.configuration.diff import differences
+from kumquatlift.configuration.document import Document, Problem
+from kumquatlift.configuration.in_force import write_document
+from kumquatlift.configuration.register import Register
+from kumquatlift.configuration.value import Change, Proposal
 from kumquatlift.failure import Failure
-from kumquatlift.in_force import write_document
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Members
-from kumquatlift.operator_access import Operator, OperatorAccess
-from kumquatlift.register import Register
+from kumquatlift.membership.members import Members
 from kumquatlift.settings import OperatorToken
-from kumquatlift.wsgi import ApiRequest, ApiResponse, code_fields
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse, code_fields
 
 # A change takes at most 5 s of rounds, after the ones that wait before it.
 ANSWER_TIMEOUT_S = 30.0
--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -7,11 +7,11 @@
 from functools import partial
 
 from kumquatlift.authority._api import Operation, Reply, Request
-from kumquatlift.channel import Channel, LateHandler, Topic
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
 from kumquatlift.timer import Timer
+from kumquatlift.transport.channel import Channel, LateHandler, Topic
 
 # The leader is asked this often whether it still leads, and without one all instances are.
 PROBE_S = 0.15
--- /dev/null
+++ b/kumquatlift/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the scheduling policy, its baselines, and load runs."""
--- a/kumquatlift/baselines.py
+++ b/kumquatlift/bench/baselines.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple, Protocol
 
 from kumquatlift.failure import Failure
-from kumquatlift.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer
+from kumquatlift.scheduling.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer
 
 
 class SlotPolicy(Protocol):
--- a/kumquatlift/bench_cases.py
+++ b/kumquatlift/bench/cases.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from kumquatlift.baselines import KnownRunner
-from kumquatlift.document import Kind, Service, Urgency
+from kumquatlift.bench.baselines import KnownRunner
+from kumquatlift.configuration.document import Kind, Service, Urgency
 
 ZONES = ("a", "b", "c")
 RUNNERS = 24
--- a/kumquatlift/bench.py
+++ b/kumquatlift/bench/comparison.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from kumquatlift.baselines import ideal_s
-from kumquatlift.bench_cases import (
+from kumquatlift.bench.baselines import ideal_s
+from kumquatlift.bench.cases import (
     CASES,
     DEADLINE_S,
     EXTRA_CASES,
@@ -18,7 +18,7 @@
     WARM_UP_S,
     Case,
 )
-from kumquatlift.bench_harness import run_omniscient, run_policy
+from kumquatlift.bench.harness import run_omniscient, run_policy
 
 BASELINES = ("random", "round robin", "fewest outstanding")
 POLICIES = ("omniscient", "scheduler", *BASELINES)
--- a/kumquatlift/bench_experiment.py
+++ b/kumquatlift/bench/experiment.py
@@ -3,14 +3,14 @@
 import itertools
 from collections import deque
 
-from kumquatlift.baselines import SlotPolicy
-from kumquatlift.bench_cases import CANCEL_AT_S, CONNECTIONS, DEADLINE_S, SLOTS, ZONES, Case
-from kumquatlift.bench_events import Events
-from kumquatlift.bench_jobs import Job, JobResult, RunResult, Task
-from kumquatlift.bench_runner import BenchRunner
-from kumquatlift.bench_zone_loads import ZoneLoads
-from kumquatlift.retry_budget import RetryBudget
-from kumquatlift.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer
+from kumquatlift.bench.baselines import SlotPolicy
+from kumquatlift.bench.cases import CANCEL_AT_S, CONNECTIONS, DEADLINE_S, SLOTS, ZONES, Case
+from kumquatlift.bench.events import Events
+from kumquatlift.bench.jobs import Job, JobResult, RunResult, Task
+from kumquatlift.bench.runner import BenchRunner
+from kumquatlift.bench.zone_loads import ZoneLoads
+from kumquatlift.jobs.retry_budget import RetryBudget
+from kumquatlift.scheduling.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer
 
 ANNOUNCE_S = 0.5
 LOADS_S = 0.02
--- a/kumquatlift/bench_harness.py
+++ b/kumquatlift/bench/harness.py
@@ -2,17 +2,17 @@
 
 from collections.abc import Sequence
 
-from kumquatlift.baselines import (
+from kumquatlift.bench.baselines import (
     FewestOutstanding,
     Omniscient,
     RandomChoice,
     RoundRobin,
     SlotPolicy,
 )
-from kumquatlift.bench_cases import CANCEL_AT_S, ZONES, Arrival, Case
-from kumquatlift.bench_experiment import Experiment
-from kumquatlift.bench_jobs import RunResult
-from kumquatlift.scheduler import Scheduler
+from kumquatlift.bench.cases import CANCEL_AT_S, ZONES, Arrival, Case
+from kumquatlift.bench.experiment import Experiment
+from kumquatlift.bench.jobs import RunResult
+from kumquatlift.scheduling.scheduler import Scheduler
 
 
 def run_policy(name: str, case: Case, seed: int) -> RunResult:
--- a/kumquatlift/bench_jobs.py
+++ b/kumquatlift/bench/jobs.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from kumquatlift.bench_cases import Arrival
-from kumquatlift.scheduler import AttemptOutcome, Grant
+from kumquatlift.bench.cases import Arrival
+from kumquatlift.scheduling.scheduler import AttemptOutcome, Grant
 
 
 class JobResult(NamedTuple):
--- a/kumquatlift/load.py
+++ b/kumquatlift/bench/load.py
@@ -11,10 +11,10 @@
 from rich.console import Console
 from rich.table import Table
 
+from kumquatlift.bench.ideal import RunnerCapacity, ideal_response_s
 from kumquatlift.client import Client, Submission, call
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.ideal import RunnerCapacity, ideal_response_s
 
 MAX_JOBS_IN_FLIGHT = 256
 # Most tasks take 50 ms to 1 s, a few take several seconds.
--- a/kumquatlift/bench_runner.py
+++ b/kumquatlift/bench/runner.py
@@ -3,10 +3,10 @@
 import random
 from collections import deque
 
-from kumquatlift.bench_cases import CONNECTIONS, FAIL_AFTER_S, RETRY_AFTER_S, SLOTS, CaseRunner
-from kumquatlift.bench_events import Events
-from kumquatlift.bench_jobs import Task
-from kumquatlift.scheduler import AttemptOutcome
+from kumquatlift.bench.cases import CONNECTIONS, FAIL_AFTER_S, RETRY_AFTER_S, SLOTS, CaseRunner
+from kumquatlift.bench.events import Events
+from kumquatlift.bench.jobs import Task
+from kumquatlift.scheduling.scheduler import AttemptOutcome
 
 
 class BenchRunner:
--- a/kumquatlift/bench_zone_loads.py
+++ b/kumquatlift/bench/zone_loads.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Mapping
 
-from kumquatlift.baselines import SlotPolicy
-from kumquatlift.bench_cases import ZONES, Case
-from kumquatlift.bench_events import Events
-from kumquatlift.scheduler import Scheduler
-from kumquatlift.zone_choice import ZoneLoad, choose_moves, choose_zones
+from kumquatlift.bench.baselines import SlotPolicy
+from kumquatlift.bench.cases import ZONES, Case
+from kumquatlift.bench.events import Events
+from kumquatlift.scheduling.scheduler import Scheduler
+from kumquatlift.scheduling.zone_choice import ZoneLoad, choose_moves, choose_zones
 
 HOP_S = 0.00025
 """One-way message delay within a zone."""
--- a/kumquatlift/cli.py
+++ b/kumquatlift/cli.py
@@ -17,7 +17,7 @@
     Args:
         document: TOML file with the whole configuration.
     """
-    from kumquatlift.document import Document
+    from kumquatlift.configuration.document import Document
 
     try:
         text = document.read_text(encoding="utf-8")
--- a/kumquatlift/commands.py
+++ b/kumquatlift/commands.py
@@ -49,8 +49,12 @@
     """
     from kumquatlift.failure import Failure
     from kumquatlift.log import configure_logs
-    from kumquatlift.runner_mode import Mode
-    from kumquatlift.runner_stand_in import RunnerIdentity, RunnerStandIn, run_until_finished
+    from kumquatlift.upstreams.runner_mode import Mode
+    from kumquatlift.upstreams.runner_stand_in import (
+        RunnerIdentity,
+        RunnerStandIn,
+        run_until_finished,
+    )
 
     fields = {"delay_ms": delay_ms, "stall_ms": stall_ms, "late_ms": late_ms, "fault": fault}
     modes = [Mode().changed({**fields, "speed": speed}) for speed in speeds]
@@ -183,7 +187,7 @@
     from rich.console import Console
     from rich.progress import Progress
 
-    from kumquatlift.load import RunnerReadings, Workload, run_load
+    from kumquatlift.bench.load import RunnerReadings, Workload, run_load
 
     _check_addresses([*entries, *runners])
     if not (jobs > 0 < rate and 0 < min_tasks <= max_tasks and 0 < min_run_ms <= max_run_ms):
--- /dev/null
+++ b/kumquatlift/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration document and the replicated register that holds it."""
--- a/kumquatlift/acceptor.py
+++ b/kumquatlift/configuration/acceptor.py
@@ -4,7 +4,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from kumquatlift.config_value import Ballot, Value
+from kumquatlift.configuration.value import Ballot, Value
 
 Evidence = tuple[tuple[str, str], ...]
 """Pairs of voter name and nonce, ordered by name: every voter had an empty disk at one time."""
--- a/kumquatlift/config_codec.py
+++ b/kumquatlift/configuration/codec.py
@@ -3,7 +3,7 @@
 from typing import Any, NamedTuple, TypeVar, cast
 
 from kumquatlift._schema import load_schema
-from kumquatlift.acceptor import (
+from kumquatlift.configuration.acceptor import (
     Accept,
     Accepted,
     Evidence,
@@ -13,7 +13,7 @@
     VoterState,
     VoterStatus,
 )
-from kumquatlift.config_value import Ballot, Change, Value
+from kumquatlift.configuration.value import Ballot, Change, Value
 
 # The reader counts every word once; this allows a value of 64 MiB.
 _MAX_WORDS = 8 * 1024 * 1024
@@ -50,11 +50,11 @@
 def encode(message: Message) -> bytes:
     """Encode a message."""
     if isinstance(message, Value):
-        builder = load_schema("config").Message.new_message()
+        builder = load_schema("configuration/config").Message.new_message()
         _write_value(builder.init("value"), message)
         return cast(bytes, builder.to_bytes())
     name, fields = _fields(message)
-    builder = load_schema("config").Message.new_message(**{name: fields})
+    builder = load_schema("configuration/config").Message.new_message(**{name: fields})
     value = getattr(message, "value", None)
     if value is not None:
         _write_value(getattr(builder, name).init("value"), value)
@@ -89,7 +89,7 @@
     import capnp
 
     try:
-        with load_schema("config").Message.from_bytes(
+        with load_schema("configuration/config").Message.from_bytes(
             data, traversal_limit_in_words=_MAX_WORDS
         ) as reader:
             name = str(reader.which())
--- a/kumquatlift/document.py
+++ b/kumquatlift/configuration/document.py
@@ -11,7 +11,7 @@
 
 from pydantic import ConfigDict, Field, TypeAdapter
 
-from kumquatlift.identity import NAME_PATTERN
+from kumquatlift.jobs.identity import NAME_PATTERN
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -151,7 +151,7 @@
             The document, or every problem found in it, ordered by path.
         """
         # The check reads the classes of this module.
-        from kumquatlift.document_check import check
+        from kumquatlift.configuration.document_check import check
 
         return check(source)
 
--- a/kumquatlift/document_check.py
+++ b/kumquatlift/configuration/document_check.py
@@ -6,8 +6,8 @@
 
 from pydantic import ValidationError
 
-from kumquatlift.document import Document, Kind, Problem, Service, System, adapter
-from kumquatlift.field_table import NAME_TEXT, FieldRow, Shape, row, rows
+from kumquatlift.configuration.document import Document, Kind, Problem, Service, System, adapter
+from kumquatlift.configuration.field_table import NAME_TEXT, FieldRow, Shape, row, rows
 
 MAX_GIVEN_CHARS = 80
 
--- a/kumquatlift/in_force.py
+++ b/kumquatlift/configuration/in_force.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from kumquatlift.config_codec import CodecError, decode, encode
-from kumquatlift.config_value import Value
-from kumquatlift.data_file import DataFile, Disk
-from kumquatlift.document import Document
+from kumquatlift.configuration.codec import CodecError, decode, encode
+from kumquatlift.configuration.data_file import DataFile, Disk
+from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.value import Value
 from kumquatlift.log import get_logger
 
 FILE_NAME = "in-force"
--- a/kumquatlift/proposer.py
+++ b/kumquatlift/configuration/proposer.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Iterable
 
-from kumquatlift.acceptor import (
+from kumquatlift.configuration.acceptor import (
     Accept,
     Accepted,
     Evidence,
@@ -16,7 +16,7 @@
     VoterStatus,
     register_id,
 )
-from kumquatlift.config_value import Ballot, Value
+from kumquatlift.configuration.value import Ballot, Value
 
 Decide = Callable[[Value | None], Value | None]
 """Takes the value found by the round; returns the value to propose, or None to give up."""
--- a/kumquatlift/register.py
+++ b/kumquatlift/configuration/register.py
@@ -6,23 +6,23 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, TypeVar
 
-from kumquatlift.acceptor import Accept, Prepare
 from kumquatlift.blackboard import Section
-from kumquatlift.channel import Channel, Topic
 from kumquatlift.clock import Clock
 from kumquatlift.codes import ResultCode
-from kumquatlift.config_codec import CodecError, Read, decode, encode
-from kumquatlift.config_value import Change, Proposal, Value
-from kumquatlift.data_file import Disk
-from kumquatlift.document import Document
+from kumquatlift.configuration.acceptor import Accept, Prepare
+from kumquatlift.configuration.codec import CodecError, Read, decode, encode
+from kumquatlift.configuration.data_file import Disk
+from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.in_force import Current, InForce, Listener, read_document
+from kumquatlift.configuration.proposer import majority
+from kumquatlift.configuration.register_rounds import RegisterRounds
+from kumquatlift.configuration.register_upkeep import RegisterUpkeep
+from kumquatlift.configuration.value import Change, Proposal, Value
+from kumquatlift.configuration.voter import Voter
 from kumquatlift.failure import Failure
-from kumquatlift.in_force import Current, InForce, Listener, read_document
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Members
-from kumquatlift.proposer import majority
-from kumquatlift.register_rounds import RegisterRounds
-from kumquatlift.register_upkeep import RegisterUpkeep
-from kumquatlift.voter import Voter
+from kumquatlift.membership.members import Members
+from kumquatlift.transport.channel import Channel, Topic
 
 TICK_S = 0.25
 # A voter is asked by every process once a second, so that a change reaches a process whose push
--- a/kumquatlift/register_rounds.py
+++ b/kumquatlift/configuration/register_rounds.py
@@ -5,18 +5,25 @@
 from concurrent.futures import FIRST_COMPLETED, Future, ThreadPoolExecutor, wait
 from typing import Any
 
-from kumquatlift.acceptor import Accept, Evidence, Prepare, VoterStatus
-from kumquatlift.channel import Channel, Topic
 from kumquatlift.clock import Clock
-from kumquatlift.config_codec import CodecError, Read, ReadAnswer, decode, decode_vote, encode
-from kumquatlift.config_value import Ballot, Value
-from kumquatlift.document import Document
+from kumquatlift.configuration.acceptor import Accept, Evidence, Prepare, VoterStatus
+from kumquatlift.configuration.codec import (
+    CodecError,
+    Read,
+    ReadAnswer,
+    decode,
+    decode_vote,
+    encode,
+)
+from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.in_force import InForce, write_document
+from kumquatlift.configuration.proposer import Decide, Formation, Proposer
+from kumquatlift.configuration.value import Ballot, Value
+from kumquatlift.configuration.voter import Voter
 from kumquatlift.failure import Failure
-from kumquatlift.in_force import InForce, write_document
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Members
-from kumquatlift.proposer import Decide, Formation, Proposer
-from kumquatlift.voter import Voter
+from kumquatlift.membership.members import Members
+from kumquatlift.transport.channel import Channel, Topic
 
 CALL_TIMEOUT_S = 1.0
 
--- a/kumquatlift/register_upkeep.py
+++ b/kumquatlift/configuration/register_upkeep.py
@@ -3,13 +3,13 @@
 import random
 from collections import Counter
 
-from kumquatlift.acceptor import VoterStatus
-from kumquatlift.in_force import InForce
+from kumquatlift.configuration.acceptor import VoterStatus
+from kumquatlift.configuration.in_force import InForce
+from kumquatlift.configuration.proposer import majority
+from kumquatlift.configuration.register_rounds import RegisterRounds
+from kumquatlift.configuration.voter import Voter
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Members
-from kumquatlift.proposer import majority
-from kumquatlift.register_rounds import RegisterRounds
-from kumquatlift.voter import Voter
+from kumquatlift.membership.members import Members
 
 
 class RegisterUpkeep:
--- a/kumquatlift/voter.py
+++ b/kumquatlift/configuration/voter.py
@@ -2,11 +2,19 @@
 
 import threading
 
-from kumquatlift.acceptor import Accept, Accepted, Acceptor, Prepare, Promise, Refusal, VoterState
-from kumquatlift.config_codec import CodecError, Read, ReadAnswer, decode, encode
-from kumquatlift.config_value import Ballot, Value
-from kumquatlift.data_file import DataFile, Disk
-from kumquatlift.identity import new_incarnation
+from kumquatlift.configuration.acceptor import (
+    Accept,
+    Accepted,
+    Acceptor,
+    Prepare,
+    Promise,
+    Refusal,
+    VoterState,
+)
+from kumquatlift.configuration.codec import CodecError, Read, ReadAnswer, decode, encode
+from kumquatlift.configuration.data_file import DataFile, Disk
+from kumquatlift.configuration.value import Ballot, Value
+from kumquatlift.jobs.identity import new_incarnation
 from kumquatlift.log import get_logger
 
 FILE_NAME = "voter"
--- a/kumquatlift/entry.py
+++ b/kumquatlift/entry.py
@@ -5,32 +5,32 @@
 import time
 from pathlib import Path
 
-from kumquatlift.announcements import Announcements
+from kumquatlift.administration.operators import Operators
 from kumquatlift.blackboard import Blackboard
-from kumquatlift.callers import Callers
-from kumquatlift.channel import Topic
-from kumquatlift.claim import LedgerLimits
 from kumquatlift.clock import MonotonicClock
-from kumquatlift.data_file import FolderDisk
-from kumquatlift.dispatcher import Dispatcher
-from kumquatlift.document import Document, System
-from kumquatlift.gossip import Gossip
-from kumquatlift.identity import new_incarnation
-from kumquatlift.job_router import JobRouter
+from kumquatlift.configuration.data_file import FolderDisk
+from kumquatlift.configuration.document import Document, System
+from kumquatlift.configuration.register import Register
+from kumquatlift.jobs.callers import Callers
+from kumquatlift.jobs.claim import LedgerLimits
+from kumquatlift.jobs.dispatcher import Dispatcher
+from kumquatlift.jobs.identity import new_incarnation
+from kumquatlift.jobs.router import JobRouter
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Member, MemberState
+from kumquatlift.membership.gossip import Gossip
+from kumquatlift.membership.members import Member, MemberState
 from kumquatlift.metrics import Metrics
-from kumquatlift.operators import Operators
-from kumquatlift.register import Register
-from kumquatlift.runner_client import RunnerClient
-from kumquatlift.server import HttpServer
+from kumquatlift.scheduling.slot_client import REBALANCE_INTERVAL_S, STATE_INTERVAL_S, SlotClient
+from kumquatlift.scheduling.slot_messages import SlotDemands, SlotGrants
+from kumquatlift.scheduling.slot_owner import SlotOwner
 from kumquatlift.settings import Address, Settings
-from kumquatlift.slot_client import REBALANCE_INTERVAL_S, STATE_INTERVAL_S, SlotClient
-from kumquatlift.slot_messages import SlotDemands, SlotGrants
-from kumquatlift.slot_owner import SlotOwner
-from kumquatlift.tcp_channel import TcpChannel
 from kumquatlift.timer import Timer
-from kumquatlift.wsgi import application
+from kumquatlift.transport.channel import Topic
+from kumquatlift.transport.server import HttpServer
+from kumquatlift.transport.tcp_channel import TcpChannel
+from kumquatlift.transport.wsgi import application
+from kumquatlift.upstreams.announcements import Announcements
+from kumquatlift.upstreams.runner_client import RunnerClient
 
 OWNER_TICK_S = 0.1
 ROUTER_TICK_S = 0.05
--- a/kumquatlift/job_authority.py
+++ b/kumquatlift/jobs/authority.py
@@ -5,16 +5,16 @@
 from concurrent.futures import Future
 from enum import Enum
 
-from kumquatlift.claim import Claim, ClaimState, Record, Standing
-from kumquatlift.claims import Claims
 from kumquatlift.clock import Clock
 from kumquatlift.codes import ResultCode
-from kumquatlift.copies import Copies
-from kumquatlift.dispatcher import JobExecutor
 from kumquatlift.failure import Failure
-from kumquatlift.identity import JobId
-from kumquatlift.job import JobAnswer, JobRequest
-from kumquatlift.ledger_frame import JobAsk, JobResponse, Place, ReplyKind, Role
+from kumquatlift.jobs.claim import Claim, ClaimState, Record, Standing
+from kumquatlift.jobs.claims import Claims
+from kumquatlift.jobs.copies import Copies
+from kumquatlift.jobs.dispatcher import JobExecutor
+from kumquatlift.jobs.identity import JobId
+from kumquatlift.jobs.job import JobAnswer, JobRequest
+from kumquatlift.jobs.ledger_frame import JobAsk, JobResponse, Place, ReplyKind, Role
 from kumquatlift.log import get_logger
 
 
--- a/kumquatlift/callers.py
+++ b/kumquatlift/jobs/callers.py
@@ -4,10 +4,10 @@
 from typing import Any, NamedTuple, Protocol
 
 from kumquatlift.codes import ResultCode
-from kumquatlift.document import MAX_REQUEST_BYTES
+from kumquatlift.configuration.document import MAX_REQUEST_BYTES
 from kumquatlift.failure import Failure
-from kumquatlift.job import JobAnswer, JobRequest
-from kumquatlift.wsgi import ApiRequest, ApiResponse, code_fields
+from kumquatlift.jobs.job import JobAnswer, JobRequest
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse, code_fields
 
 MAX_WAIT_MS = 600_000
 
--- a/kumquatlift/claims.py
+++ b/kumquatlift/jobs/claims.py
@@ -3,8 +3,10 @@
 import threading
 from concurrent.futures import Future
 
-from kumquatlift.channel import Channel, Topic
-from kumquatlift.claim import (
+from kumquatlift.clock import Clock
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.jobs.claim import (
     AnswerBudget,
     Batch,
     Claim,
@@ -13,15 +15,13 @@
     Record,
     Standing,
 )
-from kumquatlift.clock import Clock
-from kumquatlift.codes import ResultCode
-from kumquatlift.failure import Failure
-from kumquatlift.identity import LedgerId
-from kumquatlift.ledger import Ledger
-from kumquatlift.ledger_frame import Append, AppendReply, AppendStatus, Place
+from kumquatlift.jobs.identity import LedgerId
+from kumquatlift.jobs.ledger import Ledger
+from kumquatlift.jobs.ledger_frame import Append, AppendReply, AppendStatus, Place
+from kumquatlift.jobs.repair import Repair
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Member, Members, owner_of
-from kumquatlift.repair import Repair
+from kumquatlift.membership.members import Member, Members, owner_of
+from kumquatlift.transport.channel import Channel, Topic
 
 APPEND_TIMEOUT_S = 1.0
 RETRY_S = 1.0
--- a/kumquatlift/copies.py
+++ b/kumquatlift/jobs/copies.py
@@ -2,15 +2,15 @@
 
 import threading
 
-from kumquatlift.channel import Channel, Topic
-from kumquatlift.claim import AnswerBudget, Batch, Claim, LedgerLimits, Standing
 from kumquatlift.clock import Clock
-from kumquatlift.identity import LedgerId
-from kumquatlift.ledger import LedgerCopy
-from kumquatlift.ledger_frame import Append, AppendReply, AppendStatus, Place
+from kumquatlift.jobs.claim import AnswerBudget, Batch, Claim, LedgerLimits, Standing
+from kumquatlift.jobs.identity import LedgerId
+from kumquatlift.jobs.ledger import LedgerCopy
+from kumquatlift.jobs.ledger_frame import Append, AppendReply, AppendStatus, Place
+from kumquatlift.jobs.repair import Repair
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Members
-from kumquatlift.repair import Repair
+from kumquatlift.membership.members import Members
+from kumquatlift.transport.channel import Channel, Topic
 
 
 class Copies:
--- a/kumquatlift/dispatcher.py
+++ b/kumquatlift/jobs/dispatcher.py
@@ -9,17 +9,17 @@
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.codes import ResultCode
-from kumquatlift.document import Document, Kind
+from kumquatlift.configuration.document import Document, Kind
 from kumquatlift.failure import Failure
-from kumquatlift.job import JobAnswer, JobRequest
-from kumquatlift.job_run import Attempt, Batch, JobRun
+from kumquatlift.jobs.job import JobAnswer, JobRequest
+from kumquatlift.jobs.retry_budget import RetryBudget
+from kumquatlift.jobs.run import Attempt, Batch, JobRun
 from kumquatlift.log import get_logger
-from kumquatlift.retry_budget import RetryBudget
-from kumquatlift.runner_client import AttemptEnd, AttemptResult, RunnerClient
-from kumquatlift.scheduler import AttemptOutcome
-from kumquatlift.slot_messages import SlotDemand
-from kumquatlift.slot_source import GrantedSlot, SlotSource
+from kumquatlift.scheduling.scheduler import AttemptOutcome
+from kumquatlift.scheduling.slot_messages import SlotDemand
+from kumquatlift.scheduling.slot_source import GrantedSlot, SlotSource
 from kumquatlift.timer import Timer, TimerHandle
+from kumquatlift.upstreams.runner_client import AttemptEnd, AttemptResult, RunnerClient
 
 # Attempts in flight in one process; each holds a thread while its runner works.
 MAX_ATTEMPTS_IN_FLIGHT = 256
--- a/kumquatlift/job.py
+++ b/kumquatlift/jobs/job.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from kumquatlift.codes import ResultCode
-from kumquatlift.document import MAX_JOB_TASKS, MAX_TASK_BYTES
+from kumquatlift.configuration.document import MAX_JOB_TASKS, MAX_TASK_BYTES
 from kumquatlift.failure import Failure
 
 MAX_TASK_ID_CHARS = 64
--- a/kumquatlift/ledger.py
+++ b/kumquatlift/jobs/ledger.py
@@ -1,8 +1,8 @@
 """The writer's ledger and the backup's copy of it, without network or threads."""
 
-from kumquatlift.claim import Batch, Claim, ClaimState, LedgerLimits, Record, Standing
 from kumquatlift.codes import Ran, ResultCode
-from kumquatlift.identity import LedgerId
+from kumquatlift.jobs.claim import Batch, Claim, ClaimState, LedgerLimits, Record, Standing
+from kumquatlift.jobs.identity import LedgerId
 
 
 class Ledger:
--- a/kumquatlift/ledger_frame.py
+++ b/kumquatlift/jobs/ledger_frame.py
@@ -4,9 +4,9 @@
 from typing import NamedTuple
 
 from kumquatlift._schema import load_schema
-from kumquatlift.claim import Batch, Record
 from kumquatlift.failure import Failure
-from kumquatlift.identity import LedgerId
+from kumquatlift.jobs.claim import Batch, Record
+from kumquatlift.jobs.identity import LedgerId
 
 
 class AppendStatus(IntEnum):
@@ -44,7 +44,7 @@
             }
             for record in self.batch.records
         ]
-        frame = load_schema("ledger").Append.new_message(
+        frame = load_schema("jobs/ledger").Append.new_message(
             ledger=self.ledger, opens=self.opens, seal=self.batch.seal, records=records
         )
         return bytes(frame.to_bytes())
@@ -52,7 +52,7 @@
     @classmethod
     def from_bytes(cls, data: bytes, now: float) -> "Append":
         """Decode what ``to_bytes`` made."""
-        with load_schema("ledger").Append.from_bytes(data) as frame:
+        with load_schema("jobs/ledger").Append.from_bytes(data) as frame:
             records = [
                 Record(
                     row.key,
@@ -81,7 +81,7 @@
 
     def to_bytes(self) -> bytes:
         """Encode for the writer."""
-        frame = load_schema("ledger").AppendReply.new_message(
+        frame = load_schema("jobs/ledger").AppendReply.new_message(
             status=int(self.status), fenced=self.fenced, refused=sorted(self.refused)
         )
         return bytes(frame.to_bytes())
@@ -89,7 +89,7 @@
     @classmethod
     def from_bytes(cls, data: bytes) -> "AppendReply":
         """Decode what ``to_bytes`` made."""
-        with load_schema("ledger").AppendReply.from_bytes(data) as frame:
+        with load_schema("jobs/ledger").AppendReply.from_bytes(data) as frame:
             return cls(AppendStatus(frame.status), frame.fenced, frozenset(frame.refused))
 
 
@@ -128,7 +128,7 @@
 
     def to_bytes(self, now: float) -> bytes:
         """Encode; the deadline travels as the time that remains."""
-        frame = load_schema("ledger").JobAsk.new_message(
+        frame = load_schema("jobs/ledger").JobAsk.new_message(
             jobId=self.job_id,
             ledger=str(self.place.ledger),
             key=self.place.key,
@@ -146,7 +146,7 @@
         Raises:
             ValueError: The ledger's identity is not valid.
         """
-        with load_schema("ledger").JobAsk.from_bytes(data) as frame:
+        with load_schema("jobs/ledger").JobAsk.from_bytes(data) as frame:
             return cls(
                 frame.jobId,
                 Place(_ledger(frame.ledger), frame.key),
@@ -185,7 +185,7 @@
 
     def to_bytes(self) -> bytes:
         """Encode for the process that asked."""
-        frame = load_schema("ledger").JobResponse.new_message(
+        frame = load_schema("jobs/ledger").JobResponse.new_message(
             kind=int(self.kind),
             jobId=self.job_id,
             digest=self.digest,
@@ -202,7 +202,7 @@
         Raises:
             ValueError: The ledger's identity is not valid.
         """
-        with load_schema("ledger").JobResponse.from_bytes(data) as frame:
+        with load_schema("jobs/ledger").JobResponse.from_bytes(data) as frame:
             place = Place(_ledger(frame.ledger), frame.key) if frame.ledger else None
             return cls(
                 ReplyKind(frame.kind), frame.jobId, bytes(frame.digest), bytes(frame.answer), place
--- a/kumquatlift/repair.py
+++ b/kumquatlift/jobs/repair.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from kumquatlift.channel import Channel, Topic
-from kumquatlift.claim import Batch, Record
 from kumquatlift.clock import Clock
 from kumquatlift.failure import Failure
-from kumquatlift.identity import LedgerId
-from kumquatlift.ledger_frame import Append, AppendReply, AppendStatus
-from kumquatlift.membership import Members, owner_of
+from kumquatlift.jobs.claim import Batch, Record
+from kumquatlift.jobs.identity import LedgerId
+from kumquatlift.jobs.ledger_frame import Append, AppendReply, AppendStatus
+from kumquatlift.membership.members import Members, owner_of
+from kumquatlift.transport.channel import Channel, Topic
 
 RETRY_S = 2.0
 MAX_RECORDS = 2000
--- a/kumquatlift/job_router.py
+++ b/kumquatlift/jobs/router.py
@@ -5,23 +5,23 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from kumquatlift.callers import JobReply
-from kumquatlift.channel import Channel, Topic
-from kumquatlift.claim import LedgerLimits
-from kumquatlift.claims import Claims
 from kumquatlift.clock import Clock
 from kumquatlift.codes import ResultCode
-from kumquatlift.copies import Copies
-from kumquatlift.dispatcher import JobExecutor
 from kumquatlift.failure import Failure
-from kumquatlift.identity import JobId
-from kumquatlift.job import JobAnswer, JobRequest, digest_of
-from kumquatlift.job_authority import JobAuthority, Verb
-from kumquatlift.job_search import JobSearch
-from kumquatlift.job_wait import JobWait, Stage
-from kumquatlift.ledger_frame import JobAsk, JobResponse, Place, ReplyKind, Role
-from kumquatlift.membership import Members
-from kumquatlift.repair import Repair
+from kumquatlift.jobs.authority import JobAuthority, Verb
+from kumquatlift.jobs.callers import JobReply
+from kumquatlift.jobs.claim import LedgerLimits
+from kumquatlift.jobs.claims import Claims
+from kumquatlift.jobs.copies import Copies
+from kumquatlift.jobs.dispatcher import JobExecutor
+from kumquatlift.jobs.identity import JobId
+from kumquatlift.jobs.job import JobAnswer, JobRequest, digest_of
+from kumquatlift.jobs.ledger_frame import JobAsk, JobResponse, Place, ReplyKind, Role
+from kumquatlift.jobs.repair import Repair
+from kumquatlift.jobs.search import JobSearch
+from kumquatlift.jobs.wait import JobWait, Stage
+from kumquatlift.membership.members import Members
+from kumquatlift.transport.channel import Channel, Topic
 
 CALL_TIMEOUT_S = 1.0
 DEFAULT_DEADLINE_S = 30.0
--- a/kumquatlift/job_run.py
+++ b/kumquatlift/jobs/run.py
@@ -5,10 +5,15 @@
 from typing import Any, NamedTuple
 
 from kumquatlift.codes import ResultCode
-from kumquatlift.document import Kind
+from kumquatlift.configuration.document import Kind
 from kumquatlift.failure import Failure
-from kumquatlift.job import JobAnswer, JobRequest, Task, TaskResult
-from kumquatlift.runner_client import DELIVERY_MARGIN_S, AttemptEnd, AttemptResult, RunRequest
+from kumquatlift.jobs.job import JobAnswer, JobRequest, Task, TaskResult
+from kumquatlift.upstreams.runner_client import (
+    DELIVERY_MARGIN_S,
+    AttemptEnd,
+    AttemptResult,
+    RunRequest,
+)
 
 UNSENT_PAUSE_S = 0.05
 
--- a/kumquatlift/job_search.py
+++ b/kumquatlift/jobs/search.py
@@ -3,13 +3,13 @@
 import threading
 from concurrent.futures import Future
 
-from kumquatlift.channel import Channel, Topic
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.job import JobAnswer
-from kumquatlift.job_authority import JobAuthority
-from kumquatlift.ledger_frame import JobResponse, ReplyKind
-from kumquatlift.membership import Members
+from kumquatlift.jobs.authority import JobAuthority
+from kumquatlift.jobs.job import JobAnswer
+from kumquatlift.jobs.ledger_frame import JobResponse, ReplyKind
+from kumquatlift.membership.members import Members
+from kumquatlift.transport.channel import Channel, Topic
 
 SEARCH_TIMEOUT_S = 1.0
 
--- a/kumquatlift/job_wait.py
+++ b/kumquatlift/jobs/wait.py
@@ -3,10 +3,10 @@
 from concurrent.futures import Future
 from enum import Enum
 
-from kumquatlift.callers import JobReply
-from kumquatlift.job import JobRequest
-from kumquatlift.job_authority import Verb
-from kumquatlift.ledger_frame import JobAsk, JobResponse
+from kumquatlift.jobs.authority import Verb
+from kumquatlift.jobs.callers import JobReply
+from kumquatlift.jobs.job import JobRequest
+from kumquatlift.jobs.ledger_frame import JobAsk, JobResponse
 
 
 class Stage(Enum):
--- /dev/null
+++ b/kumquatlift/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry processes there are, from gossip over UDP."""
--- a/kumquatlift/_gossip_codec.py
+++ b/kumquatlift/membership/_gossip_codec.py
@@ -3,8 +3,8 @@
 from typing import Any, NamedTuple
 
 from kumquatlift._schema import load_schema
-from kumquatlift.membership import Member, MemberState
-from kumquatlift.membership_view import Digest, Heartbeat, Record
+from kumquatlift.membership.members import Member, MemberState
+from kumquatlift.membership.view import Digest, Heartbeat, Record
 
 # Below the smallest path MTU in use, so that datagrams are not fragmented.
 MAX_DATAGRAM_BYTES = 1200
@@ -37,13 +37,13 @@
     import capnp
 
     try:
-        return _read(load_schema("gossip").Gossip.from_bytes_packed(data))
+        return _read(load_schema("membership/gossip").Gossip.from_bytes_packed(data))
     except (capnp.KjException, ValueError) as exc:
         raise ValueError(f"not gossip: {str(exc)[:100]}") from exc
 
 
 def _pack(message: Message) -> bytes:
-    out = load_schema("gossip").Gossip.new_message()
+    out = load_schema("membership/gossip").Gossip.new_message()
     digest = message.digest
     out.sender = digest.sender.key
     out.counter = digest.sender.counter & _COUNTER_MASK
--- a/kumquatlift/gossip.py
+++ b/kumquatlift/membership/gossip.py
@@ -9,14 +9,14 @@
 from functools import partial
 from typing import Any
 
-from kumquatlift._gossip_codec import Message, decode, encode
-from kumquatlift._heartbeat_age import COUNTS_PER_S
 from kumquatlift.clock import Clock, MonotonicClock
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Member, MemberState
-from kumquatlift.membership_view import MembershipView
-from kumquatlift.peer_diagnosis import Evidence, diagnose
+from kumquatlift.membership._gossip_codec import Message, decode, encode
+from kumquatlift.membership._heartbeat_age import COUNTS_PER_S
+from kumquatlift.membership.members import Member, MemberState
+from kumquatlift.membership.view import MembershipView
 from kumquatlift.settings import Address
+from kumquatlift.transport.peer_diagnosis import Evidence, diagnose
 
 PERIOD_S = 0.25
 FANOUT = 3
--- a/kumquatlift/membership_view.py
+++ b/kumquatlift/membership/view.py
@@ -4,10 +4,10 @@
 from hashlib import blake2b
 from typing import Any, NamedTuple
 
-from kumquatlift._heartbeat_age import COUNTS_PER_S, HeartbeatAge
 from kumquatlift.clock import Clock
-from kumquatlift.membership import Member, MemberState
-from kumquatlift.peer_diagnosis import Evidence
+from kumquatlift.membership._heartbeat_age import COUNTS_PER_S, HeartbeatAge
+from kumquatlift.membership.members import Member, MemberState
+from kumquatlift.transport.peer_diagnosis import Evidence
 
 # Members that died are kept for the state dump.
 KEEP_S = 600.0
--- a/kumquatlift/platform/_control.py
+++ b/kumquatlift/platform/_control.py
@@ -8,7 +8,7 @@
 from kumquatlift.log import get_logger
 from kumquatlift.platform._wire import WireError, read_config, read_heartbeat
 from kumquatlift.settings import Address
-from kumquatlift.wsgi import ApiRequest, ApiResponse
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
 
 # An upstream takes an answer for lost after one second.
 ANNOUNCE_TIMEOUT_S = 0.8
--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -8,7 +8,7 @@
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
 from kumquatlift.platform._wire import WireError, is_job_id, read_job
-from kumquatlift.wsgi import ApiRequest, ApiResponse
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
 
 # Most of the time that callers wait at least, so that a caller learns of an unknown outcome while
 # it still listens. It covers the election of a new leader.
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -11,7 +11,6 @@
 
 from kumquatlift.authority import Authority, LeaderClient, Limits, authority_handler
 from kumquatlift.blackboard import Blackboard
-from kumquatlift.channel import Topic
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.log import LineWriter, configure_logs, get_logger
 from kumquatlift.metrics import AUTHORITY_COUNTERS, FRONTEND_COUNTERS, Counter, Metrics
@@ -20,12 +19,13 @@
 from kumquatlift.platform._settings import PlatformSettings, SettingsError, locate
 from kumquatlift.platform._upstream_client import UpstreamClient
 from kumquatlift.platform._wire import read_config
-from kumquatlift.server import HttpServer
 from kumquatlift.settings import Address
 from kumquatlift.store import EventLoop, Journal, JournalError, Replica
-from kumquatlift.tcp_channel import TcpChannel
 from kumquatlift.timer import Timer
-from kumquatlift.wsgi import ApiRequest, ApiResponse, application
+from kumquatlift.transport.channel import Topic
+from kumquatlift.transport.server import HttpServer
+from kumquatlift.transport.tcp_channel import TcpChannel
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse, application
 
 # A caller whose job is answered at its end holds a thread; in a burst some wait for seconds.
 CALLER_THREADS = 128
--- a/kumquatlift/platform/_upstream_client.py
+++ b/kumquatlift/platform/_upstream_client.py
@@ -14,7 +14,6 @@
     StopOrder,
     UpstreamRef,
 )
-from kumquatlift.connection_pool import ConnectionPool, HttpAnswer, NotSentError
 from kumquatlift.platform._wire import (
     read_look_answer,
     read_order_answer,
@@ -23,6 +22,7 @@
     write_stop,
 )
 from kumquatlift.store import EventLoop
+from kumquatlift.transport.connection_pool import ConnectionPool, HttpAnswer, NotSentError
 
 # Looks that wait for an end get their wait on top.
 LOOK_TIMEOUT_S = 0.2
--- a/kumquatlift/admission.py
+++ b/kumquatlift/scheduling/admission.py
@@ -1,14 +1,14 @@
 """The decision whether a demand is queued, and when a refused one may come again."""
 
 from kumquatlift.codes import ResultCode
-from kumquatlift.demand import Demand
-from kumquatlift.document import Team
+from kumquatlift.configuration.document import Team
 from kumquatlift.failure import Failure
-from kumquatlift.fair_queue import FairQueue
-from kumquatlift.placement import Placement
-from kumquatlift.run_estimate import RunEstimate
-from kumquatlift.runner_pool import RunnerPool
-from kumquatlift.team_quotas import TeamQuotas
+from kumquatlift.scheduling.demand import Demand
+from kumquatlift.scheduling.fair_queue import FairQueue
+from kumquatlift.scheduling.placement import Placement
+from kumquatlift.scheduling.run_estimate import RunEstimate
+from kumquatlift.scheduling.runner_pool import RunnerPool
+from kumquatlift.scheduling.team_quotas import TeamQuotas
 
 NO_RUNNER_GRACE_S = 3.0
 """A new owner waits this long for announcements before it refuses for lack of runners."""
--- a/kumquatlift/open_demands.py
+++ b/kumquatlift/scheduling/open_demands.py
@@ -1,8 +1,8 @@
 """What a requester of slots has asked for, and what the owners have not been told yet."""
 
 from kumquatlift.failure import Failure
-from kumquatlift.slot_messages import SlotCancel, SlotDemand, SlotFinish
-from kumquatlift.slot_source import SlotListener
+from kumquatlift.scheduling.slot_messages import SlotCancel, SlotDemand, SlotFinish
+from kumquatlift.scheduling.slot_source import SlotListener
 
 
 class OpenDemand:
--- a/kumquatlift/placement.py
+++ b/kumquatlift/scheduling/placement.py
@@ -1,9 +1,9 @@
 """The choice of a runner for a waiting demand."""
 
-from kumquatlift.demand import Demand
-from kumquatlift.fair_queue import Entry
-from kumquatlift.run_estimate import RunEstimate
-from kumquatlift.runner_pool import Ranked, RunnerPool, RunnerState
+from kumquatlift.scheduling.demand import Demand
+from kumquatlift.scheduling.fair_queue import Entry
+from kumquatlift.scheduling.run_estimate import RunEstimate
+from kumquatlift.scheduling.runner_pool import Ranked, RunnerPool, RunnerState
 
 TRIAL_OF_LAST_RESORT_S = 5.0
 """A trial overdue by this time may use a request that is not repeatable."""
--- a/kumquatlift/run_estimate.py
+++ b/kumquatlift/scheduling/run_estimate.py
@@ -1,8 +1,8 @@
 """Expected run times of requests on the runners of one service in one zone."""
 
-from kumquatlift.demand import Demand
-from kumquatlift.run_times import RunTimes
-from kumquatlift.runner_pool import RunnerPool
+from kumquatlift.scheduling.demand import Demand
+from kumquatlift.scheduling.run_times import RunTimes
+from kumquatlift.scheduling.runner_pool import RunnerPool
 
 
 class RunEstimate:
--- a/kumquatlift/runner_pool.py
+++ b/kumquatlift/scheduling/runner_pool.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from kumquatlift.document import Service
-from kumquatlift.run_times import RunTimes
-from kumquatlift.runner_health import HealthPolicy, RunnerHealth
+from kumquatlift.configuration.document import Service
+from kumquatlift.scheduling.run_times import RunTimes
+from kumquatlift.scheduling.runner_health import HealthPolicy, RunnerHealth
 
 OWNER_LEASE_S = 2.0
 """Nothing is granted for a runner whose announcements stayed away this long."""
--- a/kumquatlift/scheduler.py
+++ b/kumquatlift/scheduling/scheduler.py
@@ -6,24 +6,24 @@
 import heapq
 from collections.abc import Mapping
 
-from kumquatlift.admission import Admission
-from kumquatlift.demand import AttemptOutcome, Demand, Grant
-from kumquatlift.document import Service, Team, Urgency
+from kumquatlift.configuration.document import Service, Team, Urgency
 from kumquatlift.failure import Failure
-from kumquatlift.fair_queue import Entry, FairQueue
-from kumquatlift.placement import Placement
-from kumquatlift.run_estimate import RunEstimate
-from kumquatlift.run_times import RunTimes
-from kumquatlift.runner_pool import (
+from kumquatlift.scheduling.admission import Admission
+from kumquatlift.scheduling.demand import AttemptOutcome, Demand, Grant
+from kumquatlift.scheduling.fair_queue import Entry, FairQueue
+from kumquatlift.scheduling.placement import Placement
+from kumquatlift.scheduling.run_estimate import RunEstimate
+from kumquatlift.scheduling.run_times import RunTimes
+from kumquatlift.scheduling.runner_pool import (
     LONGEST_PAUSE_S,
     REFUSAL_PAUSE_S,
     RunnerOffer,
     RunnerPool,
     RunnerState,
 )
-from kumquatlift.slots_in_use import SlotsInUse, SlotUse
-from kumquatlift.team_quotas import TeamQuotas
-from kumquatlift.zone_choice import FreeSlots, ZoneLoad
+from kumquatlift.scheduling.slots_in_use import SlotsInUse, SlotUse
+from kumquatlift.scheduling.team_quotas import TeamQuotas
+from kumquatlift.scheduling.zone_choice import FreeSlots, ZoneLoad
 
 __all__ = ["AttemptOutcome", "Demand", "Grant", "RunnerOffer", "Scheduler"]
 
--- a/kumquatlift/service_slots.py
+++ b/kumquatlift/scheduling/service_slots.py
@@ -2,12 +2,11 @@
 
 from typing import Any, NamedTuple
 
-from kumquatlift.announcement import CONFIRM_MS, RENEW_MS, Announcement, AnnouncementAnswer
-from kumquatlift.document import Document
+from kumquatlift.configuration.document import Document
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
-from kumquatlift.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
-from kumquatlift.slot_messages import (
+from kumquatlift.scheduling.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
+from kumquatlift.scheduling.slot_messages import (
     SlotCancel,
     SlotDemand,
     SlotDemands,
@@ -15,7 +14,13 @@
     SlotGrant,
     SlotRefusal,
 )
-from kumquatlift.zone_choice import ZoneLoad
+from kumquatlift.scheduling.zone_choice import ZoneLoad
+from kumquatlift.upstreams.announcement import (
+    CONFIRM_MS,
+    RENEW_MS,
+    Announcement,
+    AnnouncementAnswer,
+)
 
 # An owner grants nothing for a runner this long after the last answer that the runner has echoed.
 # So a new owner that waits as long never grants beside the former one, even after that one froze.
--- a/kumquatlift/slot_client.py
+++ b/kumquatlift/scheduling/slot_client.py
@@ -6,15 +6,14 @@
 from typing import Any
 
 from kumquatlift.blackboard import Section
-from kumquatlift.channel import Channel, Topic
 from kumquatlift.clock import Clock
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
-from kumquatlift.membership import Members, owner_of
-from kumquatlift.open_demands import OpenDemand, OwnerChanges
-from kumquatlift.scheduler import AttemptOutcome
-from kumquatlift.service_slots import OUTCOMES
-from kumquatlift.slot_messages import (
+from kumquatlift.membership.members import Members, owner_of
+from kumquatlift.scheduling.open_demands import OpenDemand, OwnerChanges
+from kumquatlift.scheduling.scheduler import AttemptOutcome
+from kumquatlift.scheduling.service_slots import OUTCOMES
+from kumquatlift.scheduling.slot_messages import (
     NO_LOAD,
     SlotCancel,
     SlotDemand,
@@ -22,8 +21,9 @@
     SlotFinish,
     SlotGrants,
 )
-from kumquatlift.slot_source import GrantedSlot, Place, SlotListener
-from kumquatlift.zone_choice import ZoneLoad, choose_moves, choose_zones
+from kumquatlift.scheduling.slot_source import GrantedSlot, Place, SlotListener
+from kumquatlift.scheduling.zone_choice import ZoneLoad, choose_moves, choose_zones
+from kumquatlift.transport.channel import Channel, Topic
 
 # The owner takes back a grant that was not used within 1 s; the shorter time here leaves room for
 # the message's way.
--- a/kumquatlift/slot_messages.py
+++ b/kumquatlift/scheduling/slot_messages.py
@@ -5,7 +5,7 @@
 from kumquatlift._schema import load_schema
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.zone_choice import FreeSlots, ZoneLoad
+from kumquatlift.scheduling.zone_choice import FreeSlots, ZoneLoad
 
 
 class SlotDemand(NamedTuple):
@@ -77,7 +77,7 @@
 
     def to_bytes(self) -> bytes:
         """Encode as a Cap'n Proto message."""
-        msg = load_schema("slots").SlotDemands.new_message(
+        msg = load_schema("scheduling/slots").SlotDemands.new_message(
             service=self.service,
             zone=self.zone,
             full=self.full,
@@ -107,7 +107,7 @@
         Raises:
             Exception: The library's own error when the bytes are not such a message.
         """
-        with load_schema("slots").SlotDemands.from_bytes(data) as msg:
+        with load_schema("scheduling/slots").SlotDemands.from_bytes(data) as msg:
             demands = tuple(
                 SlotDemand(
                     row.id,
@@ -168,7 +168,9 @@
 
     def to_bytes(self) -> bytes:
         """Encode as a Cap'n Proto message."""
-        msg = load_schema("slots").SlotGrants.new_message(service=self.service, zone=self.zone)
+        msg = load_schema("scheduling/slots").SlotGrants.new_message(
+            service=self.service, zone=self.zone
+        )
         for row, grant in zip(msg.init("grants", len(self.grants)), self.grants, strict=True):
             row.id, row.demand, row.runner, row.address = grant
         for row, refusal in zip(msg.init("refused", len(self.refused)), self.refused, strict=True):
@@ -190,7 +192,7 @@
         Raises:
             Exception: The library's own error when the bytes are not such a message.
         """
-        with load_schema("slots").SlotGrants.from_bytes(data) as msg:
+        with load_schema("scheduling/slots").SlotGrants.from_bytes(data) as msg:
             grants = tuple(
                 SlotGrant(row.id, row.demand, row.runner, row.address) for row in msg.grants
             )
--- a/kumquatlift/slot_owner.py
+++ b/kumquatlift/scheduling/slot_owner.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from kumquatlift.announcement import Announcement, AnnouncementAnswer
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.codes import ResultCode
-from kumquatlift.document import Document
+from kumquatlift.configuration.document import Document
 from kumquatlift.failure import Failure
-from kumquatlift.service_slots import ServiceSlots
-from kumquatlift.slot_messages import NO_LOAD, SlotDemands, SlotGrants, SlotRefusal
+from kumquatlift.scheduling.service_slots import ServiceSlots
+from kumquatlift.scheduling.slot_messages import NO_LOAD, SlotDemands, SlotGrants, SlotRefusal
+from kumquatlift.upstreams.announcement import Announcement, AnnouncementAnswer
 
 Deliver = Callable[[str, SlotGrants], None]
 """Takes the requester's name and a message for it; must not block."""
--- a/kumquatlift/slot_source.py
+++ b/kumquatlift/scheduling/slot_source.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple, Protocol
 
 from kumquatlift.failure import Failure
-from kumquatlift.scheduler import AttemptOutcome
-from kumquatlift.slot_messages import SlotDemand
+from kumquatlift.scheduling.scheduler import AttemptOutcome
+from kumquatlift.scheduling.slot_messages import SlotDemand
 
 Place = tuple[str, str]
 """Service and availability zone."""
--- a/kumquatlift/slots_in_use.py
+++ b/kumquatlift/scheduling/slots_in_use.py
@@ -4,9 +4,9 @@
 from collections import OrderedDict
 from collections.abc import Mapping
 
-from kumquatlift.demand import Demand
-from kumquatlift.document import Kind
-from kumquatlift.runner_pool import RunnerState, RunningRequest
+from kumquatlift.configuration.document import Kind
+from kumquatlift.scheduling.demand import Demand
+from kumquatlift.scheduling.runner_pool import RunnerState, RunningRequest
 
 GRANT_VOID_S = 1.0
 """A grant not reported as started is void after this time; the rest is for the message."""
--- a/kumquatlift/team_quotas.py
+++ b/kumquatlift/scheduling/team_quotas.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Mapping
 
-from kumquatlift.document import Team
-from kumquatlift.runner_pool import RunnerPool
+from kumquatlift.configuration.document import Team
+from kumquatlift.scheduling.runner_pool import RunnerPool
 
 
 class TeamQuotas:
--- a/kumquatlift/settings.py
+++ b/kumquatlift/settings.py
@@ -6,7 +6,7 @@
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 
-from kumquatlift.document import Name, Problem
+from kumquatlift.configuration.document import Name, Problem
 
 _ADDRESS = r"^(?:[0-9]{1,3}(?:\.[0-9]{1,3}){3}|\[[0-9a-fA-F:]+\]):[0-9]{1,5}$"
 AddressText = Annotated[str, Field(pattern=_ADDRESS)]
--- a/kumquatlift/_channel_loop.py
+++ b/kumquatlift/transport/_channel_loop.py
@@ -7,9 +7,13 @@
 from collections.abc import Callable
 from functools import partial
 
-from kumquatlift._calls import OpenCalls
-from kumquatlift._connection import Connection, Frame, Outbox, Phase
-from kumquatlift._envelope import (
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
+from kumquatlift.log import get_logger
+from kumquatlift.settings import Address
+from kumquatlift.transport._calls import OpenCalls
+from kumquatlift.transport._connection import Connection, Frame, Outbox, Phase
+from kumquatlift.transport._envelope import (
     HEARTBEAT,
     MAX_FRAME_BYTES,
     Envelope,
@@ -19,14 +23,10 @@
     encode,
     result_of,
 )
-from kumquatlift._lanes import Answer, Lanes
-from kumquatlift._link import MAX_PEERS, Link, Links
-from kumquatlift._sockets import listen, new_socket, outcome_of, start_connect
-from kumquatlift.codes import ResultCode
-from kumquatlift.failure import Failure
-from kumquatlift.log import get_logger
-from kumquatlift.peer_diagnosis import ConnectOutcome
-from kumquatlift.settings import Address
+from kumquatlift.transport._lanes import Answer, Lanes
+from kumquatlift.transport._link import MAX_PEERS, Link, Links
+from kumquatlift.transport._sockets import listen, new_socket, outcome_of, start_connect
+from kumquatlift.transport.peer_diagnosis import ConnectOutcome
 
 MAX_CONNECTIONS = 512
 # Time for the TCP connection and for the peer's hello on it.
--- a/kumquatlift/_connection.py
+++ b/kumquatlift/transport/_connection.py
@@ -7,8 +7,8 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from kumquatlift._calls import Call
-from kumquatlift._envelope import HEARTBEAT, MAX_FRAME_BYTES, FrameReader
+from kumquatlift.transport._calls import Call
+from kumquatlift.transport._envelope import HEARTBEAT, MAX_FRAME_BYTES, FrameReader
 
 MAX_QUEUE_FRAMES = 10_000
 MAX_QUEUE_BYTES = 2 * MAX_FRAME_BYTES
--- a/kumquatlift/_envelope.py
+++ b/kumquatlift/transport/_envelope.py
@@ -6,7 +6,7 @@
 
 from kumquatlift._schema import load_schema
 from kumquatlift.codes import ResultCode
-from kumquatlift.document import MAX_REQUEST_BYTES
+from kumquatlift.configuration.document import MAX_REQUEST_BYTES
 from kumquatlift.failure import Failure
 
 # A forwarded job is a request of a caller with some identity added; answers may be larger.
@@ -41,7 +41,7 @@
 
 def encode(kind: Kind, call_id: int, topic: str, body: bytes) -> bytes:
     """Return a frame with its length in front."""
-    message = load_schema("envelope").Envelope.new_message()
+    message = load_schema("transport/envelope").Envelope.new_message()
     message.kind = int(kind)
     message.id = call_id
     message.topic = topic
@@ -59,7 +59,7 @@
     import capnp
 
     try:
-        with load_schema("envelope").Envelope.from_bytes(data) as message:
+        with load_schema("transport/envelope").Envelope.from_bytes(data) as message:
             return Envelope(Kind(message.kind.raw), message.id, message.topic, message.body)
     except (capnp.KjException, ValueError) as exc:
         raise FrameError(f"not an envelope: {str(exc)[:100]}") from exc
--- a/kumquatlift/_lanes.py
+++ b/kumquatlift/transport/_lanes.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 
-from kumquatlift._envelope import Envelope, Kind
-from kumquatlift.channel import Handler, LateHandler
 from kumquatlift.log import get_logger
+from kumquatlift.transport._envelope import Envelope, Kind
+from kumquatlift.transport.channel import Handler, LateHandler
 
 MAX_QUEUE = 2000
 Answer = Callable[[Kind, bytes], None]
--- a/kumquatlift/_link.py
+++ b/kumquatlift/transport/_link.py
@@ -3,8 +3,8 @@
 import threading
 from typing import Any
 
-from kumquatlift._connection import Connection, Outbox
-from kumquatlift.peer_diagnosis import ConnectOutcome, Evidence
+from kumquatlift.transport._connection import Connection, Outbox
+from kumquatlift.transport.peer_diagnosis import ConnectOutcome, Evidence
 
 MAX_PEERS = 256
 # Callers that can use another peer are told at once while a failed attempt is this young.
--- a/kumquatlift/_sockets.py
+++ b/kumquatlift/transport/_sockets.py
@@ -2,9 +2,9 @@
 
 import socket
 
-from kumquatlift._connection import Connection, Phase
-from kumquatlift.peer_diagnosis import ConnectOutcome
 from kumquatlift.settings import Address
+from kumquatlift.transport._connection import Connection, Phase
+from kumquatlift.transport.peer_diagnosis import ConnectOutcome
 
 BACKLOG = 128
 WILDCARDS = ("0.0.0.0", "::")
--- a/kumquatlift/peer_diagnosis.py
+++ b/kumquatlift/transport/peer_diagnosis.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from kumquatlift._heartbeat_age import LIVE_S
+from kumquatlift.membership._heartbeat_age import LIVE_S
 
 # An older failure of a call or of a connection says nothing about now.
 RECENT_S = 10.0
--- a/kumquatlift/server.py
+++ b/kumquatlift/transport/server.py
@@ -8,9 +8,9 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from kumquatlift.document import MAX_REQUEST_BYTES
+from kumquatlift.configuration.document import MAX_REQUEST_BYTES
 from kumquatlift.settings import Address
-from kumquatlift.wsgi import WsgiApp
+from kumquatlift.transport.wsgi import WsgiApp
 
 MAX_CONNECTIONS = 1000
 BACKLOG = 1024
--- a/kumquatlift/tcp_channel.py
+++ b/kumquatlift/transport/tcp_channel.py
@@ -5,16 +5,16 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
-from kumquatlift._calls import Call, OpenCalls
-from kumquatlift._channel_loop import ChannelLoop
-from kumquatlift._connection import Frame
-from kumquatlift._envelope import MAX_FRAME_BYTES, Envelope, Kind, encode, result_of
-from kumquatlift._lanes import Lanes
-from kumquatlift._link import MAX_PEERS, Links
-from kumquatlift.channel import Handler, LateHandler
 from kumquatlift.failure import Failure
-from kumquatlift.peer_diagnosis import Evidence
 from kumquatlift.settings import Address
+from kumquatlift.transport._calls import Call, OpenCalls
+from kumquatlift.transport._channel_loop import ChannelLoop
+from kumquatlift.transport._connection import Frame
+from kumquatlift.transport._envelope import MAX_FRAME_BYTES, Envelope, Kind, encode, result_of
+from kumquatlift.transport._lanes import Lanes
+from kumquatlift.transport._link import MAX_PEERS, Links
+from kumquatlift.transport.channel import Handler, LateHandler
+from kumquatlift.transport.peer_diagnosis import Evidence
 
 
 class TcpChannel:
--- a/kumquatlift/wsgi.py
+++ b/kumquatlift/transport/wsgi.py
@@ -6,7 +6,7 @@
 from urllib.parse import parse_qs
 
 from kumquatlift.codes import ResultCode
-from kumquatlift.document import MAX_REQUEST_BYTES
+from kumquatlift.configuration.document import MAX_REQUEST_BYTES
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
 
--- /dev/null
+++ b/kumquatlift/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""How upstreams announce themselves, how they are called, and a stand-in for one."""
--- a/kumquatlift/announcement.py
+++ b/kumquatlift/upstreams/announcement.py
@@ -6,7 +6,7 @@
 
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.identity import is_name
+from kumquatlift.jobs.identity import is_name
 from kumquatlift.settings import Address
 
 RENEW_MS = 500
--- a/kumquatlift/announcements.py
+++ b/kumquatlift/upstreams/announcements.py
@@ -1,13 +1,13 @@
 """HTTP application for runners' announcements."""
 
-from kumquatlift.announcement import Announcement, AnnouncementAnswer
-from kumquatlift.channel import Channel, Topic
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.membership import Members
-from kumquatlift.slot_client import slot_owner_of
-from kumquatlift.slot_owner import SlotOwner
-from kumquatlift.wsgi import ApiRequest, ApiResponse, code_fields
+from kumquatlift.membership.members import Members
+from kumquatlift.scheduling.slot_client import slot_owner_of
+from kumquatlift.scheduling.slot_owner import SlotOwner
+from kumquatlift.transport.channel import Channel, Topic
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse, code_fields
+from kumquatlift.upstreams.announcement import Announcement, AnnouncementAnswer
 
 # Below the time after which an announcer tries another entry process.
 FORWARD_TIMEOUT_S = 0.5
--- a/kumquatlift/runner_client.py
+++ b/kumquatlift/upstreams/runner_client.py
@@ -7,8 +7,8 @@
 from typing import Any, NamedTuple
 
 from kumquatlift.codes import ResultCode
-from kumquatlift.connection_pool import ConnectionPool, HttpAnswer, NotSentError
 from kumquatlift.failure import Failure
+from kumquatlift.transport.connection_pool import ConnectionPool, HttpAnswer, NotSentError
 
 # Time for the request to arrive after it was sent; the runner counts the lease from its arrival.
 DELIVERY_MARGIN_S = 1.0
--- a/kumquatlift/runner_stand_in.py
+++ b/kumquatlift/upstreams/runner_stand_in.py
@@ -8,13 +8,13 @@
 import waitress
 from waitress.channel import ClientDisconnected
 
-from kumquatlift.announcer import Announcer
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.identity import new_incarnation
-from kumquatlift.runner_mode import Fault, Mode
-from kumquatlift.start_record import LEAVING_GRACE_S, StartRecord
-from kumquatlift.wsgi import ApiRequest, ApiResponse
+from kumquatlift.jobs.identity import new_incarnation
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
+from kumquatlift.upstreams.announcer import Announcer
+from kumquatlift.upstreams.runner_mode import Fault, Mode
+from kumquatlift.upstreams.start_record import LEAVING_GRACE_S, StartRecord
 
 # Threads beyond one per connection, so that /starts and /mode answer while every slot is busy.
 _SPARE_THREADS = 4
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from kumquatlift.channel import Handler
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.membership import Member
+from kumquatlift.membership.members import Member
+from kumquatlift.transport.channel import Handler
 
 
 class FakeNetwork:
--- a/tests/simulated_gossip.py
+++ b/tests/simulated_gossip.py
@@ -4,12 +4,12 @@
 import random
 from collections.abc import Callable
 
-from kumquatlift._gossip_codec import Message, decode, encode
-from kumquatlift._heartbeat_age import COUNTS_PER_S
 from kumquatlift.clock import ManualClock
-from kumquatlift.gossip import HEADER_BYTES, PERIOD_S, Rounds, Targets
-from kumquatlift.membership import Member, MemberState
-from kumquatlift.membership_view import MembershipView
+from kumquatlift.membership._gossip_codec import Message, decode, encode
+from kumquatlift.membership._heartbeat_age import COUNTS_PER_S
+from kumquatlift.membership.gossip import HEADER_BYTES, PERIOD_S, Rounds, Targets
+from kumquatlift.membership.members import Member, MemberState
+from kumquatlift.membership.view import MembershipView
 
 
 class SimulatedProcess:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -4,14 +4,14 @@
 from concurrent.futures import Future
 from typing import NamedTuple
 
-from kumquatlift.channel import Handler
-from kumquatlift.claim import LedgerLimits
 from kumquatlift.clock import ManualClock
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.job import JobAnswer, JobRequest, Task, TaskResult
-from kumquatlift.job_router import JobRouter
-from kumquatlift.membership import Member
+from kumquatlift.jobs.claim import LedgerLimits
+from kumquatlift.jobs.job import JobAnswer, JobRequest, Task, TaskResult
+from kumquatlift.jobs.router import JobRouter
+from kumquatlift.membership.members import Member
+from kumquatlift.transport.channel import Handler
 from tests.fakes import FakeMembers, member
 
 Reply = Future[bytes | Failure]
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatlift.acceptor import (
+from kumquatlift.codes import ResultCode
+from kumquatlift.configuration.acceptor import (
     Accept,
     Accepted,
     Acceptor,
@@ -16,10 +17,9 @@
     VoterState,
     register_id,
 )
-from kumquatlift.codes import ResultCode
-from kumquatlift.config_value import MAX_CHANGES, Ballot, Change, Proposal, Value
+from kumquatlift.configuration.proposer import Formation, Proposer
+from kumquatlift.configuration.value import MAX_CHANGES, Ballot, Change, Proposal, Value
 from kumquatlift.failure import Failure
-from kumquatlift.proposer import Formation, Proposer
 from tools.fuzz_register import run
 
 _ONE, _TWO = Ballot(1, "p~1"), Ballot(2, "p~1")
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,10 +7,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kumquatlift.callers import JobReply
 from kumquatlift.codes import Ran, ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.job import TaskResult
+from kumquatlift.jobs.callers import JobReply
+from kumquatlift.jobs.job import TaskResult
 from tests.simulation import Cluster, expected_answer, request
 
 pytestmark = pytest.mark.usefixtures("no_callback_errors")
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -3,9 +3,9 @@
 import json
 from pathlib import Path
 
-from kumquatlift.baselines import KnownRunner, Omniscient, ideal_s
-from kumquatlift.bench import run_bench
-from kumquatlift.bench_cases import CASES
+from kumquatlift.bench.baselines import KnownRunner, Omniscient, ideal_s
+from kumquatlift.bench.cases import CASES
+from kumquatlift.bench.comparison import run_bench
 
 FAST = KnownRunner("fast", 1, lambda start, size: start + size)
 SLOW = KnownRunner("slow", 1, lambda start, size: start + 3 * size)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,15 +1,15 @@
 """Replication of claims between entry processes on a network without delay."""
 
-from kumquatlift.claim import ClaimState, LedgerLimits, Record, Standing
-from kumquatlift.claims import TICKET_GRACE_S, Claims
 from kumquatlift.clock import ManualClock
 from kumquatlift.codes import ResultCode
-from kumquatlift.copies import Copies
 from kumquatlift.failure import Failure
-from kumquatlift.identity import LedgerId
-from kumquatlift.ledger_frame import Place
-from kumquatlift.membership import Member
-from kumquatlift.repair import Repair
+from kumquatlift.jobs.claim import ClaimState, LedgerLimits, Record, Standing
+from kumquatlift.jobs.claims import TICKET_GRACE_S, Claims
+from kumquatlift.jobs.copies import Copies
+from kumquatlift.jobs.identity import LedgerId
+from kumquatlift.jobs.ledger_frame import Place
+from kumquatlift.jobs.repair import Repair
+from kumquatlift.membership.members import Member
 from tests.fakes import FakeMembers, FakeNetwork, member
 
 LIMITS = LedgerLimits(rotation_s=600.0, max_claims=3, retention_s=3600.0, max_held=7)
--- a/tests/test_config_codec.py
+++ b/tests/test_config_codec.py
@@ -6,9 +6,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatlift.acceptor import Accept, Prepare, Promise, Refusal, VoterState, VoterStatus
-from kumquatlift.config_codec import CodecError, Message, Read, ReadAnswer, decode, encode
-from kumquatlift.config_value import Ballot, Change, Value
+from kumquatlift.configuration.acceptor import (
+    Accept,
+    Prepare,
+    Promise,
+    Refusal,
+    VoterState,
+    VoterStatus,
+)
+from kumquatlift.configuration.codec import CodecError, Message, Read, ReadAnswer, decode, encode
+from kumquatlift.configuration.value import Ballot, Change, Value
 
 _BALLOT = Ballot(4, "a~0123")
 _VALUE = Value(3, '{"a": "ä"}', (Change("x", 3, 6000, "d1", "op", 5),))
--- a/tests/test_data_file.py
+++ b/tests/test_data_file.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from kumquatlift.clock import ManualClock
-from kumquatlift.data_file import DataFile, FakeDisk, FolderDisk
+from kumquatlift.configuration.data_file import DataFile, FakeDisk, FolderDisk
 
 
 class _PowerLossError(Exception):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,14 +8,14 @@
 from kumquatlift.blackboard import Blackboard
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.codes import ResultCode
-from kumquatlift.dispatcher import Dispatcher
-from kumquatlift.document import Document
-from kumquatlift.job import JobRequest, Task
-from kumquatlift.runner_client import AttemptEnd, AttemptResult, RunnerClient, RunRequest
-from kumquatlift.scheduler import AttemptOutcome
-from kumquatlift.slot_messages import SlotDemand
-from kumquatlift.slot_source import GrantedSlot, SlotListener
+from kumquatlift.configuration.document import Document
+from kumquatlift.jobs.dispatcher import Dispatcher
+from kumquatlift.jobs.job import JobRequest, Task
+from kumquatlift.scheduling.scheduler import AttemptOutcome
+from kumquatlift.scheduling.slot_messages import SlotDemand
+from kumquatlift.scheduling.slot_source import GrantedSlot, SlotListener
 from kumquatlift.timer import Timer
+from kumquatlift.upstreams.runner_client import AttemptEnd, AttemptResult, RunnerClient, RunRequest
 
 DOC = Document.from_mapping(
     {"system": {"voters": ["a"]}, "services": {"s": {"kinds": {"k": {"max_tasks": 5}}}}}
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatlift.document import Document, Kind, Problem, Service, System, Team
-from kumquatlift.field_table import Shape, rows
+from kumquatlift.configuration.document import Document, Kind, Problem, Service, System, Team
+from kumquatlift.configuration.field_table import Shape, rows
 from tools.configuration_page import render
 
 PAGE = Path(__file__).parent.parent / "docs" / "configuration.md"
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kumquatlift.document import Document
+from kumquatlift.configuration.document import Document
 from kumquatlift.settings import Settings
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatlift.fair_queue import AGING_S, AGING_TURN, Entry, FairQueue
+from kumquatlift.scheduling.fair_queue import AGING_S, AGING_TURN, Entry, FairQueue
 
 
 def entry(
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -9,7 +9,7 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.settings import Address
-from kumquatlift.tcp_channel import TcpChannel
+from kumquatlift.transport.tcp_channel import TcpChannel
 from tools.fault_proxy import FaultProxy
 
 WAIT_S = 10.0
--- a/tests/test_ideal.py
+++ b/tests/test_ideal.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatlift.ideal import RunnerCapacity, ideal_response_s
+from kumquatlift.bench.ideal import RunnerCapacity, ideal_response_s
 
 RUNNERS = st.lists(
     st.builds(RunnerCapacity, st.floats(0.2, 5), st.integers(1, 4)), min_size=1, max_size=5
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -6,7 +6,7 @@
 
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.identity import JobId, LedgerId, new_incarnation
+from kumquatlift.jobs.identity import JobId, LedgerId, new_incarnation
 
 NAMES = st.from_regex(r"[a-z0-9][a-z0-9-]{0,20}", fullmatch=True)
 
--- a/tests/test_job_router.py
+++ b/tests/test_job_router.py
@@ -6,17 +6,17 @@
 
 import pytest
 
-from kumquatlift.callers import JobReply
-from kumquatlift.claim import LedgerLimits
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.identity import LedgerId
-from kumquatlift.job import JobAnswer, JobRequest
-from kumquatlift.job_router import JobRouter
-from kumquatlift.ledger_frame import JobResponse, ReplyKind
+from kumquatlift.jobs.callers import JobReply
+from kumquatlift.jobs.claim import LedgerLimits
+from kumquatlift.jobs.identity import LedgerId
+from kumquatlift.jobs.job import JobAnswer, JobRequest
+from kumquatlift.jobs.ledger_frame import JobResponse, ReplyKind
+from kumquatlift.jobs.router import JobRouter
 from kumquatlift.settings import Address
-from kumquatlift.tcp_channel import TcpChannel
+from kumquatlift.transport.tcp_channel import TcpChannel
 from tests.fakes import FakeMembers, member
 from tests.simulation import (
     Cluster,
--- a/tests/test_job_run.py
+++ b/tests/test_job_run.py
@@ -1,11 +1,11 @@
 """State machine of one job."""
 
 from kumquatlift.codes import ResultCode
-from kumquatlift.document import Kind
+from kumquatlift.configuration.document import Kind
 from kumquatlift.failure import Failure
-from kumquatlift.job import JobRequest, Task
-from kumquatlift.job_run import Attempt, JobRun
-from kumquatlift.runner_client import AttemptEnd, AttemptResult
+from kumquatlift.jobs.job import JobRequest, Task
+from kumquatlift.jobs.run import Attempt, JobRun
+from kumquatlift.upstreams.runner_client import AttemptEnd, AttemptResult
 
 
 def make(tasks: int = 3, **kind: object) -> JobRun:
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -8,11 +8,11 @@
 
 from kumquatlift.authority import LeaderClient, Operation, Reply, Request
 from kumquatlift.authority import _client as client_module
-from kumquatlift.channel import Handler
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.timer import Timer
+from kumquatlift.transport.channel import Handler
 
 
 class ScriptedChannel:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,10 +1,18 @@
 """The writer's ledger and the backup's copy, without a network."""
 
-from kumquatlift.claim import AnswerBudget, Batch, Claim, ClaimState, LedgerLimits, Record, Standing
 from kumquatlift.codes import ResultCode
-from kumquatlift.identity import LedgerId
-from kumquatlift.ledger import Ledger, LedgerCopy
-from kumquatlift.ledger_frame import Append
+from kumquatlift.jobs.claim import (
+    AnswerBudget,
+    Batch,
+    Claim,
+    ClaimState,
+    LedgerLimits,
+    Record,
+    Standing,
+)
+from kumquatlift.jobs.identity import LedgerId
+from kumquatlift.jobs.ledger import Ledger, LedgerCopy
+from kumquatlift.jobs.ledger_frame import Append
 
 ID = LedgerId("a", "0" * 12, 0, "b")
 NONE: frozenset[int] = frozenset()
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,10 +1,10 @@
 """Load runs: seeded plans, and a report that shows what went wrong."""
 
+from kumquatlift.bench.ideal import RunnerCapacity
+from kumquatlift.bench.load import JobOutcome, PlannedJob, Workload, make_report
 from kumquatlift.client import Submission
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.ideal import RunnerCapacity
-from kumquatlift.load import JobOutcome, PlannedJob, Workload, make_report
 
 WORKLOAD = Workload(("k", "l"), 200, 20.0, (1, 60), (50, 1000), seed=7)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from kumquatlift._gossip_codec import MAX_DATAGRAM_BYTES, Message, decode, encode
-from kumquatlift._heartbeat_age import HeartbeatAge
 from kumquatlift.clock import ManualClock
-from kumquatlift.gossip import Gossip
-from kumquatlift.membership import Member, MemberState
-from kumquatlift.membership_view import (
+from kumquatlift.membership._gossip_codec import MAX_DATAGRAM_BYTES, Message, decode, encode
+from kumquatlift.membership._heartbeat_age import HeartbeatAge
+from kumquatlift.membership.gossip import Gossip
+from kumquatlift.membership.members import Member, MemberState
+from kumquatlift.membership.view import (
     MAX_HEARD,
     MAX_MEMBERS,
     Digest,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,14 +11,14 @@
 
 import pytest
 
+from kumquatlift.administration.operators import Operators
 from kumquatlift.blackboard import Blackboard
 from kumquatlift.clock import MonotonicClock
-from kumquatlift.data_file import FakeDisk
-from kumquatlift.document import Document
-from kumquatlift.operators import Operators
-from kumquatlift.register import Register
+from kumquatlift.configuration.data_file import FakeDisk
+from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.register import Register
 from kumquatlift.settings import OperatorToken
-from kumquatlift.wsgi import ApiRequest, ApiResponse
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
 from tests.fakes import FakeMembers, FakeNetwork, member
 
 TOKEN = "correct token; with others"
--- a/tests/test_peer_diagnosis.py
+++ b/tests/test_peer_diagnosis.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kumquatlift.peer_diagnosis import ConnectOutcome, Diagnosis, Evidence, diagnose
+from kumquatlift.transport.peer_diagnosis import ConnectOutcome, Diagnosis, Evidence, diagnose
 
 REFUSED, NO_ANSWER, TIMED_OUT, ANSWERED = (
     ConnectOutcome.REFUSED,
--- a/tests/test_policy_parts.py
+++ b/tests/test_policy_parts.py
@@ -2,10 +2,10 @@
 
 import random
 
-from kumquatlift.retry_budget import RetryBudget
-from kumquatlift.run_times import MAX_KINDS, MAX_RUNNERS, RunTimes
-from kumquatlift.runner_health import LONGEST_OUT_S, HealthPolicy, RunnerHealth
-from kumquatlift.zone_choice import FreeSlots, ZoneLoad, choose_moves, choose_zones
+from kumquatlift.jobs.retry_budget import RetryBudget
+from kumquatlift.scheduling.run_times import MAX_KINDS, MAX_RUNNERS, RunTimes
+from kumquatlift.scheduling.runner_health import LONGEST_OUT_S, HealthPolicy, RunnerHealth
+from kumquatlift.scheduling.zone_choice import FreeSlots, ZoneLoad, choose_moves, choose_zones
 
 
 class TestRunTimes:
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from kumquatlift import register as register_module
 from kumquatlift.blackboard import Blackboard
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.codes import ResultCode
-from kumquatlift.config_value import Change, Proposal
-from kumquatlift.data_file import FakeDisk
-from kumquatlift.document import Document
+from kumquatlift.configuration import register as register_module
+from kumquatlift.configuration.data_file import FakeDisk
+from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.in_force import write_document
+from kumquatlift.configuration.register import Register
+from kumquatlift.configuration.value import Change, Proposal
 from kumquatlift.failure import Failure
-from kumquatlift.in_force import write_document
-from kumquatlift.register import Register
 from tests.fakes import FakeMembers, FakeNetwork, member
 
 VOTERS = ("a", "b", "c")
--- a/tests/test_runner_client.py
+++ b/tests/test_runner_client.py
@@ -9,7 +9,7 @@
 import pytest
 
 from kumquatlift.codes import ResultCode
-from kumquatlift.runner_client import AttemptEnd, RunnerClient, RunRequest
+from kumquatlift.upstreams.runner_client import AttemptEnd, RunnerClient, RunRequest
 
 
 def answer(attempt: str, rows: dict[str, int], status: str = "200 OK", cut: int = 0) -> bytes:
--- a/tests/test_runner_stand_in.py
+++ b/tests/test_runner_stand_in.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from kumquatlift.announcer import Announcer
-from kumquatlift.runner_mode import Fault, Mode
-from kumquatlift.runner_stand_in import RunnerIdentity, RunnerStandIn
+from kumquatlift.upstreams.announcer import Announcer
+from kumquatlift.upstreams.runner_mode import Fault, Mode
+from kumquatlift.upstreams.runner_stand_in import RunnerIdentity, RunnerStandIn
 
 
 def wait_for(condition: Callable[[], bool], bound_s: float = 5) -> None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -3,9 +3,9 @@
 import json
 
 from kumquatlift.codes import Ran, ResultCode
-from kumquatlift.document import Kind, Service, Team, Urgency
+from kumquatlift.configuration.document import Kind, Service, Team, Urgency
 from kumquatlift.failure import Failure
-from kumquatlift.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer, Scheduler
+from kumquatlift.scheduling.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer, Scheduler
 
 OK, FAILED, UNUSED = AttemptOutcome.OK, AttemptOutcome.FAILED, AttemptOutcome.UNUSED
 
--- a/tests/test_scheduler_properties.py
+++ b/tests/test_scheduler_properties.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatlift.document import Kind, Service, Team
-from kumquatlift.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer, Scheduler
+from kumquatlift.configuration.document import Kind, Service, Team
+from kumquatlift.scheduling.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer, Scheduler
 
 SLOTS = {"r0": 2, "r1": 3}
 QUOTA = 3
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -5,19 +5,19 @@
 
 import pytest
 
-from kumquatlift.announcement import Announcement
 from kumquatlift.blackboard import Blackboard
-from kumquatlift.channel import Topic
 from kumquatlift.clock import ManualClock
-from kumquatlift.document import Document
+from kumquatlift.configuration.document import Document
 from kumquatlift.failure import Failure
-from kumquatlift.membership import Member
-from kumquatlift.scheduler import AttemptOutcome
-from kumquatlift.service_slots import OWNER_LEASE_S, RELEASED_WAIT_S
-from kumquatlift.slot_client import REBALANCE_INTERVAL_S, SlotClient, slot_owner_of
-from kumquatlift.slot_messages import SlotDemand, SlotDemands, SlotGrants
-from kumquatlift.slot_owner import SlotOwner
-from kumquatlift.slot_source import GrantedSlot
+from kumquatlift.membership.members import Member
+from kumquatlift.scheduling.scheduler import AttemptOutcome
+from kumquatlift.scheduling.service_slots import OWNER_LEASE_S, RELEASED_WAIT_S
+from kumquatlift.scheduling.slot_client import REBALANCE_INTERVAL_S, SlotClient, slot_owner_of
+from kumquatlift.scheduling.slot_messages import SlotDemand, SlotDemands, SlotGrants
+from kumquatlift.scheduling.slot_owner import SlotOwner
+from kumquatlift.scheduling.slot_source import GrantedSlot
+from kumquatlift.transport.channel import Topic
+from kumquatlift.upstreams.announcement import Announcement
 from tests.fakes import FakeMembers, FakeNetwork, member
 
 DOC = Document.from_mapping(
--- a/tests/test_tcp_channel.py
+++ b/tests/test_tcp_channel.py
@@ -7,13 +7,20 @@
 
 import pytest
 
-from kumquatlift._calls import Call
-from kumquatlift._connection import Connection, Frame
-from kumquatlift._envelope import MAX_FRAME_BYTES, Envelope, FrameReader, Kind, decode, encode
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.settings import Address
-from kumquatlift.tcp_channel import TcpChannel
+from kumquatlift.transport._calls import Call
+from kumquatlift.transport._connection import Connection, Frame
+from kumquatlift.transport._envelope import (
+    MAX_FRAME_BYTES,
+    Envelope,
+    FrameReader,
+    Kind,
+    decode,
+    encode,
+)
+from kumquatlift.transport.tcp_channel import TcpChannel
 
 WAIT_S = 10.0
 
--- a/tools/configuration_page.py
+++ b/tools/configuration_page.py
@@ -5,14 +5,14 @@
 
 from typing import Any
 
-from kumquatlift.document import Document
-from kumquatlift.document_check import RULES
-from kumquatlift.field_table import FieldRow, Shape, rows
+from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import RULES
+from kumquatlift.configuration.field_table import FieldRow, Shape, rows
 
 INTRODUCTION = """\
 # The configuration document
 
-This page is generated from the definitions in `kumquatlift/document.py` by `make docs`.
+This page is generated from the definitions in `kumquatlift/configuration/document.py` by `make docs`.
 
 The document is one TOML file, or the same tables as JSON in the administration API. Tables that are
 entered by name (`<name>` below) have names of 1 to 40 of a-z, 0-9 and hyphen, starting with a
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -12,11 +12,11 @@
 
 from rich.console import Console
 
+from kumquatlift.bench.load import JobOutcome, LoadReport, RunnerReadings, Workload, run_load
 from kumquatlift.client import Client, call
 from kumquatlift.codes import ResultCode
-from kumquatlift.document import MAX_JOB_TASKS, Document
+from kumquatlift.configuration.document import MAX_JOB_TASKS, Document
 from kumquatlift.failure import Failure
-from kumquatlift.load import JobOutcome, LoadReport, RunnerReadings, Workload, run_load
 
 # Importing works both as a script and as a module.
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
--- a/tools/fuzz_register.py
+++ b/tools/fuzz_register.py
@@ -14,12 +14,12 @@
 from collections import Counter
 from typing import Any, NamedTuple
 
-from kumquatlift.acceptor import Accept, Accepted, Acceptor, Prepare, VoterState
 from kumquatlift.codes import ResultCode
-from kumquatlift.config_codec import decode, encode
-from kumquatlift.config_value import Ballot, Change, Proposal, Value
-from kumquatlift.data_file import DataFile, FakeDisk
-from kumquatlift.proposer import Formation, Proposer, majority
+from kumquatlift.configuration.acceptor import Accept, Accepted, Acceptor, Prepare, VoterState
+from kumquatlift.configuration.codec import decode, encode
+from kumquatlift.configuration.data_file import DataFile, FakeDisk
+from kumquatlift.configuration.proposer import Formation, Proposer, majority
+from kumquatlift.configuration.value import Ballot, Change, Proposal, Value
 
 STEPS_PER_WORLD = 1500
 WEIGHTS = {
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from kumquatlift.document import Document
-from kumquatlift.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
-from kumquatlift.slot_messages import (
+from kumquatlift.configuration.document import Document
+from kumquatlift.scheduling.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
+from kumquatlift.scheduling.slot_messages import (
     SlotDemand,
     SlotDemands,
     SlotFinish,
--- a/tools/measure_channel.py
+++ b/tools/measure_channel.py
@@ -12,7 +12,7 @@
 
 from kumquatlift.failure import Failure
 from kumquatlift.settings import Address
-from kumquatlift.tcp_channel import TcpChannel
+from kumquatlift.transport.tcp_channel import TcpChannel
 
 
 def serve(pipe: Connection) -> None:
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -23,19 +23,19 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from kumquatlift.channel import Channel, Handler
-from kumquatlift.claim import Batch, Claim, LedgerLimits, Record
-from kumquatlift.claims import Claims
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.codes import ResultCode
-from kumquatlift.copies import Copies
 from kumquatlift.failure import Failure
-from kumquatlift.identity import LedgerId
-from kumquatlift.ledger import Ledger, LedgerCopy
-from kumquatlift.ledger_frame import Place
-from kumquatlift.repair import Repair
+from kumquatlift.jobs.claim import Batch, Claim, LedgerLimits, Record
+from kumquatlift.jobs.claims import Claims
+from kumquatlift.jobs.copies import Copies
+from kumquatlift.jobs.identity import LedgerId
+from kumquatlift.jobs.ledger import Ledger, LedgerCopy
+from kumquatlift.jobs.ledger_frame import Place
+from kumquatlift.jobs.repair import Repair
 from kumquatlift.settings import Address
-from kumquatlift.tcp_channel import TcpChannel
+from kumquatlift.transport.channel import Channel, Handler
+from kumquatlift.transport.tcp_channel import TcpChannel
 from tests.fakes import FakeMembers, member
 from tools.heap import heap_bytes
 
--- a/tools/measure_recovery.py
+++ b/tools/measure_recovery.py
@@ -23,10 +23,10 @@
 from rich.console import Console
 from rich.table import Table
 
+from kumquatlift.bench.load import RunnerReadings
 from kumquatlift.client import Client, Submission
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.load import RunnerReadings
 from tools.cluster import Cluster, wait_for
 
 ZONES = ("north", "north", "south", "east")
--- a/tools/measure_register.py
+++ b/tools/measure_register.py
@@ -17,17 +17,17 @@
 import structlog
 
 from kumquatlift.blackboard import Blackboard
-from kumquatlift.channel import Handler
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.codes import ResultCode
-from kumquatlift.config_value import Change, Proposal
-from kumquatlift.data_file import FakeDisk
-from kumquatlift.document import Document
+from kumquatlift.configuration.data_file import FakeDisk
+from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.in_force import write_document
+from kumquatlift.configuration.register import Register
+from kumquatlift.configuration.value import Change, Proposal
+from kumquatlift.configuration.voter import FILE_NAME
 from kumquatlift.failure import Failure
-from kumquatlift.in_force import write_document
-from kumquatlift.membership import Member
-from kumquatlift.register import Register
-from kumquatlift.voter import FILE_NAME
+from kumquatlift.membership.members import Member
+from kumquatlift.transport.channel import Handler
 
 DOCUMENT = Path(__file__).parent.parent / "examples" / "glenkirk" / "document.toml"
 INSTANCES = 7
