Wait for the former owner also when a known runner comes back from it

Cause: a process that was stopped for seconds first handles an announcement that lay in its buffer, which registers the runner without a wait. When the slots then come back from the process that had replaced it, the runner is known, so the wait for that owner's last grants was skipped: three requests at a time on a runner of two slots. Second, a runner that echoes another owner ended this owner's lease only at the end of its old term.

Ruled out: requests of the frozen process under expired grants; its grants were new ones.

An announcement that echoes another owner now sets the wait anew, and the check of leases is due at once.

--- a/kumquatlift/scheduling/service_slots.py
+++ b/kumquatlift/scheduling/service_slots.py
@@ -108,21 +108,22 @@
         issued_at = self._issued_at(ann.owner)
         known = self._runners.get(ann.runner)
         is_new_run = known is None or known.announcement.incarnation != ann.incarnation
-        if known is None or is_new_run:
-            foreign = ann.owner != "" and issued_at is None
-            wait_s = RELEASED_WAIT_S if is_released else OWNER_LEASE_S
-            grants_from = now + (wait_s if foreign else 0.0)
+        is_foreign = ann.owner != "" and issued_at is None
+        if is_new_run:
             get_logger().info(
                 "runner_announced", runner=ann.runner, service=ann.service, zone=ann.zone
             )
+        if is_foreign:
+            # Also for a known runner: a process that was frozen has been replaced in the meantime.
+            grants_from = now + (RELEASED_WAIT_S if is_released else OWNER_LEASE_S)
         else:
-            grants_from = known.grants_from
+            grants_from = now if known is None or is_new_run else known.grants_from
         is_confirmed = issued_at is not None and now - issued_at < OWNER_LEASE_S
         lease_from = issued_at if issued_at is not None else now - OWNER_LEASE_S
         self._runners[ann.runner] = _Registration(ann, now, lease_from, grants_from)
         if is_confirmed and now >= grants_from:
             self._scheduler.offer(_offer(ann), now)
-            self._next_lapse_at = min(self._next_lapse_at, lease_from + OWNER_LEASE_S)
+        self._next_lapse_at = min(self._next_lapse_at, lease_from + OWNER_LEASE_S)
         renew_ms = RENEW_MS if is_confirmed else CONFIRM_MS
         return AnnouncementAnswer(f"{self._owner}.{int(now * 1000)}", renew_ms)
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -204,6 +204,42 @@
         process.owner.announce(announcement(token_of(process, clock)))
         assert len(listener.slots) == 1
 
+    @pytest.mark.parametrize("is_released", [False, True])
+    def test_owner_that_was_replaced_during_a_freeze_waits_like_a_new_one(
+        self, is_released: bool
+    ) -> None:
+        # A stale announcement had registered the runner without a wait, and the slots that came
+        # back from the other owner were granted while that owner's grants were on their way.
+        clock = ManualClock()
+        process, _ = pair(FakeNetwork(), clock)
+        stale = announcement(token_of(process, clock))
+        process.owner.announce(stale)
+        clock.advance(3 * OWNER_LEASE_S)
+        process.owner.tick()
+        process.owner.announce(stale)
+        listener = Listener()
+        process.owner.announce(announcement("other-9.0"), is_released=is_released)
+        steps = int((RELEASED_WAIT_S if is_released else OWNER_LEASE_S) / 0.25)
+        for step in range(steps + 1):
+            assert not listener.slots
+            process.owner.announce(announcement(token_of(process, clock)))
+            # Without a usable runner a demand is refused at once, so each step has one of its own.
+            process.client.request("s", demand(f"w{step}", 1), listener)
+            process.client.flush()
+            clock.advance(0.25)
+        assert len(listener.slots) == 1
+
+    def test_owner_grants_nothing_once_a_runner_echoes_another_owner(self) -> None:
+        # The lease of the former owner ended only with its last confirmed answer.
+        clock = ManualClock()
+        process, _ = pair(FakeNetwork(), clock)
+        process.owner.announce(announcement(token_of(process, clock)))
+        process.owner.announce(announcement("other-9.0"))
+        listener = Listener()
+        process.client.request("s", demand("w", 4), listener)
+        process.client.flush()
+        assert not listener.slots
+
     def test_leaving_or_silent_runner_gets_nothing(self) -> None:
         for leaving in (True, False):
             clock = ManualClock()
