Learn no run time from a request that was in flight while this process stood still

Cause: a stopped process measures its requests with the length of the stop, 5 s for tasks of 0.3 s, and reports that to the owner of the slots.

PauseWatch notices ticks that stayed away for a second; the run time of a request that was in flight is reported as unmeasured, and nothing is learned from it.

--- a/kumquatlift/entry.py
+++ b/kumquatlift/entry.py
@@ -20,6 +20,8 @@
 from kumquatlift.membership.gossip import Gossip
 from kumquatlift.membership.members import Member, MemberState
 from kumquatlift.metrics import Metrics
+from kumquatlift.pause_watch import TICK_S as PAUSE_TICK_S
+from kumquatlift.pause_watch import PauseWatch
 from kumquatlift.scheduling.slot_client import REBALANCE_INTERVAL_S, STATE_INTERVAL_S, SlotClient
 from kumquatlift.scheduling.slot_messages import SlotDemands, SlotGrants
 from kumquatlift.scheduling.slot_owner import SlotOwner
@@ -93,12 +95,14 @@
         )
         self._client = RunnerClient()
         self._make_slots(f"{settings.name}-{incarnation}")
+        self._pauses = PauseWatch(clock=self._clock)
         self._dispatcher = Dispatcher(
             document=self.document,
             slots=self._slots,
             client=self._client,
             timer=self._timer,
             clock=self._clock,
+            pauses=self._pauses,
             section=self._board.section("dispatcher"),
         )
         self._router = JobRouter(
@@ -192,6 +196,7 @@
             threads=self.document().system.max_callers,
             name="callers",
         )
+        self._timer.call_every(PAUSE_TICK_S, self._pauses.tick)
         self._timer.call_every(OWNER_TICK_S, self._owner.tick)
         self._timer.call_every(STATE_INTERVAL_S, self._slots.send_state)
         self._timer.call_every(REBALANCE_INTERVAL_S, self._slots.rebalance)
--- a/kumquatlift/jobs/dispatcher.py
+++ b/kumquatlift/jobs/dispatcher.py
@@ -15,7 +15,8 @@
 from kumquatlift.jobs.retry_budget import RetryBudget
 from kumquatlift.jobs.run import Attempt, Batch, JobRun
 from kumquatlift.log import get_logger
-from kumquatlift.scheduling.scheduler import AttemptOutcome
+from kumquatlift.pause_watch import PauseWatch
+from kumquatlift.scheduling.demand import UNMEASURED_S, AttemptOutcome
 from kumquatlift.scheduling.slot_messages import SlotDemand
 from kumquatlift.scheduling.slot_source import GrantedSlot, SlotSource
 from kumquatlift.timer import Timer, TimerHandle
@@ -64,6 +65,7 @@
         client: Sends requests to runners.
         timer: Calls functions at deadlines and retry times.
         clock: Source of time.
+        pauses: Tells whether a measured run time contains a pause of this process.
         section: Section of the blackboard for this controller.
     """
 
@@ -75,6 +77,7 @@
         client: RunnerClient,
         timer: Timer,
         clock: Clock,
+        pauses: PauseWatch,
         section: Section,
     ) -> None:
         self._document = document
@@ -82,6 +85,7 @@
         self._client = client
         self._timer = timer
         self._clock = clock
+        self._pauses = pauses
         self._section = section
         self._lock = threading.Lock()
         self._jobs: dict[str, _RunningJob] = {}
@@ -188,9 +192,16 @@
         self._attempts.submit(_logged, function, *args)
 
     @property
-    def parts(self) -> tuple[SlotSource, RunnerClient, Timer, Clock, Section]:
+    def parts(self) -> tuple[SlotSource, RunnerClient, Timer, Clock, PauseWatch, Section]:
         """What a running job works with."""
-        return self._slots, self._client, self._timer, self._clock, self._section
+        return (
+            self._slots,
+            self._client,
+            self._timer,
+            self._clock,
+            self._pauses,
+            self._section,
+        )
 
 
 class _RunningJob:
@@ -198,7 +209,14 @@
 
     def __init__(self, *, dispatcher: Dispatcher, run: JobRun, fut: Future[JobAnswer]) -> None:
         self._dispatcher = dispatcher
-        self._slots, self._client, self._timer, self._clock, self._section = dispatcher.parts
+        (
+            self._slots,
+            self._client,
+            self._timer,
+            self._clock,
+            self._pauses,
+            self._section,
+        ) = dispatcher.parts
         self._run = run
         self._fut = fut
         self._lock = threading.Lock()
@@ -270,6 +288,8 @@
         if outcome is AttemptOutcome.REFUSED and result.failure is not None:
             # The scheduler takes the runner's own demand for a pause in place of a run time.
             run_s = result.failure.retry_after_ms / 1000
+        elif self._pauses.has_paused_since(now):
+            run_s = UNMEASURED_S
         self._slots.finish(slot, outcome, run_s)
         self._end(attempt, slot, result)
 
--- a/kumquatlift/scheduling/demand.py
+++ b/kumquatlift/scheduling/demand.py
@@ -53,6 +53,10 @@
     expires_at: float
 
 
+UNMEASURED_S = -1.0
+"""In place of a run time that is not known; nothing is learned from it."""
+
+
 class AttemptOutcome(Enum):
     """How the use of a grant ended."""
 
--- a/kumquatlift/scheduling/scheduler.py
+++ b/kumquatlift/scheduling/scheduler.py
@@ -9,7 +9,7 @@
 from kumquatlift.configuration.document import Service, Team, Urgency
 from kumquatlift.failure import Failure
 from kumquatlift.scheduling.admission import Admission
-from kumquatlift.scheduling.demand import AttemptOutcome, Demand, Grant
+from kumquatlift.scheduling.demand import UNMEASURED_S, AttemptOutcome, Demand, Grant
 from kumquatlift.scheduling.fair_queue import Entry, FairQueue
 from kumquatlift.scheduling.placement import Placement
 from kumquatlift.scheduling.run_estimate import RunEstimate
@@ -172,7 +172,8 @@
         Args:
             grant_id: The grant; one that is not known any more is ignored.
             outcome: How the use of the grant ended.
-            run_s: Run time in seconds; for ``REFUSED`` the runner's Retry-After, 0 without one.
+            run_s: Run time in seconds, or ``UNMEASURED_S``; for ``REFUSED`` the runner's
+                Retry-After, 0 without one.
             now: Monotonic seconds.
         """
         use = self._slots.release(grant_id)
@@ -266,7 +267,8 @@
             return
         runner.progress_at = now
         if outcome is AttemptOutcome.OK:
-            self._estimate.observe(use.demand, runner.offer.runner, run_s, now)
+            if run_s != UNMEASURED_S:
+                self._estimate.observe(use.demand, runner.offer.runner, run_s, now)
             runner.is_probed = False
             was_out = runner.health.is_out
             runner.health.succeeded(grant_id, now)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,12 +6,13 @@
 import pytest
 
 from kumquatlift.blackboard import Blackboard
-from kumquatlift.clock import MonotonicClock
+from kumquatlift.clock import ManualClock, MonotonicClock
 from kumquatlift.codes import ResultCode
 from kumquatlift.configuration.document import Document
 from kumquatlift.jobs.dispatcher import Dispatcher
 from kumquatlift.jobs.job import JobRequest, Task
-from kumquatlift.scheduling.scheduler import AttemptOutcome
+from kumquatlift.pause_watch import PauseWatch
+from kumquatlift.scheduling.demand import UNMEASURED_S, AttemptOutcome
 from kumquatlift.scheduling.slot_messages import SlotDemand
 from kumquatlift.scheduling.slot_source import GrantedSlot, SlotListener
 from kumquatlift.timer import Timer
@@ -30,6 +31,7 @@
     def __init__(self) -> None:
         self.demands: dict[str, tuple[SlotDemand, SlotListener]] = {}
         self.finished: list[AttemptOutcome] = []
+        self.run_times: list[float] = []
 
     def request(self, service: str, demand: SlotDemand, listener: SlotListener) -> None:
         self.demands[demand.id] = (demand, listener)
@@ -39,6 +41,7 @@
 
     def finish(self, slot: GrantedSlot, outcome: AttemptOutcome, run_s: float) -> None:
         self.finished.append(outcome)
+        self.run_times.append(run_s)
 
 
 class Runners(RunnerClient):
@@ -60,12 +63,16 @@
         self.clock = MonotonicClock()
         self.timer = Timer(clock=self.clock)
         self.slots, self.runners = Slots(), Runners()
+        self.pause_clock = ManualClock()
+        self.pauses = PauseWatch(clock=self.pause_clock)
+        self.pauses.tick()
         self.dispatcher = Dispatcher(
             document=lambda: DOC,  # type: ignore[arg-type, return-value]
             slots=self.slots,
             client=self.runners,
             timer=self.timer,
             clock=self.clock,
+            pauses=self.pauses,
             section=Blackboard().section("dispatcher"),
         )
 
@@ -125,6 +132,20 @@
         assert fut.result(timeout=10).is_complete
         assert AttemptOutcome.UNUSED in world.slots.finished
 
+    def test_run_time_that_contains_a_pause_of_this_process_is_not_reported(
+        self, world: World
+    ) -> None:
+        # Run times of 5 s, from a process that was stopped for 5 s, made the owner of the slots
+        # refuse jobs of 4 s: "11.62 s are expected and 9.59 s are left".
+        fut = world.dispatcher.run("j", JOB, deadline_at=world.clock.now() + 60)
+        world.grant("j/1")
+        while not world.slots.run_times:
+            wait([fut], timeout=0.01)
+        world.pause_clock.advance(5)
+        world.grant("j/1")
+        fut.result(timeout=10)
+        assert world.slots.run_times == [0.1, UNMEASURED_S]
+
     def test_job_without_slots_fails_at_its_deadline_as_not_run(self, world: World) -> None:
         fut = world.dispatcher.run("j", JOB, deadline_at=world.clock.now() + 0.05)
         assert fut.result(timeout=10).code is ResultCode.DEADLINE_UNREACHABLE
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,6 +5,7 @@
 from kumquatlift.codes import Ran, ResultCode
 from kumquatlift.configuration.document import Kind, Service, Team, Urgency
 from kumquatlift.failure import Failure
+from kumquatlift.scheduling.demand import UNMEASURED_S
 from kumquatlift.scheduling.scheduler import AttemptOutcome, Demand, Grant, RunnerOffer, Scheduler
 
 OK, FAILED, UNUSED = AttemptOutcome.OK, AttemptOutcome.FAILED, AttemptOutcome.UNUSED
@@ -65,6 +66,24 @@
         assert len(scheduler.poll(0.0)) == 1
 
 
+class TestRunTimes:
+    """Guards against estimates from times that no runner needed."""
+
+    def test_nothing_is_learned_from_a_run_without_a_measured_time(self) -> None:
+        scheduler = make_scheduler()
+        scheduler.offer(make_offer("r1", slots=1), 0.0)
+        for number in range(20):
+            scheduler.enqueue(make_demand(f"d{number}"), 0.0)
+        run(scheduler, scheduler.poll(0.0), 0.0, OK)
+        expected = scheduler.expected_wait("count", 10, 1.0)
+        for _ in range(9):
+            (grant,) = scheduler.poll(1.0)
+            scheduler.started(grant.id, 1.0)
+            scheduler.finish(grant.id, OK, UNMEASURED_S, 1.0)
+        left = scheduler.expected_wait("count", 10, 1.0)
+        assert abs(left - (expected - 9 * 0.3)) < 1e-9
+
+
 class TestRefusals:
     """Guards against refusals that come late, name no time or are about work that ran."""
 
