Split the log and the choice of voters from the agreement protocol

_raft.py held the entries in memory, the readmission of a replica without state and the changes of voters beside the protocol.

--- /dev/null
+++ b/kumquatlift/store/_log.py
@@ -0,0 +1,93 @@
+"""The entries of a replica's log after its snapshot, in memory."""
+
+from kumquatlift.store._journal import Snapshot, entry_record
+from kumquatlift.store._messages import Entry
+
+
+class Log:
+    """Entries by index, the first of which follows the snapshot.
+
+    Args:
+        base: Snapshot in place of all older entries.
+        entries: Entries after it.
+    """
+
+    def __init__(self, *, base: Snapshot, entries: list[Entry]) -> None:
+        self.base = base
+        self._entries = entries
+        self.voters = self._find_voters()
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.base.position + len(self._entries)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None when the log does not hold it."""
+        if index == self.base.position:
+            return self.base.term
+        if self.base.position < index <= self.last_index:
+            return self.entry(index).term
+        return None
+
+    def entry(self, index: int) -> Entry:
+        """Return an entry behind the snapshot."""
+        return self._entries[index - self.base.position - 1]
+
+    def entries_from(self, index: int, *, max_entries: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Return entries from an index on; the last one may go over ``max_bytes``."""
+        found: list[Entry] = []
+        size = 0
+        at = index - self.base.position - 1
+        while at < len(self._entries) and size < max_bytes and len(found) < max_entries:
+            found.append(self._entries[at])
+            size += len(self._entries[at].data)
+            at += 1
+        return tuple(found)
+
+    def append(self, entry: Entry) -> int:
+        """Add an entry and return its index."""
+        self._entries.append(entry)
+        if entry.voters is not None:
+            self.voters = entry.voters
+        return self.last_index
+
+    def truncate(self, index: int) -> None:
+        """Drop all entries behind an index."""
+        del self._entries[index - self.base.position :]
+        self.voters = self._find_voters()
+
+    def compact(self, index: int, state: bytes) -> None:
+        """Put a snapshot in place of the entries up to an index."""
+        covered = self._entries[: index - self.base.position]
+        voters = self.base.voters
+        for entry in covered:
+            voters = entry.voters if entry.voters is not None else voters
+        base = Snapshot(index, self.term_at(index) or 0, voters, state)
+        self._entries = self._entries[len(covered) :]
+        self.base = base
+
+    def replace(self, base: Snapshot) -> None:
+        """Put a snapshot of another replica in place of everything."""
+        self.base = base
+        self._entries = []
+        self.voters = base.voters
+
+    def has_change_after(self, index: int) -> bool:
+        """Return whether an entry behind an index changes the voters."""
+        return any(
+            entry.voters is not None for entry in self._entries[index - self.base.position :]
+        )
+
+    def records(self) -> list[bytes]:
+        """Return the journal records of all entries."""
+        return [
+            entry_record(self.base.position + 1 + offset, entry)
+            for offset, entry in enumerate(self._entries)
+        ]
+
+    def _find_voters(self) -> tuple[str, ...]:
+        for entry in reversed(self._entries):
+            if entry.voters is not None:
+                return entry.voters
+        return self.base.voters
--- a/kumquatlift/store/_raft.py
+++ b/kumquatlift/store/_raft.py
@@ -7,15 +7,15 @@
 
 from kumquatlift.log import get_logger
 from kumquatlift.store._journal import HardState, Recovered, Snapshot, entry_record, hard_record
+from kumquatlift.store._log import Log
 from kumquatlift.store._messages import Entry, Message, MessageKind
+from kumquatlift.store._voters import DiskRecovery, Joiner, next_voters
 
 # Data of one message; a follower that is far behind gets several.
 MAX_APPEND_BYTES = 512 * 1024
 SNAPSHOT_PART_BYTES = 1024 * 1024
 # Entries sent to a follower ahead of its answers.
 MAX_IN_FLIGHT = 2000
-# A voter that has been silent for this long makes room for an instance that wants to join.
-REPLACE_AFTER_S = 6.0
 
 
 class Role(Enum):
@@ -121,8 +121,8 @@
         self._in_sync: list[tuple[str, Message]] = []
         self._in_sync_index = 0
         self._load(recovered, founders)
-        self.commit = self._base.position
-        self.applied = self._base.position
+        self.commit = self._log.base.position
+        self.applied = self._log.base.position
         self._synced_index = self.last_index
         self.peers: dict[str, Peer] = {}
         self._votes: set[str] = set()
@@ -131,28 +131,24 @@
         self._leader_since = 0.0
         self._first_own_index = 0
         self._is_leaving = False
-        self._status: dict[str, tuple[int, bool]] = {}
-        self._term_floor: int | None = None
+        self._recovery = DiskRecovery(name=name)
         self._snapshot_parts: list[bytes] = []
         self._joiners: dict[str, float] = {}
         self._asked_at = 0.0
         self._reset_election()
-        if self._base.state:
-            machine.restore(self._base.state)
+        if self._log.base.state:
+            machine.restore(self._log.base.state)
 
     def _load(self, recovered: Recovered, founders: tuple[str, ...]) -> None:
         hard = recovered.hard
-        self._base = recovered.snapshot
-        self._log = list(recovered.entries)
         if hard is None and self.name in founders:
             hard = HardState(0, "", True)
-            self._base = Snapshot(0, 0, founders, b"")
-            self._log = []
+            self._log = Log(base=Snapshot(0, 0, founders, b""), entries=[])
             self._records.append(hard_record(hard))
-            self._records.append(entry_record(1, Entry(0, b"", founders)))
-            self._log.append(Entry(0, b"", founders))
+            self._append(Entry(0, b"", founders))
+        else:
+            self._log = Log(base=recovered.snapshot, entries=list(recovered.entries))
         self._hard = hard or HardState()
-        self.voters = self._find_voters()
 
     @property
     def term(self) -> int:
@@ -167,7 +163,12 @@
     @property
     def last_index(self) -> int:
         """Index of the last entry of the log."""
-        return self._base.position + len(self._log)
+        return self._log.last_index
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Voters by the newest entry that names them, committed or not."""
+        return self._log.voters
 
     @property
     def majority(self) -> int:
@@ -194,26 +195,10 @@
 
     # Log
 
-    def _term_at(self, index: int) -> int | None:
-        """Return the term of an entry, or None when the log does not hold it."""
-        if index == self._base.position:
-            return self._base.term
-        if self._base.position < index <= self.last_index:
-            return self._log[index - self._base.position - 1].term
-        return None
-
-    def _find_voters(self) -> tuple[str, ...]:
-        for entry in reversed(self._log):
-            if entry.voters is not None:
-                return entry.voters
-        return self._base.voters
-
     def _append(self, entry: Entry) -> int:
-        self._log.append(entry)
-        self._records.append(entry_record(self.last_index, entry))
-        if entry.voters is not None:
-            self.voters = entry.voters
-        return self.last_index
+        index = self._log.append(entry)
+        self._records.append(entry_record(index, entry))
+        return index
 
     def propose(self, data: bytes, voters: tuple[str, ...] | None = None) -> int | None:
         """Append a command as the leader.
@@ -294,7 +279,7 @@
     def _ask_votes(self, is_forced: bool) -> None:
         fields = {
             "last": self.last_index,
-            "last_term": self._term_at(self.last_index),
+            "last_term": self._log.term_at(self.last_index),
             "forced": is_forced,
         }
         kind = MessageKind.PRE_VOTE if self._is_pre_vote else MessageKind.VOTE
@@ -339,7 +324,7 @@
             return
         if not is_pre_vote:
             self._adopt_term(message.term)
-        mine = (self._term_at(self.last_index) or 0, self.last_index)
+        mine = (self._log.term_at(self.last_index) or 0, self.last_index)
         is_current = (message.fields["last_term"], message.fields["last"]) >= mine
         if is_pre_vote:
             granted = is_current and message.term >= self.term
@@ -372,42 +357,39 @@
         self._apply()
 
     def _send_entries(self, name: str, peer: Peer, *, is_heartbeat: bool = False) -> None:
-        if peer.next <= self._base.position:
+        if peer.next <= self._log.base.position:
             self._start_snapshot(name, peer)
             return
-        start = peer.next - self._base.position - 1
-        entries: list[Entry] = []
-        size = 0
-        limit = peer.match + MAX_IN_FLIGHT - peer.next
-        while start < len(self._log) and size < MAX_APPEND_BYTES and len(entries) < limit:
-            entries.append(self._log[start])
-            size += len(self._log[start].data)
-            start += 1
+        entries = self._log.entries_from(
+            peer.next,
+            max_entries=peer.match + MAX_IN_FLIGHT - peer.next,
+            max_bytes=MAX_APPEND_BYTES,
+        )
         if not entries and not is_heartbeat:
             return
         peer.sent_at = self._now()
         fields = {
             "prev": peer.next - 1,
-            "prev_term": self._term_at(peer.next - 1),
+            "prev_term": self._log.term_at(peer.next - 1),
             "commit": self.commit,
             "sent_at": peer.sent_at,
             "own": self._first_own_index,
         }
         peer.next += len(entries)
-        self._send_now(name, Message(MessageKind.APPEND, self.term, fields, tuple(entries)))
+        self._send_now(name, Message(MessageKind.APPEND, self.term, fields, entries))
 
     def _on_append(self, sender: str, message: Message) -> None:
         if not self._hear_leader(sender, message):
             return
         prev = message.fields["prev"]
-        if prev < self._base.position:
-            matched = self._base.position
-            skip = self._base.position - prev
+        if prev < self._log.base.position:
+            matched = self._log.base.position
+            skip = self._log.base.position - prev
             entries = message.entries[skip:]
             is_match = len(message.entries) >= skip
         else:
             matched, entries = prev, message.entries
-            is_match = self._term_at(prev) == message.fields["prev_term"]
+            is_match = self._log.term_at(prev) == message.fields["prev_term"]
         if is_match:
             matched = self._merge(matched, entries)
             self.commit = max(self.commit, min(message.fields["commit"], matched))
@@ -428,18 +410,17 @@
     def _merge(self, index: int, entries: tuple[Entry, ...]) -> int:
         for entry in entries:
             index += 1
-            if self._term_at(index) == entry.term:
+            if self._log.term_at(index) == entry.term:
                 continue
             if index <= self.last_index:
-                del self._log[index - self._base.position - 1 :]
+                self._log.truncate(index - 1)
                 self._synced_index = min(self._synced_index, index - 1)
                 self._in_sync_index = min(self._in_sync_index, index - 1)
-                self.voters = self._find_voters()
             self._append(entry)
         return index
 
     def _hear_leader(self, sender: str, message: Message) -> bool:
-        floor = self._term_floor if self._term_floor is not None else self.term
+        floor = self._recovery.term_floor if self._recovery.term_floor is not None else self.term
         if message.term < max(self.term, floor if not self.is_member else 0):
             fields = {"ok": False, "match": 0, "sent_at": 0.0, "member": self.is_member}
             self._send_now(sender, Message(MessageKind.APPEND_ANSWER, self.term, fields))
@@ -472,7 +453,7 @@
     def _advance_commit(self) -> None:
         matches = [self._match(voter) for voter in self.voters]
         index = sorted(matches, reverse=True)[self.majority - 1]
-        if index > self.commit and self._term_at(index) == self.term:
+        if index > self.commit and self._log.term_at(index) == self.term:
             self.commit = index
 
     def _match(self, voter: str) -> int:
@@ -484,7 +465,7 @@
     def _apply(self) -> None:
         while self.applied < self.commit:
             self.applied += 1
-            entry = self._log[self.applied - self._base.position - 1]
+            entry = self._log.entry(self.applied)
             if entry.data:
                 self._machine.apply(self.applied, entry)
             elif entry.voters is not None:
@@ -502,37 +483,26 @@
             The snapshot that replaces them, and the records that follow it. Records that were
             taken for writing are among them.
         """
-        tail = self._log[self.applied - self._base.position :]
-        term = self._term_at(self.applied) or 0
-        voters = self._base.voters
-        for entry in self._log[: self.applied - self._base.position]:
-            voters = entry.voters if entry.voters is not None else voters
-        self._base = Snapshot(self.applied, term, voters, self._machine.snapshot())
-        self._log = tail
-        return self._base, self.whole_records()
+        self._log.compact(self.applied, self._machine.snapshot())
+        return self._log.base, self.whole_records()
 
     def whole_records(self) -> list[bytes]:
         """Return the records of everything but the snapshot, in place of those not yet taken."""
-        records = [hard_record(self._hard)]
-        records += [
-            entry_record(self._base.position + 1 + offset, entry)
-            for offset, entry in enumerate(self._log)
-        ]
         self._records = []
-        return records
+        return [hard_record(self._hard), *self._log.records()]
 
     def _start_snapshot(self, name: str, peer: Peer) -> None:
-        get_logger().info("snapshot_sent", peer=name, index=self._base.position)
+        get_logger().info("snapshot_sent", peer=name, index=self._log.base.position)
         peer.snapshot_at = 0
         self._send_part(name, peer)
 
     def _send_part(self, name: str, peer: Peer) -> None:
         at = peer.snapshot_at or 0
-        state = self._base.state
+        state = self._log.base.state
         fields = {
-            "index": self._base.position,
-            "index_term": self._base.term,
-            "voters": self._base.voters,
+            "index": self._log.base.position,
+            "index_term": self._log.base.term,
+            "voters": self._log.base.voters,
             "at": at,
             "is_last": at + SNAPSHOT_PART_BYTES >= len(state),
             "sent_at": self._now(),
@@ -565,16 +535,15 @@
             self._send_now(sender, reply)
             return None
         state = b"".join(self._snapshot_parts)
-        self._base = Snapshot(fields["index"], fields["index_term"], tuple(fields["voters"]), state)
-        self._log = []
-        self.voters = self._base.voters
-        self.commit = self.applied = self._synced_index = self._in_sync_index = self._base.position
+        base = Snapshot(fields["index"], fields["index_term"], tuple(fields["voters"]), state)
+        self._log.replace(base)
+        self.commit = self.applied = self._synced_index = self._in_sync_index = base.position
         self._machine.restore(state)
         self._after_sync.append((sender, reply))
-        return self._base
+        return base
 
     def _on_snapshot_answer(self, sender: str, peer: Peer, message: Message) -> None:
-        if message.fields["match"] >= self._base.position:
+        if message.fields["match"] >= self._log.base.position:
             peer.snapshot_at = None
             peer.next = max(peer.next, message.fields["match"] + 1)
         else:
@@ -585,10 +554,7 @@
 
     def _maybe_become_member(self, message: Message, matched: int) -> bool:
         """Vote again once the log of a leader is here that no lost vote can have elected."""
-        if self.is_member or self._term_floor is None or message.term < self._term_floor:
-            return False
-        commit = message.fields["commit"]
-        if commit < message.fields["own"] or matched < commit:
+        if self.is_member or not self._recovery.is_complete(message, matched):
             return False
         get_logger().info("disk_recovered", term=self.term, index=matched)
         # The vote of the current term may have been given before the disk was lost.
@@ -600,24 +566,6 @@
             self._send_now(name, Message(MessageKind.STATUS, self.term))
             self._send_now(name, Message(MessageKind.JOIN, self.term))
 
-    def _on_status_answer(self, sender: str, message: Message) -> None:
-        if self.is_member:
-            return
-        self._status[sender] = (message.term, message.fields["member"])
-        voters = tuple(message.fields["voters"])
-        if len(voters) < len(self.voters) or not voters:
-            return
-        terms = [
-            term
-            for name, (term, is_member) in self._status.items()
-            if is_member and name in voters and name != self.name
-        ]
-        # Every majority of n voters meets any n - majority + 1 of those whose disk is intact.
-        needed = len(voters) - (len(voters) // 2 + 1) + 1
-        if len(terms) >= needed and self._term_floor is None:
-            self._term_floor = max(terms)
-            get_logger().info("term_floor", term=self._term_floor, asked=len(terms))
-
     def _on_join(self, sender: str) -> None:
         if self.role is not Role.LEADER:
             return
@@ -634,31 +582,23 @@
 
         One change at a time, and only when the one before is committed.
         """
-        now = self._now()
-        if self._has_open_change() or self.applied < self._first_own_index:
+        if self._log.has_change_after(self.commit) or self.applied < self._first_own_index:
             return
-        ready = [
-            name
-            for name in sorted(self._joiners)
-            if name not in self.voters
-            and now - self._joiners[name] < 2.0
-            and name in self.peers
-            and self.peers[name].is_member
-            and self.peers[name].match >= self.commit - MAX_IN_FLIGHT
-        ]
-        silent = [
-            name
-            for name in self.voters
-            if name != self.name and now - self.peers[name].heard_at > REPLACE_AFTER_S
-        ]
-        if len(self.voters) > target and silent:
-            voters = tuple(name for name in self.voters if name != silent[0])
+        voters = next_voters(
+            name=self.name,
+            voters=self.voters,
+            target=target,
+            joiners=self._joiners,
+            find=self._as_joiner,
+            least_match=self.commit - MAX_IN_FLIGHT,
+            now=self._now(),
+        )
+        if voters is not None:
             self.propose(b"", voters)
-        elif ready and (len(self.voters) < target or silent):
-            self.propose(b"", (*self.voters, ready[0]))
 
-    def _has_open_change(self) -> bool:
-        return any(e.voters is not None for e in self._log[self.commit - self._base.position :])
+    def _as_joiner(self, name: str) -> Joiner | None:
+        peer = self.peers.get(name)
+        return Joiner(peer.is_member, peer.match, peer.heard_at) if peer is not None else None
 
     # Time and messages
 
@@ -734,7 +674,8 @@
                     sender, Message(MessageKind.STATUS_ANSWER, self.term, fields)
                 )
             case MessageKind.STATUS_ANSWER:
-                self._on_status_answer(sender, message)
+                if not self.is_member:
+                    self._recovery.note_status(sender, message, len(self.voters))
             case MessageKind.JOIN:
                 self._on_join(sender)
             case MessageKind.TAKE_OVER:
--- /dev/null
+++ b/kumquatlift/store/_voters.py
@@ -0,0 +1,110 @@
+"""Which replicas vote: readmission of one whose disk was lost, and changes of the voters."""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from kumquatlift.log import get_logger
+from kumquatlift.store._messages import Message
+
+# A voter that has been silent for this long makes room for an instance that wants to join.
+REPLACE_AFTER_S = 6.0
+# A replica that wants to join asks every 0.25 s; one that is silent for this long has gone.
+JOINER_FORGET_S = 2.0
+
+
+class DiskRecovery:
+    """Finds out when a replica without state may vote again.
+
+    A lost disk may have held a vote and acknowledged entries. Both are known to the others: every
+    majority of n voters meets any n - majority + 1 of those whose disk is intact, so no leader of a
+    term below the highest that these know can have been elected with the lost vote.
+
+    Args:
+        name: Name of this replica.
+    """
+
+    def __init__(self, *, name: str) -> None:
+        self._name = name
+        self._status: dict[str, tuple[int, bool]] = {}
+        self.term_floor: int | None = None
+        """Lowest term whose leader can be trusted; None until enough others have answered."""
+
+    def note_status(self, sender: str, message: Message, least_voters: int) -> None:
+        """Take another replica's term; answers that know fewer voters are out of date."""
+        self._status[sender] = (message.term, message.fields["member"])
+        voters = tuple(message.fields["voters"])
+        if len(voters) < least_voters or not voters:
+            return
+        terms = [
+            term
+            for name, (term, is_member) in self._status.items()
+            if is_member and name in voters and name != self._name
+        ]
+        needed = len(voters) - (len(voters) // 2 + 1) + 1
+        if len(terms) >= needed and self.term_floor is None:
+            self.term_floor = max(terms)
+            get_logger().info("term_floor", term=self.term_floor, asked=len(terms))
+
+    def is_complete(self, message: Message, matched: int) -> bool:
+        """Return whether the log of a trusted leader is here as far as it is committed."""
+        if self.term_floor is None or message.term < self.term_floor:
+            return False
+        commit: int = message.fields["commit"]
+        return commit >= message.fields["own"] and matched >= commit
+
+
+class Joiner(NamedTuple):
+    """A replica that wants to vote, or a voter, as the leader sees it.
+
+    Args:
+        is_member: Whether its disk may vote.
+        match: Index up to which its log is the leader's.
+        heard_at: When it last answered, in seconds.
+    """
+
+    is_member: bool
+    match: int
+    heard_at: float
+
+
+def next_voters(
+    *,
+    name: str,
+    voters: tuple[str, ...],
+    target: int,
+    joiners: Mapping[str, float],
+    find: Callable[[str], Joiner | None],
+    least_match: int,
+    now: float,
+) -> tuple[str, ...] | None:
+    """Return the voters after one change, or None to leave them as they are.
+
+    Args:
+        name: The leader.
+        voters: Present voters.
+        target: Number of voters wanted.
+        joiners: Replicas that asked to join, and when they last did.
+        find: Returns what the leader knows of a replica.
+        least_match: A joiner has caught up when its log matches up to here.
+        now: Clock of the leader, in seconds.
+    """
+    peers = {other: find(other) for other in {*voters, *joiners} - {name}}
+    ready = [
+        other
+        for other in sorted(joiners)
+        if other not in voters
+        and now - joiners[other] < JOINER_FORGET_S
+        and (peer := peers[other]) is not None
+        and peer.is_member
+        and peer.match >= least_match
+    ]
+    silent = [
+        other
+        for other in voters
+        if (peer := peers.get(other)) is not None and now - peer.heard_at > REPLACE_AFTER_S
+    ]
+    if len(voters) > target and silent:
+        return tuple(other for other in voters if other != silent[0])
+    if ready and (len(voters) < target or silent):
+        return (*voters, ready[0])
+    return None
