--- a/kumquatlift/store/_raft.py
+++ b/kumquatlift/store/_raft.py
@@ -562,7 +562,7 @@
         return True
 
     def _ask_status(self, contacts: tuple[str, ...]) -> None:
-        for name in {*contacts, *self.voters} - {self.name}:
+        for name in sorted({*contacts, *self.voters, *self._recovery.known} - {self.name}):
             self._send_now(name, Message(MessageKind.STATUS, self.term))
             self._send_now(name, Message(MessageKind.JOIN, self.term))
 
--- a/kumquatlift/store/_voters.py
+++ b/kumquatlift/store/_voters.py
@@ -26,6 +26,8 @@
     def __init__(self, *, name: str) -> None:
         self._name = name
         self._status: dict[str, tuple[int, bool]] = {}
+        self.known: frozenset[str] = frozenset()
+        """Voters that other replicas named; the leader need not be among the first contacts."""
         self.term_floor: int | None = None
         """Lowest term whose leader can be trusted; None until enough others have answered."""
 
@@ -33,6 +35,7 @@
         """Take another replica's term; answers that know fewer voters are out of date."""
         self._status[sender] = (message.term, message.fields["member"])
         voters = tuple(message.fields["voters"])
+        self.known |= frozenset(voters)
         if len(voters) < least_voters or not voters:
             return
         terms = [
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -2,27 +2,8 @@
 
 import pytest
 
-from tests.replica_world import World
-
-
-def settle(world: World) -> None:
-    """Heal everything and wait until all replicas agree."""
-    world.loss = 0.0
-    world.cut = lambda sender, to: False
-    for replica in world.replicas.values():
-        if not replica.is_up:
-            replica.start()
-    world.run(8.0)
-
-
-def check_agreement(world: World) -> None:
-    """Every acknowledged command is held by all, and all hold the same."""
-    logs = [replica.machine.commands for replica in world.replicas.values()]
-    longest = max(logs, key=len)
-    assert all(log == longest for log in logs)
-    missing = [data for data in world.acknowledged if data not in set(longest)]
-    assert missing == []
-    assert len(set(longest)) == len(longest)
+from tools.fuzz_store import Schedule, check_agreement, check_lease, settle
+from tools.replica_world import World
 
 
 class TestElection:
@@ -167,6 +148,24 @@
         assert lost.name not in joiner.raft.voters
         assert len(joiner.raft.voters) == 3
 
+    def test_an_instance_joins_while_the_leader_is_not_among_its_contacts(self) -> None:
+        """Guards against an instance that asks only its seeds, none of which leads, for ever.
+
+        Found by tools.fuzz_store, seed 1003 with joiners.
+        """
+        world = World()
+        world.target = 5
+        world.run(2.0)
+        world.add("n8")
+        world.run(2.0)
+        world.replicas["n8"].raft.start_election(is_forced=True)
+        world.run(1.0)
+        assert world.leader.name == "n8"
+        joiner = world.add("n9")
+        world.run(2.0)
+        assert joiner.raft.is_member
+        assert joiner.name in world.leader.raft.voters
+
     @pytest.mark.parametrize("seed", range(8))
     def test_a_voter_that_joined_later_leads_after_a_crash_of_all(self, seed: int) -> None:
         """Guards against a leader that steps down while it applies the voters of former days.
@@ -200,43 +199,23 @@
     """Random crashes, wipes, partitions and losses; nothing acknowledged is lost or reordered."""
 
     @pytest.mark.parametrize("seed", range(40))
-    def test_nothing_acknowledged_is_lost(self, seed: int) -> None:
-        world = World(count=3 if seed % 3 else 5, seed=seed)
-        rng = world.rng
-        number = 0
-        wiped_at = -100.0
-        world.run(3.0)
-        world.propose(b"first")
-        world.run(0.5)
-        for _ in range(60):
-            world.loss = rng.choice([0.0, 0.0, 0.1, 0.3])
-            victim = rng.choice(list(world.replicas.values()))
-            match rng.randrange(7):
-                case 0 | 1 if victim.is_up:
-                    victim.crash()
-                case 2:
-                    # The next disk may be lost once the former one has caught up.
-                    others = [r for r in world.replicas.values() if r is not victim]
-                    is_safe = all(r.is_up and r.raft.is_member for r in others)
-                    if is_safe and victim.raft.is_member and world.clock.now() - wiped_at > 5:
-                        wiped_at = world.clock.now()
-                        victim.crash(wipe=True)
-                case 3:
-                    name = victim.name
-                    world.cut = lambda sender, to, name=name: name in (sender, to)
-                case 4:
-                    world.cut = lambda sender, to: False
-                case 5:
-                    victim.compact()
-                case _:
-                    for replica in world.replicas.values():
-                        if not replica.is_up:
-                            replica.start()
-            for _ in range(rng.randrange(1, 40)):
-                world.step()
-                if rng.random() < 0.3:
-                    world.propose(b"c%d" % number)
-                    number += 1
-        settle(world)
-        assert world.acknowledged[0] == b"first"
-        check_agreement(world)
+    @pytest.mark.parametrize("has_joiners", [False, True])
+    def test_nothing_acknowledged_is_lost(self, seed: int, has_joiners: bool) -> None:
+        Schedule(seed=seed, has_joiners=has_joiners).run()
+
+    def test_two_leases_at_a_time_are_found(self) -> None:
+        world = World()
+        world.run(2.0)
+        leader = world.leader
+        other = next(each for each in world.replicas.values() if each is not leader)
+        check_lease(world)
+        other.raft.role, other.raft.peers = leader.raft.role, leader.raft.peers
+        with pytest.raises(AssertionError, match="leases of"):
+            check_lease(world)
+
+    def test_lost_command_is_found(self) -> None:
+        world = World()
+        world.run(2.0)
+        world.acknowledged.append(b"never stored")
+        with pytest.raises(AssertionError, match="1 acknowledged"):
+            check_agreement(world)
--- a/tools/configuration_page.py
+++ b/tools/configuration_page.py
@@ -12,7 +12,7 @@
 INTRODUCTION = """\
 # The configuration document
 
-This page is generated from the definitions in `kumquatlift/configuration/document.py` by `make docs`.
+This page is generated from `kumquatlift/configuration/document.py` by `make docs`.
 
 The document is one TOML file, or the same tables as JSON in the administration API. Tables that are
 entered by name (`<name>` below) have names of 1 to 40 of a-z, 0-9 and hyphen, starting with a
--- /dev/null
+++ b/tools/fuzz_store.py
@@ -0,0 +1,180 @@
+"""Random schedules of faults against the replicated log.
+
+Each world has three or five replicas on a manual clock. It crashes them, loses disks, cuts
+replicas off, drops messages, takes snapshots, lets instances join, and proposes commands all the
+while. At every step at most one replica may hold the lease; at the end, with all faults healed,
+every replica holds the same commands, all acknowledged ones among them.
+
+    python -m tools.fuzz_store --steps 200000 --seed 1
+"""
+
+import argparse
+import logging
+import sys
+import time
+from collections import Counter
+
+import structlog
+
+from tools.replica_world import Replica, World
+
+ACTIONS_PER_WORLD = 60
+MAX_STEPS_BETWEEN = 40
+PROPOSE_CHANCE = 0.3
+# A second disk may be lost once the log is whole again; recovery from a snapshot takes under this.
+WIPE_PAUSE_S = 5.0
+SETTLE_S = 8.0
+MAX_JOINERS = 2
+WEIGHTS = {"crash": 2, "wipe": 1, "cut": 1, "heal": 1, "compact": 1, "restart": 1, "join": 1}
+
+
+class Schedule:
+    """One world and its random faults.
+
+    Args:
+        seed: Seed of all random choices.
+        has_joiners: Whether instances join that are not among the founders.
+    """
+
+    def __init__(self, *, seed: int, has_joiners: bool) -> None:
+        self.world = World(count=3 if seed % 3 else 5, seed=seed)
+        self.counts: Counter[str] = Counter()
+        self._rng = self.world.rng
+        self._has_joiners = has_joiners
+        self._wiped_at = -100.0
+        self._number = 0
+
+    def run(self) -> None:
+        """Play the faults, heal them, and check what is left.
+
+        Raises:
+            AssertionError: An invariant failed.
+        """
+        world = self.world
+        world.run(3.0)
+        world.propose(b"first")
+        world.run(0.5)
+        for _ in range(ACTIONS_PER_WORLD):
+            world.loss = self._rng.choice([0.0, 0.0, 0.1, 0.3])
+            self._act(self._rng.choice(list(world.replicas.values())))
+            for _ in range(self._rng.randrange(1, MAX_STEPS_BETWEEN)):
+                self._step()
+        settle(world)
+        assert world.acknowledged[0] == b"first", "the first command was not acknowledged"
+        check_agreement(world)
+
+    def _step(self) -> None:
+        self.world.step()
+        self.counts["steps"] += 1
+        check_lease(self.world)
+        if self._rng.random() < PROPOSE_CHANCE:
+            self.world.propose(b"c%d" % self._number)
+            self._number += 1
+
+    def _act(self, victim: Replica) -> None:
+        world = self.world
+        (action,) = self._rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
+        self.counts[action] += 1
+        match action:
+            case "crash" if victim.is_up:
+                victim.crash()
+            case "wipe" if self._may_wipe(victim):
+                self._wiped_at = world.clock.now()
+                victim.crash(wipe=True)
+            case "cut":
+                name = victim.name
+                world.cut = lambda sender, to: name in (sender, to)
+            case "heal":
+                world.cut = lambda sender, to: False
+            case "compact":
+                victim.compact()
+            case "restart":
+                for replica in world.replicas.values():
+                    if not replica.is_up:
+                        replica.start()
+            case "join" if self._has_joiners and world.target < len(world.names) + MAX_JOINERS:
+                world.target += 1
+                world.add(f"joiner{world.target}")
+
+    def _may_wipe(self, victim: Replica) -> bool:
+        """Return whether every other replica is whole, so that nothing depends on this disk."""
+        others = [each for each in self.world.replicas.values() if each is not victim]
+        is_safe = all(each.is_up and each.raft.is_member for each in others)
+        since_s = self.world.clock.now() - self._wiped_at
+        return is_safe and victim.raft.is_member and since_s > WIPE_PAUSE_S
+
+
+def settle(world: World) -> None:
+    """Heal everything and wait until all replicas agree."""
+    world.loss = 0.0
+    world.cut = lambda sender, to: False
+    for replica in world.replicas.values():
+        if not replica.is_up:
+            replica.start()
+    world.run(SETTLE_S)
+
+
+def check_lease(world: World) -> None:
+    """Check that no two replicas lead with a lease at the same time."""
+    holders = [each.name for each in world.replicas.values() if each.is_up and each.raft.has_lease]
+    assert len(holders) <= 1, f"leases of {', '.join(holders)} at {world.clock.now():.2f} s"
+
+
+def check_agreement(world: World) -> None:
+    """Check that every acknowledged command is held by all, and all hold the same."""
+    logs = [replica.machine.commands for replica in world.replicas.values()]
+    longest = max(logs, key=len)
+    assert all(log == longest for log in logs), "the replicas hold different commands"
+    missing = [data for data in world.acknowledged if data not in set(longest)]
+    assert missing == [], f"{len(missing)} acknowledged commands are lost"
+    assert len(set(longest)) == len(longest), "a command is held twice"
+
+
+def run(*, seed: int, steps: int, has_joiners: bool | None = None) -> Counter[str]:
+    """Play worlds until the number of steps is reached.
+
+    Args:
+        seed: Seed of the first world; each further one has the next number.
+        steps: Number of steps of 10 ms in all, without those after the healing.
+        has_joiners: Whether instances join; None for every second world.
+
+    Returns:
+        How often each kind of event happened.
+
+    Raises:
+        AssertionError: An invariant failed; the message names the seed of the world.
+    """
+    counts: Counter[str] = Counter()
+    while counts["steps"] < steps:
+        world_seed = seed + counts["worlds"]
+        is_joined = bool(world_seed % 2) if has_joiners is None else has_joiners
+        schedule = Schedule(seed=world_seed, has_joiners=is_joined)
+        try:
+            schedule.run()
+        except AssertionError as exc:
+            raise AssertionError(f"seed {world_seed}, joiners {is_joined}: {exc}") from exc
+        counts += schedule.counts
+        counts["worlds"] += 1
+        counts["acknowledged"] += len(schedule.world.acknowledged)
+    return counts
+
+
+def main() -> None:
+    """Run from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--steps", type=int, default=200_000)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
+    started = time.monotonic()
+    print(f"seed {args.seed}, {args.steps} steps")
+    try:
+        counts = run(seed=args.seed, steps=args.steps)
+    except AssertionError as exc:
+        sys.exit(f"failed: {exc}")
+    shown = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
+    print(f"passed in {time.monotonic() - started:.1f} s: {shown}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/replica_world.py
+++ b/tools/replica_world.py
@@ -20,15 +20,19 @@
         self.commands: list[bytes] = []
 
     def apply(self, _index: int, entry: Entry) -> None:
+        """Keep a command."""
         self.commands.append(entry.data)
 
     def snapshot(self) -> bytes:
+        """Return all commands."""
         return b"\n".join(self.commands) + b"\n"
 
     def restore(self, state: bytes) -> None:
+        """Take the commands of a snapshot."""
         self.commands = state.split(b"\n")[:-1] if state else []
 
     def on_role(self, _role: Role, _term: int) -> None:
+        """Do nothing; the world looks at the replicas itself."""
         return
 
 
@@ -40,6 +44,7 @@
         self.synced = b""
 
     def recover(self) -> Recovered:
+        """Return what a start finds on this disk."""
         hard, entries, _ = _replay(self.synced, self.snapshot.position)
         return Recovered(hard, self.snapshot, entries)
 
@@ -58,6 +63,7 @@
         self.start(founders)
 
     def start(self, founders: tuple[str, ...] = ()) -> None:
+        """Start with what the disk holds."""
         self.machine = ListMachine()
         self.raft = Raft(
             name=self.name,
@@ -75,11 +81,13 @@
         self.pending_snapshot = None
 
     def crash(self, *, wipe: bool = False) -> None:
+        """Stop at once; records whose sync runs are lost, with ``wipe`` everything is."""
         self.is_up = False
         if wipe:
             self.disk = Disk()
 
     def step(self) -> None:
+        """Let a sync end, the timers run and a new sync begin."""
         if not self.is_up:
             return
         now = self.world.clock.now()
@@ -104,12 +112,14 @@
         self.raft.synced()
 
     def receive(self, sender: str, data: bytes) -> None:
+        """Take a message."""
         if self.is_up:
             snapshot = self.raft.receive(sender, Message.from_bytes(data))
             if snapshot is not None:
                 self.pending_snapshot = (snapshot, self.raft.whole_records())
 
     def compact(self) -> None:
+        """Take a snapshot; it is on the disk after the next sync."""
         if self.is_up and self.raft.applied and self.pending_snapshot is None:
             self.pending_snapshot = self.raft.compact()
 
@@ -137,16 +147,19 @@
         self._proposed: dict[tuple[str, int, int], bytes] = {}
 
     def add(self, name: str) -> Replica:
+        """Start an instance that is not among the founders."""
         self.replicas[name] = Replica(self, name, ())
         return self.replicas[name]
 
     def send(self, sender: str, to: str, message: Message) -> None:
+        """Carry a message, unless the link is cut or it is lost."""
         if self.cut(sender, to) or self.rng.random() < self.loss or to not in self.replicas:
             return
         at = self.clock.now() + DELAY_S * (0.5 + self.rng.random())
         self._mail.append((at, sender, to, message.to_bytes()))
 
     def step(self) -> None:
+        """Move the clock by ``STEP_S``, deliver what is due and let every replica work."""
         self.clock.advance(STEP_S)
         now = self.clock.now()
         due = sorted(mail for mail in self._mail if mail[0] <= now)
@@ -159,10 +172,12 @@
         self._acknowledge()
 
     def run(self, seconds: float) -> None:
+        """Step for a number of seconds."""
         for _ in range(int(seconds / STEP_S)):
             self.step()
 
     def propose(self, data: bytes) -> None:
+        """Give a command to the leader, if there is one."""
         leader = self.leader
         if leader is not None:
             index = leader.raft.propose(data)
@@ -171,6 +186,7 @@
 
     @property
     def leader(self) -> Any:
+        """Replica that leads in the newest term, or None."""
         leaders = [
             replica
             for replica in self.replicas.values()
