Count the time to use a granted slot from what its owner had last heard of this process

Cause: a process that was stopped takes grants that lay in its buffer for new ones, up to the length of the stop after its owner granted them. The owner takes a slot back a second after the lease, so a runner of two slots had three requests. Ruled out: a grant by the resumed owner (its leases are checked first), a request in the middle of being sent.

Demands carry the requester's time, grants repeat the newest one, and a grant is valid for LEASE_MARGIN_S from then. The test failed before.

--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -211,7 +211,7 @@
 @when("jobs run through every entry process")
 def run_jobs(context: Any) -> None:
     world = context.world
-    jobs = [world.submit(entry, "once", 12, 300) for entry in world.cluster.entries]
+    jobs = [world.submit(entry, "brief", 12, 300) for entry in world.cluster.entries]
     wait_for(lambda: all(world.starts(job) for job in jobs), "every job runs", bound_s=10)
     context.ran = [*getattr(context, "ran", []), *jobs]
 
--- a/kumquatlift/scheduling/service_slots.py
+++ b/kumquatlift/scheduling/service_slots.py
@@ -86,6 +86,7 @@
         self._held: dict[str, _Held] = {}
         self._open: dict[str, _OpenDemand] = {}
         self._heard: dict[str, float] = {}
+        self._sent_at: dict[str, float] = {}
         self._next_lapse_at = float("inf")
 
     def reconfigure(self, doc: Document) -> None:
@@ -139,6 +140,7 @@
             The demands that are refused.
         """
         self._heard[requester] = now
+        self._sent_at[requester] = msg.sent_at
         for finish in msg.finished:
             self._finish(finish, now)
         for cancel in msg.cancelled:
@@ -183,6 +185,7 @@
         for requester, heard_at in list(self._heard.items()):
             if now - heard_at > REQUESTER_TIMEOUT_S:
                 del self._heard[requester]
+                self._sent_at.pop(requester, None)
                 self._drop_demands(requester, set(), now)
 
     def _end_leases(self, now: float) -> None:
@@ -206,6 +209,10 @@
         """Return what other zones need to know for their choice."""
         return self._scheduler.zone_load(now)
 
+    def last_sent_at(self, requester: str) -> float:
+        """Return the requester's own time of its newest message, in its monotonic seconds."""
+        return self._sent_at.get(requester, 0.0)
+
     def snapshot(self, now: float) -> dict[str, Any]:
         """Return the state for the dump."""
         runners = {
--- a/kumquatlift/scheduling/slot_client.py
+++ b/kumquatlift/scheduling/slot_client.py
@@ -22,12 +22,17 @@
     SlotGrants,
 )
 from kumquatlift.scheduling.slot_source import GrantedSlot, Place, SlotListener
+from kumquatlift.scheduling.slots_in_use import LEASE_MARGIN_S
 from kumquatlift.scheduling.zone_choice import ZoneLoad, choose_moves, choose_zones
 from kumquatlift.transport.channel import Channel, Topic
 
 # The owner takes back a grant that was not used within 1 s; the shorter time here leaves room for
 # the message's way.
 GRANT_USE_S = 0.7
+# A grant counts from what its owner had last heard of this process, so that one that lay in a
+# buffer while this process stood still is not used; the owner takes the slot back this long after
+# the lease. Waiting requests are told to the owners every REBALANCE_INTERVAL_S.
+GRANT_VALID_S = LEASE_MARGIN_S
 STATE_INTERVAL_S = 1.0
 # While requests wait, loads are asked for and waiting requests moved this often.
 REBALANCE_INTERVAL_S = 0.25
@@ -122,13 +127,14 @@
         """Take an owner's message and tell the listeners."""
         now = self._clock.now()
         place = (msg.service, msg.zone)
+        use_by = min(now + GRANT_USE_S, msg.heard_at + GRANT_VALID_S)
         granted: list[tuple[SlotListener, GrantedSlot]] = []
         refused: list[tuple[SlotListener, int, Failure]] = []
         with self._lock:
             self._loads[place] = msg.load
             self._unanswered.pop(place, None)
             for grant in msg.grants:
-                slot = GrantedSlot(grant.id, place, grant.runner, grant.address, now + GRANT_USE_S)
+                slot = GrantedSlot(grant.id, place, grant.runner, grant.address, use_by)
                 listener = self._accept(grant.demand, slot)
                 if listener is not None:
                     granted.append((listener, slot))
@@ -318,6 +324,7 @@
             held,
             change.asks_load,
             self._total_slots(service) if change.full else 0,
+            now,
         )
 
     def _total_slots(self, service: str) -> int:
--- a/kumquatlift/scheduling/slot_messages.py
+++ b/kumquatlift/scheduling/slot_messages.py
@@ -63,6 +63,7 @@
             with ``full`` always asks.
         total_slots: With ``full``, slots of the service in all zones as far as they are known, so
             that each zone grants a team its share of the quota; 0 when nothing is known.
+        sent_at: Monotonic seconds of the requester, which the owner's answers repeat.
     """
 
     service: str
@@ -74,6 +75,7 @@
     held: tuple[str, ...] = ()
     asks_load: bool = False
     total_slots: int = 0
+    sent_at: float = 0.0
 
     def to_bytes(self) -> bytes:
         """Encode as a Cap'n Proto message."""
@@ -83,6 +85,7 @@
             full=self.full,
             asksLoad=self.asks_load,
             totalSlots=self.total_slots,
+            sentMs=int(self.sent_at * 1000),
         )
         for row, demand in zip(msg.init("demands", len(self.demands)), self.demands, strict=True):
             row.id, row.kind, row.team = demand.id, demand.kind, demand.team
@@ -134,6 +137,7 @@
                 tuple(msg.held),
                 msg.asksLoad,
                 msg.totalSlots,
+                msg.sentMs / 1000,
             )
 
 
@@ -158,18 +162,28 @@
 
 
 class SlotGrants(NamedTuple):
-    """Owner to requester: slots to use, refused demands and the load of the zone."""
+    """Owner to requester: slots to use, refused demands and the load of the zone.
+
+    Args:
+        service: Service name.
+        zone: Availability zone of the runners.
+        grants: Slots to use.
+        refused: Demands that the owner does not take.
+        load: Load of the zone.
+        heard_at: ``sent_at`` of the newest message that the owner had from the requester.
+    """
 
     service: str
     zone: str
     grants: tuple[SlotGrant, ...] = ()
     refused: tuple[SlotRefusal, ...] = ()
     load: ZoneLoad = NO_LOAD
+    heard_at: float = 0.0
 
     def to_bytes(self) -> bytes:
         """Encode as a Cap'n Proto message."""
         msg = load_schema("scheduling/slots").SlotGrants.new_message(
-            service=self.service, zone=self.zone
+            service=self.service, zone=self.zone, heardMs=int(self.heard_at * 1000)
         )
         for row, grant in zip(msg.init("grants", len(self.grants)), self.grants, strict=True):
             row.id, row.demand, row.runner, row.address = grant
@@ -211,4 +225,4 @@
                 delay_s=0.0,
                 free_slots=groups,
             )
-            return cls(msg.service, msg.zone, grants, refused, load)
+            return cls(msg.service, msg.zone, grants, refused, load, msg.heardMs / 1000)
--- a/kumquatlift/scheduling/slot_owner.py
+++ b/kumquatlift/scheduling/slot_owner.py
@@ -129,9 +129,17 @@
             grants = {} if slots is None else slots.poll(now)
             requesters = {*grants, *refused, *([reply_to] if reply_to else [])}
             load = slots.load(now) if slots is not None and requesters else NO_LOAD
+            sent_at = {
+                requester: slots.last_sent_at(requester) if slots is not None else 0.0
+                for requester in requesters
+            }
         for requester in requesters:
             msg = SlotGrants(
-                *key, tuple(grants.get(requester, ())), tuple(refused.get(requester, ())), load
+                *key,
+                tuple(grants.get(requester, ())),
+                tuple(refused.get(requester, ())),
+                load,
+                sent_at[requester],
             )
             self._deliver(requester, msg)
 
--- a/kumquatlift/scheduling/slots.capnp
+++ b/kumquatlift/scheduling/slots.capnp
@@ -11,6 +11,7 @@
   held @6 :List(Text);
   asksLoad @7 :Bool;
   totalSlots @8 :UInt32;
+  sentMs @9 :UInt64;
 
   struct Demand {
     id @0 :Text;
@@ -43,6 +44,7 @@
   grants @2 :List(Grant);
   refused @3 :List(Refusal);
   load @4 :Load;
+  heardMs @5 :UInt64;
 
   struct Grant {
     id @0 :Text;
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -240,6 +240,37 @@
         process.client.flush()
         assert not listener.slots
 
+    def test_grant_that_lay_in_a_buffer_during_a_freeze_is_too_late(self) -> None:
+        # A process that was stopped took a grant for new that its owner had already taken back,
+        # and a runner of two slots had three requests.
+        clock, network = ManualClock(), FakeNetwork()
+        owner, requester = pair(network, clock)
+        listener = Listener()
+        requester.client.request("s", demand("w", 1), listener)
+        requester.client.flush()
+        grants: list[SlotGrants] = []
+        requester.channel.handle(
+            Topic.SLOTS_GRANT, lambda _, body: grants.append(SlotGrants.from_bytes(body))
+        )
+        owner.owner.announce(announcement(token_of(owner, clock)))
+        clock.advance(5.0)
+        requester.client.take_grants(grants[-1])
+        (slot,) = listener.slots
+        assert slot.use_by < clock.now()
+
+    def test_grant_counts_from_the_newest_message_of_the_requester(self) -> None:
+        clock, network = ManualClock(), FakeNetwork()
+        owner, requester = pair(network, clock)
+        listener = Listener()
+        requester.client.request("s", demand("w", 1), listener)
+        requester.client.flush()
+        clock.advance(5.0)
+        requester.client.rebalance()
+        requester.client.flush()
+        owner.owner.announce(announcement(token_of(owner, clock)))
+        (slot,) = listener.slots
+        assert slot.use_by > clock.now()
+
     def test_leaving_or_silent_runner_gets_nothing(self) -> None:
         for leaving in (True, False):
             clock = ManualClock()
