Do not count jobs that waited for a new leader towards caution

Load pattern: a change of leader while a zone cannot be heard.

Jobs accepted before the end of recovery no longer count. The test replays the load; caution was 0.8 and is 0. tools/experiment.py has three patterns with a change of leader, whose frontends wait and ask again as the real ones do.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -438,6 +438,7 @@
     def _end_recovery(self) -> None:
         self._is_recovering = False
         self.runs.held_jobs.clear()
+        self.runs.recovered_at = self._clock.now()
         get_logger().info(
             "recovery_ended",
             term=self._term,
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -1,5 +1,6 @@
 """Starts and stops runs, and says what happens to a task when its run is over."""
 
+import math
 from collections.abc import Callable, Iterator
 from functools import partial
 
@@ -89,6 +90,8 @@
         self._job_ms = section.histogram("job_ms", "time from acceptance to the end of a job")
         self._wait_ms = section.histogram("wait_ms", "time from acceptance to the first start")
         self.late_share = LateShare()
+        # Jobs accepted before the end of recovery are late through no fault of the estimates.
+        self.recovered_at = math.inf
         self.needs_placing = False
         # Runs of jobs that this leader does not know, until their callers ask again, and ends of
         # such runs.
@@ -423,7 +426,8 @@
             objective_ms=round(progress.objective_ms),
         )
         self._section.count(f"jobs_{job.state}")
-        if job.state in (JobState.COMPLETED, JobState.REFUSED):
+        is_measured = progress.accepted_at >= self.recovered_at
+        if is_measured and job.state in (JobState.COMPLETED, JobState.REFUSED):
             self.late_share.note(now > progress.objective_at)
         if job.state == JobState.COMPLETED and now <= progress.objective_at:
             self._section.count("jobs_in_time")
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -2,10 +2,12 @@
 
 import pytest
 
-from kumquatlift.authority import _admission, _placement, _scheduler
+from kumquatlift.authority import JobSpec, Queue, Step, _admission, _placement, _scheduler
 from kumquatlift.authority._admission import Ask, LateShare, Load, judge
 from kumquatlift.authority._placement import Candidate, Place, Waiting, choose, order_key
-from tools.experiment import PATTERNS, replay
+from kumquatlift.codes import ResultCode
+from tools.experiment import PATTERNS, Pattern, replay
+from tools.fleet_model import FleetModel
 
 TASK = Waiting(6800, 64, 0, 100.0, 10.0)
 
@@ -97,6 +99,27 @@
             share.note(is_late)
         assert share.caution == 0.0
 
+    def test_jobs_that_waited_for_a_new_leader_ask_for_no_caution(self) -> None:
+        """Guards against refusals after a change of leader, when nothing waits any more.
+
+        Load: jobs that arrive while a new leader cannot hear a zone and must wait for its leases.
+        """
+        world = FleetModel()
+        for number in range(4):
+            world.add_upstream(f"u{number}")
+        world.run(0.2)
+        world.configure(Queue("q", "h", "/q/", "s", 0, 3, 1.6, 60))
+        world.upstreams["u0"].is_reachable = False
+        world.change_leader(gap_s=0.3)
+        world.run(0.35)
+        spec = JobSpec("text", (Step(1, 6800, 64, 0, 300),), answers_at_end=True)
+        late = [world.submit(f"{number:016x}", spec, work_ms=200) for number in range(12)]
+        world.run(3.0)
+        assert sum(fut.result().code is ResultCode.ACCEPTED for fut in late) > 4
+        leader = world.authority._leader
+        assert leader is not None
+        assert leader.runs.late_share.caution == 0.0
+
     def test_a_job_that_need_not_wait_is_always_taken(self) -> None:
         """Guards against refusals while upstreams are free."""
         assert judge(Ask(200.0, 200.0, 220.0, 660.0), Load(48, 1.0, 0.0), 0.5, 0.8).is_taken
@@ -107,16 +130,18 @@
 
     @pytest.mark.parametrize("pattern", PATTERNS[1:], ids=lambda pattern: pattern.name)
     def test_more_is_served_than_by_the_naive_version(
-        self, pattern: object, monkeypatch: pytest.MonkeyPatch
+        self, pattern: Pattern, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        ours = replay(pattern, 1, 9.0)  # type: ignore[arg-type]
+        # A change of leader touches about a hundred jobs, too few for the worst window of one seed.
+        seeds = (1, 2, 3, 4) if pattern.leaderless_s else (1,)
+        ours = [replay(pattern, seed, 9.0) for seed in seeds]
         with monkeypatch.context() as patch:
             patch.setattr(_admission, "TAKE_SHARE", 1000.0)
             patch.setattr(_scheduler, "order_key", lambda each, _now: (0, each.arrived, 0))
             patch.setattr(_placement, "SAFETY_FACTOR", 0.0)
-            naive = replay(pattern, 1, 9.0)  # type: ignore[arg-type]
-        assert ours.worth > naive.worth
-        assert ours.worst_window > naive.worst_window
+            naive = [replay(pattern, seed, 9.0) for seed in seeds]
+        assert sum(each.worth for each in ours) > sum(each.worth for each in naive)
+        assert sum(each.worst_window for each in ours) > sum(each.worst_window for each in naive)
 
     def test_refusals_make_fewer_late_in_a_burst(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Guards against jobs that are taken, wait past their objective and block others."""
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -22,6 +22,10 @@
 LATE_WORTH = 0.2
 WINDOW_S = 2.0
 POLL_S = 0.01
+# A frontend without a leader holds a job for this share of its declared run time.
+PATIENCE_SHARE = 0.4
+# An election takes about this long; a frontend then asks the next leader for what it had sent.
+RESEND_S = 0.5
 
 
 class Kind(NamedTuple):
@@ -65,12 +69,15 @@
         factor: Load as a multiple of the usual one while the burst lasts.
         burst_s: Start and end of the burst.
         silent: Upstreams that are silent while the burst lasts.
+        leaderless_s: Time without a leader at the start of the burst; jobs are then not kept in
+            the log, as those of frontends that wait for the end.
     """
 
     name: str
     factor: float
     burst_s: tuple[float, float]
     silent: int = 0
+    leaderless_s: float = 0.0
 
 
 PATTERNS = (
@@ -79,6 +86,9 @@
     Pattern("burst of 1.8", 1.8, (4, 8)),
     Pattern("a quarter of the upstreams silent", 1.0, (4, 10), 6),
     Pattern("burst of 1.5 with a fifth silent", 1.5, (4, 10), 5),
+    Pattern("change of leader", 1.0, (4, 4.5), 0, 0.5),
+    Pattern("change of leader in a burst of 1.3", 1.3, (4, 8), 0, 0.5),
+    Pattern("change of leader, a quarter silent", 1.0, (4, 10), 6, 0.5),
 )
 
 
@@ -146,6 +156,9 @@
         in_burst = pattern.burst_s[0] <= now < pattern.burst_s[1]
         for upstream in silent:
             upstream.is_reachable = not in_burst
+        leader_at = pattern.burst_s[0] + pattern.leaderless_s
+        if pattern.leaderless_s and now >= pattern.burst_s[0] and world.log.term == 1:
+            world.change_leader(gap_s=pattern.leaderless_s)
         while arrivals and arrivals[0][0] <= now:
             _, kind, tasks, work_ms = arrivals.pop(0)
             job = f"{len(asked):016x}"
@@ -153,10 +166,17 @@
             row = Asked(job, kind, now, (SLACK * work_ms + TARGET_MS) / 1000, worth)
             declared_ms = max(1, int(work_ms * rng.lognormvariate(0, 0.4)))
             spec = JobSpec("x", (Step(tasks, 6800, 64, 0, declared_ms),))
-            fut = world.submit(job, spec, work_ms=work_ms, path=f"/{kind.name}/")
-            fut.add_done_callback(partial(_note_refusal, refused, job))
+            spec = spec._replace(answers_at_end=pattern.leaderless_s > 0)
             asked.append(row)
             open_jobs.append(row)
+            submit = partial(_submit, world, row, spec, work_ms, refused)
+            wait_s = leader_at - now if now >= pattern.burst_s[0] else 0.0
+            if wait_s <= 0 or not pattern.leaderless_s:
+                submit()
+            elif wait_s <= PATIENCE_SHARE * declared_ms / 1000:
+                world.later(wait_s, submit)
+            else:
+                refused.add(job)
         world.run(POLL_S)
         open_jobs = [row for row in open_jobs if not _settle(world, row, start, earned, refused)]
     return _summarize(asked, earned, refused)
@@ -179,9 +199,19 @@
     return rows
 
 
-def _note_refusal(refused: set[str], job: str, fut: "Future[Reply]") -> None:
-    if fut.result().code is not ResultCode.ACCEPTED:
-        refused.add(job)
+def _submit(
+    world: FleetModel, row: Asked, spec: JobSpec, work_ms: float, refused: set[str]
+) -> None:
+    def on_reply(fut: "Future[Reply]") -> None:
+        code = fut.result().code
+        if code is ResultCode.CLAIM_UNKNOWN:
+            # The frontend asks the next leader.
+            world.later(RESEND_S, _submit, world, row, spec, work_ms, refused)
+        elif code is not ResultCode.ACCEPTED:
+            refused.add(row.job)
+
+    fut = world.submit(row.job, spec, work_ms=work_ms, path=f"/{row.kind.name}/")
+    fut.add_done_callback(on_reply)
 
 
 def _settle(
