Ask again soon while a new leader does not know an upstream's runs

Load pattern: a change of leader while 6% of all answers are lost.

An open look at an upstream whose runs are not known gets another beside it after 0.08 s, up to three. The test failed before (no start within 0.12 s of the lost answer).

--- a/kumquatlift/authority/_watch.py
+++ b/kumquatlift/authority/_watch.py
@@ -30,8 +30,12 @@
 FORMER_S = 2.0
 # Callers of a lost leader ask the next one within about this time.
 ORPHAN_S = 1.0
-# An open look gets a second one beside it after this time while a run is overdue.
+# An open look gets another one beside it after this time while a run is overdue, or while a new
+# leader does not know what runs there; answers come within about 10 ms.
 HEDGE_S = 0.08
+# Looks at one upstream at a time while its runs are not known. With 6% of the answers lost, as in
+# the troubles of the grown sites, all three are lost once in 4,600 upstreams.
+MAX_OPEN_LOOKS = 3
 STALL_FACTOR = 2.5
 
 
@@ -119,14 +123,18 @@
 
     def _look_again(self, upstream: Upstream, now: float) -> None:
         """Look beside an open look whose answer may be lost."""
-        if (
-            upstream.open_looks == 1
-            and upstream.silent_since is None
-            and now - upstream.looked_at > HEDGE_S
-            and upstream.listed_end == upstream.durable_end
-            and upstream.is_overdue(now)
-            and self._may_order()
-        ):
+        is_hanging = upstream.open_looks > 0 and now - upstream.looked_at > HEDGE_S
+        if not is_hanging or upstream.silent_since is not None or not self._may_order():
+            return
+        if not upstream.is_known:
+            is_due = upstream.open_looks < MAX_OPEN_LOOKS
+        else:
+            is_due = (
+                upstream.open_looks == 1
+                and upstream.listed_end == upstream.durable_end
+                and upstream.is_overdue(now)
+            )
+        if is_due:
             self._look(upstream, now, 0.0)
 
     def _look(self, upstream: Upstream, now: float, wait_s: float) -> None:
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -272,6 +272,21 @@
         assert 1.02 < world.clock.now() - lost_at < 1.02 + 0.1 + 0.06
         assert world.violations == []
 
+    def test_a_lost_answer_to_the_first_look_does_not_prolong_recovery(self) -> None:
+        """Load: a change of leader while 6% of all answers are lost, 11 of 176 upstreams.
+
+        Every job waited until the first looks were given up, 0.2 s each.
+        """
+        world = make(upstreams=3)
+        deaf = world.upstreams["u0"]
+        deaf.is_heard = False
+        world.change_leader(gap_s=0.3)
+        world.run(0.35)
+        deaf.is_heard = True
+        world.submit("a" * 16, answered_at_end(1), work_ms=50)
+        world.run(0.12)
+        assert world.starts == 1
+
     def test_a_life_that_began_again_repeats_its_tasks(self) -> None:
         world = make(upstreams=2)
         world.submit("a" * 16, job(2), work_ms=1000)
