Read configuration documents outside the document's classes

document imported document_check inside a method and document_check imported document: the one import cycle of the tree. read_toml and read_mapping are functions of document_check now, which alone knows the classes; a search for cycles over all modules finds none between modules (packages that re-export their private modules aside).

--- a/kumquatlift/administration/console.py
+++ b/kumquatlift/administration/console.py
@@ -22,6 +22,7 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.configuration.diff import differences
 from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import read_mapping
 from kumquatlift.configuration.register import Register
 from kumquatlift.configuration.value import Change
 from kumquatlift.failure import Failure
@@ -131,7 +132,7 @@
                 "the version in force."
             )
         source = place.change(current, form)
-        doc = Document.from_mapping(source)
+        doc = read_mapping(source)
         if isinstance(doc, list):
             problems = {problem.path: str(problem) for problem in doc}
             return self._form_page(operator, place, form, problems, warnings)
@@ -156,7 +157,7 @@
             source = json.loads(form.get("document", ""))
         except (ValueError, RecursionError):
             return _message(operator, 400, "The form is not complete; start from the overview.")
-        doc = Document.from_mapping(source)
+        doc = read_mapping(source)
         change_id = form.get("change_id", "")[:64]
         if isinstance(doc, list) or not change_id:
             return _message(operator, 422, "The document is not valid; start from the overview.")
--- a/kumquatlift/administration/operators.py
+++ b/kumquatlift/administration/operators.py
@@ -11,6 +11,7 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.configuration.diff import differences
 from kumquatlift.configuration.document import Document, Problem
+from kumquatlift.configuration.document_check import read_mapping, read_toml
 from kumquatlift.configuration.in_force import write_document
 from kumquatlift.configuration.register import Register
 from kumquatlift.configuration.value import Change, Proposal
@@ -185,7 +186,7 @@
 
 def _read(source: Any) -> Document | list[Problem]:
     """Read a document from TOML text or from plain dicts and lists."""
-    return Document.from_toml(source) if isinstance(source, str) else Document.from_mapping(source)
+    return read_toml(source) if isinstance(source, str) else read_mapping(source)
 
 
 def _json(value: Any) -> ApiResponse:
--- a/kumquatlift/cli.py
+++ b/kumquatlift/cli.py
@@ -9,6 +9,7 @@
 import defopt
 
 from kumquatlift.commands import EXIT_USAGE, dump, fail, load, runner, submit
+from kumquatlift.configuration.document_check import read_toml
 
 
 def check(document: Path) -> None:
@@ -17,13 +18,11 @@
     Args:
         document: TOML file with the whole configuration.
     """
-    from kumquatlift.configuration.document import Document
-
     try:
         text = document.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         fail(f"{document}: cannot be read: {exc}", EXIT_USAGE)
-    result = Document.from_toml(text)
+    result = read_toml(text)
     if isinstance(result, list):
         fail("\n".join(f"{document}: {problem}" for problem in result))
     print(f"{document}: valid, {len(result.services)} service(s), {len(result.teams)} team(s)")
--- a/kumquatlift/configuration/document.py
+++ b/kumquatlift/configuration/document.py
@@ -4,18 +4,14 @@
 console and the reference page in the docs are made from these definitions alone.
 """
 
-import tomllib
 from enum import Enum
 from functools import cache
-from typing import TYPE_CHECKING, Annotated, Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 from pydantic import ConfigDict, Field, TypeAdapter
 
 from kumquatlift.jobs.identity import NAME_PATTERN
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
 MAX_JOB_TASKS = 540
 MAX_REQUEST_BYTES = 4 * 1024 * 1024
 MAX_TASK_BYTES = 64 * 1024
@@ -130,31 +126,6 @@
     ]
     teams: Annotated[dict[Name, Team], Field(max_length=256, description="teams by name")] = {}
 
-    @classmethod
-    def from_toml(cls, text: str) -> "Document | list[Problem]":
-        """Read and validate a TOML text.
-
-        Returns:
-            The document, or every problem found in it.
-        """
-        try:
-            source = tomllib.loads(text)
-        except tomllib.TOMLDecodeError as exc:
-            return [Problem("", f"not TOML: {exc}", "")]
-        return cls.from_mapping(source)
-
-    @classmethod
-    def from_mapping(cls, source: "Mapping[str, Any]") -> "Document | list[Problem]":
-        """Validate a document in plain dicts and lists.
-
-        Returns:
-            The document, or every problem found in it, ordered by path.
-        """
-        # The check reads the classes of this module.
-        from kumquatlift.configuration.document_check import check
-
-        return check(source)
-
     def to_mapping(self) -> dict[str, Any]:
         """Return plain dicts and lists, every default written out."""
         return {name: _plain(value) for name, value in self._asdict().items()}
--- a/kumquatlift/configuration/document_check.py
+++ b/kumquatlift/configuration/document_check.py
@@ -1,6 +1,7 @@
 """Finds every error of a configuration document and says it in the document's own words."""
 
 import json
+import tomllib
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, NamedTuple
 
@@ -78,7 +79,20 @@
 )
 
 
-def check(source: Mapping[str, Any]) -> Document | list[Problem]:
+def read_toml(text: str) -> Document | list[Problem]:
+    """Read and validate a TOML text.
+
+    Returns:
+        The document, or every problem found in it.
+    """
+    try:
+        source = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        return [Problem("", f"not TOML: {exc}", "")]
+    return read_mapping(source)
+
+
+def read_mapping(source: Mapping[str, Any]) -> Document | list[Problem]:
     """Validate a document in plain dicts and lists.
 
     Returns:
--- a/kumquatlift/configuration/in_force.py
+++ b/kumquatlift/configuration/in_force.py
@@ -8,6 +8,7 @@
 from kumquatlift.configuration.codec import CodecError, decode, encode
 from kumquatlift.configuration.data_file import DataFile, Disk
 from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import read_mapping
 from kumquatlift.configuration.value import Value
 from kumquatlift.log import get_logger
 
@@ -130,7 +131,7 @@
         source = json.loads(text)
     except (ValueError, RecursionError) as exc:
         return f"not JSON: {exc}"
-    doc = Document.from_mapping(source)
+    doc = read_mapping(source)
     return "; ".join(map(str, doc)) if isinstance(doc, list) else doc
 
 
--- a/kumquatlift/entry.py
+++ b/kumquatlift/entry.py
@@ -10,6 +10,7 @@
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.configuration.data_file import FolderDisk
 from kumquatlift.configuration.document import Document, System
+from kumquatlift.configuration.document_check import read_toml
 from kumquatlift.configuration.register import Register
 from kumquatlift.jobs.callers import Callers
 from kumquatlift.jobs.claim import LedgerLimits
@@ -291,7 +292,7 @@
         return None
     path = Path(settings.first_document)
     try:
-        doc = Document.from_toml(path.read_text(encoding="utf-8"))
+        doc = read_toml(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as exc:
         return f"{path}: {exc}"
     if isinstance(doc, list):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
 from kumquatlift.clock import ManualClock, MonotonicClock
 from kumquatlift.codes import ResultCode
 from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import read_mapping
 from kumquatlift.jobs.dispatcher import Dispatcher
 from kumquatlift.jobs.job import JobRequest, Task
 from kumquatlift.pause_watch import PauseWatch
@@ -18,7 +19,7 @@
 from kumquatlift.timer import Timer
 from kumquatlift.upstreams.runner_client import AttemptEnd, AttemptResult, RunnerClient, RunRequest
 
-DOC = Document.from_mapping(
+DOC = read_mapping(
     {"system": {"voters": ["a"]}, "services": {"s": {"kinds": {"k": {"max_tasks": 5}}}}}
 )
 assert isinstance(DOC, Document)
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from kumquatlift.configuration.document import Document, Kind, Problem, Service, System, Team
+from kumquatlift.configuration.document_check import read_mapping, read_toml
 from kumquatlift.configuration.field_table import Shape, rows
 from tools.configuration_page import render
 
@@ -23,7 +24,7 @@
 
 
 def _problems(source: Any) -> dict[str, Problem]:
-    result = Document.from_mapping(source)
+    result = read_mapping(source)
     assert isinstance(result, list)
     return {problem.path: problem for problem in result}
 
@@ -32,10 +33,10 @@
     """Guards against a bad document that is accepted, or refused without saying why."""
 
     def test_round_trips_as_mapping_and_toml(self) -> None:
-        doc = Document.from_mapping(_source(retry_budget=1))
+        doc = read_mapping(_source(retry_budget=1))
         assert isinstance(doc, Document)
-        assert Document.from_mapping(doc.to_mapping()) == doc
-        assert Document.from_toml(doc.to_toml()) == doc
+        assert read_mapping(doc.to_mapping()) == doc
+        assert read_toml(doc.to_toml()) == doc
 
     def test_every_problem_is_told_at_once_with_its_path(self) -> None:
         source = _source(slots=True, kinds={"k": {"urgency": "soon", "lease_ms": 1}, "l": [1]})
@@ -98,7 +99,7 @@
     )
     def test_any_value_is_accepted_or_refused_with_problems(self, value: Any) -> None:
         for source in (value, _source(kinds=value), {"system": value, "services": value}):
-            result = Document.from_mapping(source)
+            result = read_mapping(source)
             assert isinstance(result, Document) or all(problem.message for problem in result)
 
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -5,6 +5,7 @@
 import pytest
 
 from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import read_toml
 from kumquatlift.settings import Settings
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -21,7 +22,7 @@
 
     def test_document_is_valid_and_has_the_sizes_of_the_design(self, folder: Path) -> None:
         text = (folder / "document.toml").read_text(encoding="utf-8")
-        doc = Document.from_toml(text)
+        doc = read_toml(text)
         assert isinstance(doc, Document), doc
         (service,) = doc.services.values()
         assert (service.slots, service.connections, len(service.kinds)) == (8, 64, 3)
@@ -39,7 +40,7 @@
         ports = [port for entry in processes for port in entry[2:6]]
         assert len(set(ports)) == 24
         assert all(seed in ports for entry in processes for seed in entry.seeds)
-        doc = Document.from_toml((folder / "document.toml").read_text(encoding="utf-8"))
+        doc = read_toml((folder / "document.toml").read_text(encoding="utf-8"))
         assert isinstance(doc, Document), doc
         with_disk = {entry.name for entry in processes if entry.data_folder}
         assert set(doc.system.voters) == with_disk
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -16,6 +16,7 @@
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.configuration.data_file import FakeDisk
 from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import read_mapping
 from kumquatlift.configuration.register import Register
 from kumquatlift.settings import OperatorToken
 from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
@@ -57,7 +58,7 @@
 class _Site:
     def __init__(self) -> None:
         source = {"system": {"voters": ["a"]}, "services": {"s": {"kinds": {"k": {}}}}}
-        doc = Document.from_mapping(source)
+        doc = read_mapping(source)
         assert isinstance(doc, Document)
         members = FakeMembers(me=member("a", "z"), others=[member("b", EVIL)])
         self.register = Register(
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -12,6 +12,7 @@
 from kumquatlift.configuration import register as register_module
 from kumquatlift.configuration.data_file import FakeDisk
 from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import read_mapping
 from kumquatlift.configuration.in_force import write_document
 from kumquatlift.configuration.register import Register
 from kumquatlift.configuration.value import Change, Proposal
@@ -26,7 +27,7 @@
         "system": {"voters": list(voters)},
         "services": {"s": {"slots": slots, "kinds": {"k": {}}}},
     }
-    doc = Document.from_mapping(source)
+    doc = read_mapping(source)
     assert isinstance(doc, Document)
     return doc
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -8,6 +8,7 @@
 from kumquatlift.blackboard import Blackboard
 from kumquatlift.clock import ManualClock
 from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import read_mapping
 from kumquatlift.failure import Failure
 from kumquatlift.membership.members import Member
 from kumquatlift.scheduling.scheduler import AttemptOutcome
@@ -20,7 +21,7 @@
 from kumquatlift.upstreams.announcement import Announcement
 from tests.fakes import FakeMembers, FakeNetwork, member
 
-DOC = Document.from_mapping(
+DOC = read_mapping(
     {
         "system": {"voters": ["a"]},
         "services": {"s": {"kinds": {"k": {"lease_ms": 60_000, "deadline_ms": 60_000}}}},
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -16,6 +16,7 @@
 from kumquatlift.client import Client, call
 from kumquatlift.codes import ResultCode
 from kumquatlift.configuration.document import MAX_JOB_TASKS, Document
+from kumquatlift.configuration.document_check import read_toml
 from kumquatlift.failure import Failure
 
 # Importing works both as a script and as a module.
@@ -53,7 +54,7 @@
     def __init__(self, folder: Path) -> None:
         self.name = folder.name
         self.document = folder / "document.toml"
-        doc = Document.from_toml(self.document.read_text(encoding="utf-8"))
+        doc = read_toml(self.document.read_text(encoding="utf-8"))
         if not isinstance(doc, Document):
             raise ValueError(f"{self.document}: {doc[0]}")
         self.voters = doc.system.voters
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import read_mapping
 from kumquatlift.scheduling.scheduler import AttemptOutcome, Demand, RunnerOffer, Scheduler
 from kumquatlift.scheduling.slot_messages import (
     SlotDemand,
@@ -27,7 +28,7 @@
 
 
 def _document() -> Document:
-    doc = Document.from_mapping(
+    doc = read_mapping(
         {
             "system": {"voters": ["a"]},
             "services": {"s": {"kinds": {"k": {}}, "max_queued": 1_000_000}},
--- a/tools/measure_register.py
+++ b/tools/measure_register.py
@@ -21,6 +21,7 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.configuration.data_file import FakeDisk
 from kumquatlift.configuration.document import Document
+from kumquatlift.configuration.document_check import read_mapping, read_toml
 from kumquatlift.configuration.in_force import write_document
 from kumquatlift.configuration.register import Register
 from kumquatlift.configuration.value import Change, Proposal
@@ -121,7 +122,7 @@
         names = [f"entry-{number}" for number in range(INSTANCES)]
         source = _example().to_mapping()
         source["system"]["voters"] = names[:voters]
-        doc = Document.from_mapping(source)
+        doc = read_mapping(source)
         assert isinstance(doc, Document)
         self.document = doc
         self.network = Network(one_way_s=one_way_s)
@@ -143,7 +144,7 @@
         source = self.document.to_mapping()
         service = next(iter(source["services"].values()))
         service["max_queued"] = 1000 + number
-        doc = Document.from_mapping(source)
+        doc = read_mapping(source)
         assert isinstance(doc, Document)
         register = self.registers[0]
         proposal = Proposal(f"change-{number:06}", register.version, write_document(doc), "ann", 1)
@@ -173,7 +174,7 @@
 
 
 def _example() -> Document:
-    doc = Document.from_toml(DOCUMENT.read_text(encoding="utf-8"))
+    doc = read_toml(DOCUMENT.read_text(encoding="utf-8"))
     assert isinstance(doc, Document)
     return doc
 
