Share the command line of the two fuzzers

Both programs had the same main. It is one function in tools/fuzz.py, which also keeps the log lines of the replicas out of the output.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -48,11 +48,11 @@
 
     @property
     def lease_age_s(self) -> float:
-        """Age of what the lease counts from, in seconds."""
+        """Age of the message that the lease counts from, in seconds."""
 
     @property
     def former_quiet_s(self) -> float:
-        """Seconds since an earlier leader's lease can have counted from."""
+        """Seconds since the newest time that an earlier leader's lease can count from."""
 
     @property
     def is_serving(self) -> bool:
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -66,9 +66,9 @@
         limits: Bounds of the platform.
         propose: Appends a command to the log and returns its index, or None.
         may_order: Whether this instance still leads with a lease.
-        lease_age_s: Returns the age of what that lease counts from; leases of upstreams count from
-            then too.
-        former_quiet_s: Seconds since the last lease of an earlier leader can have counted from.
+        lease_age_s: Returns the age of the message that this lease counts from; leases of upstreams
+            count from it too.
+        former_quiet_s: Seconds since the newest time that an earlier leader's lease can count from.
         on_closed: Is called when a job has ended.
         section: Section of the blackboard.
     """
--- a/tools/fuzz_register.py
+++ b/tools/fuzz_register.py
@@ -7,10 +7,7 @@
     python -m tools.fuzz_register --steps 100000 --seed 1
 """
 
-import argparse
 import random
-import sys
-import time
 from collections import Counter
 from typing import Any, NamedTuple
 
@@ -20,6 +17,7 @@
 from kumquatlift.configuration.data_file import DataFile, FakeDisk
 from kumquatlift.configuration.proposer import Formation, Proposer, majority
 from kumquatlift.configuration.value import Ballot, Change, Proposal, Value
+from tools.fuzz import main
 
 STEPS_PER_WORLD = 1500
 WEIGHTS = {
@@ -468,21 +466,5 @@
     return counts
 
 
-def main() -> None:
-    """Run from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--steps", type=int, default=100_000)
-    parser.add_argument("--seed", type=int, default=1)
-    args = parser.parse_args()
-    started = time.monotonic()
-    print(f"seed {args.seed}, {args.steps} steps")
-    try:
-        counts = run(seed=args.seed, steps=args.steps)
-    except AssertionError as exc:
-        sys.exit(f"failed: {exc}")
-    shown = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
-    print(f"passed in {time.monotonic() - started:.1f} s: {shown}")
-
-
 if __name__ == "__main__":
-    main()
+    main(run, description=__doc__, steps=100_000)
--- a/tools/fuzz_store.py
+++ b/tools/fuzz_store.py
@@ -8,14 +8,9 @@
     python -m tools.fuzz_store --steps 200000 --seed 1
 """
 
-import argparse
-import logging
-import sys
-import time
 from collections import Counter
 
-import structlog
-
+from tools.fuzz import main
 from tools.replica_world import Replica, World
 
 ACTIONS_PER_WORLD = 60
@@ -178,22 +173,5 @@
     return counts
 
 
-def main() -> None:
-    """Run from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--steps", type=int, default=200_000)
-    parser.add_argument("--seed", type=int, default=1)
-    args = parser.parse_args()
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
-    started = time.monotonic()
-    print(f"seed {args.seed}, {args.steps} steps")
-    try:
-        counts = run(seed=args.seed, steps=args.steps)
-    except AssertionError as exc:
-        sys.exit(f"failed: {exc}")
-    shown = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
-    print(f"passed in {time.monotonic() - started:.1f} s: {shown}")
-
-
 if __name__ == "__main__":
-    main()
+    main(run, description=__doc__, steps=200_000)
