Search for a place in order of speed

A profile of the decisions at that size (3,136 jobs, 11,023 starts) gives choose 4.7 s, the list of places 3.3 s and the usable upstreams of each judged job 1.1 s of 20.9 s.

Places are sorted by speed once a pass; the search begins at the slowest place that is in time and ends at the first with room. Upstreams without room for the smallest waiting task are left out, and the list of usable upstreams is kept for 20 ms. The choice is the same: a test compares it with the whole search over random fleets.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -34,6 +34,9 @@
 LIVES_PER_TERM = 1 << 16
 # The number of slots changes with upstreams that come and go, within heartbeats of 1.5 s.
 SLOTS_S = 0.1
+# Which upstreams are usable is looked up again after this time; a pass over 176 takes 0.1 ms, and
+# up to 700 jobs a second are judged.
+USABLE_S = 0.02
 MAX_SLOT_COUNTS = 1000
 # Callers whose answer was lost ask again within a few seconds; until then the end of a job that is
 # not in the log is remembered.
@@ -99,6 +102,7 @@
         self.fleet: dict[str, Upstream] = {}
         self.progress: dict[str, Progress] = {}
         self.estimates = Estimates()
+        self._usable_lists: dict[str, tuple[float, list[Upstream]]] = {}
         self._slot_counts: dict[tuple[str, int], tuple[float, float, float]] = {}
         self._lives = 0
         self._arrivals = 0
@@ -185,11 +189,7 @@
     def _load(self, service: str, cpu_milli: int, start_by: float) -> Load:
         """Return the load that a job meets which must start by a time."""
         now = self._clock.now()
-        usable = [
-            upstream
-            for upstream in self.fleet.values()
-            if upstream.state.service == service and upstream.is_usable(now)
-        ]
+        usable = self._usable(service, now)
         slots, speed = self._slots(service, cpu_milli, usable, now)
         is_free = any(upstream.room.cpu_milli >= cpu_milli for upstream in usable)
         ahead_ms = 0.0
@@ -204,6 +204,19 @@
             )
         return Load(slots, speed, ahead_ms)
 
+    def _usable(self, service: str, now: float) -> list[Upstream]:
+        """Return the upstreams that may take tasks of a service; kept for a while."""
+        known = self._usable_lists.get(service)
+        if known is not None and now - known[0] < USABLE_S:
+            return known[1]
+        usable = [
+            upstream
+            for upstream in self.fleet.values()
+            if upstream.state.service == service and upstream.is_usable(now)
+        ]
+        self._usable_lists[service] = (now, usable)
+        return usable
+
     def _slots(
         self, service: str, cpu_milli: int, usable: list[Upstream], now: float
     ) -> tuple[float, float]:
--- a/kumquatlift/authority/_placement.py
+++ b/kumquatlift/authority/_placement.py
@@ -5,6 +5,7 @@
 objective; the fast ones stay free for tasks that need them.
 """
 
+from bisect import bisect_left
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -114,6 +115,60 @@
     return best
 
 
+class Places:
+    """The upstreams of one service that may take tasks, ordered by speed.
+
+    With 176 upstreams a search through all of them for each task took a third of the leader's
+    decision time; in order of speed it ends at the first place with room.
+
+    Args:
+        places: Upstreams that may take tasks.
+    """
+
+    def __init__(self, places: Iterable[Place]) -> None:
+        self._places = {place.upstream_id: place for place in places}
+        ordered = sorted(self._places.values(), key=_effective_speed)
+        self._speeds = [_effective_speed(place) for place in ordered]
+        self._ids = [place.upstream_id for place in ordered]
+
+    def __bool__(self) -> bool:
+        return bool(self._places)
+
+    def __getitem__(self, upstream_id: str) -> Place:
+        return self._places[upstream_id]
+
+    def copy(self) -> "Places":
+        """Return a copy that changes apart from this one."""
+        return Places(self._places.values())
+
+    def update(self, place: Place) -> None:
+        """Take note of the room that is left; one without any is dropped."""
+        if place.cpu_milli <= 0 and place.memory_mb <= 0:
+            del self._places[place.upstream_id]
+        else:
+            self._places[place.upstream_id] = place
+
+    def choose(
+        self, task: Waiting, now: float, exclude: frozenset[str] = frozenset()
+    ) -> Place | None:
+        """Return the place for a task, as ``choose`` does."""
+        if task.data_rack or task.avoid:
+            # Run times differ from place to place by more than their speed.
+            return choose(task, self._places.values(), now, exclude)
+        left_ms = (task.objective_at - now) * 1000 - OVERHEAD_MS
+        least = task.expected_ms * SAFETY_FACTOR / left_ms if left_ms > 0 else float("inf")
+        first = bisect_left(self._speeds, least)
+        for at in (*range(first, len(self._ids)), *range(first - 1, -1, -1)):
+            place = self._places.get(self._ids[at])
+            if place is not None and fits(task, place) and place.upstream_id not in exclude:
+                return place
+        return None
+
+
+def _effective_speed(place: Place) -> float:
+    return place.speed / (1 + place.failures)
+
+
 class Candidate(NamedTuple):
     """A job with tasks that could start, for the order in which jobs are served.
 
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -4,7 +4,7 @@
 
 from kumquatlift.authority._commands import TaskKey
 from kumquatlift.authority._fleet import Room, Upstream
-from kumquatlift.authority._placement import Candidate, Place, Waiting, choose, order_key
+from kumquatlift.authority._placement import Candidate, Place, Places, Waiting, order_key
 from kumquatlift.authority._progress import Progress
 from kumquatlift.authority._runs import Runs, size_of
 from kumquatlift.authority._work import Step
@@ -47,7 +47,7 @@
         self._runs.needs_placing = False
         now = self._clock.now()
         waiting = [each for each in self._progress.values() if each.waiting and each.queue]
-        places = self._places(now) if waiting else {}
+        places = self._places(waiting, now) if waiting else {}
         if not places:
             return
         waiting.sort(key=lambda each: order_key(candidate_of(each), now))
@@ -70,16 +70,19 @@
             else:
                 skipped[service] += 1
 
-    def _places(self, now: float) -> dict[str, dict[str, Place]]:
-        places: dict[str, dict[str, Place]] = {}
+    def _places(self, waiting: list[Progress], now: float) -> dict[str, Places]:
+        """Return the upstreams with room for the smallest task that waits, by service."""
+        least_milli = min(
+            size_of(step).cpu_milli for each in waiting for step in each.job.spec.steps
+        )
+        found: dict[str, list[Place]] = {}
         for upstream in self._fleet.values():
-            if not upstream.is_usable(now):
-                continue
             room = upstream.room
-            if room.cpu_milli <= 0 and room.memory_mb <= 0:
+            is_full = room.cpu_milli <= 0 and room.memory_mb <= 0
+            if is_full or room.cpu_milli < least_milli or not upstream.is_usable(now):
                 continue
             state = upstream.state
-            places.setdefault(state.service, {})[state.upstream_id] = Place(
+            place = Place(
                 state.upstream_id,
                 *room,
                 upstream.speed,
@@ -87,9 +90,10 @@
                 state.rack,
                 upstream.failures,
             )
-        return places
+            found.setdefault(state.service, []).append(place)
+        return {service: Places(places) for service, places in found.items()}
 
-    def _place_job(self, progress: Progress, free: dict[str, Place], now: float) -> list[str]:
+    def _place_job(self, progress: Progress, free: Places, now: float) -> list[str]:
         """Start what fits of a job; return the upstreams that got its tasks."""
         placed: list[str] = []
         seen_gangs: set[tuple[int, int]] = set()
@@ -112,7 +116,7 @@
         return placed
 
     def _choose(
-        self, progress: Progress, task: TaskKey, step: Step, free: dict[str, Place], now: float
+        self, progress: Progress, task: TaskKey, step: Step, free: Places, now: float
     ) -> Place | None:
         need = Waiting(
             *size_of(step),
@@ -133,24 +137,24 @@
             exclude = frozenset(
                 upstream_id for upstream_id, count in used.items() if count >= step.max_per_upstream
             )
-        return choose(need, free.values(), now, exclude)
+        return free.choose(need, now, exclude)
 
     def _place_gang(
-        self, progress: Progress, gang: tuple[int, int], free: dict[str, Place], now: float
+        self, progress: Progress, gang: tuple[int, int], free: Places, now: float
     ) -> list[str]:
         """Start all members of a gang with one run number, or none."""
         members = [task for task in progress.waiting if (task.occurrence, task.step) == gang]
         step = progress.job.spec.steps[gang[1]]
         if len(members) < step.tasks:
             return []
-        trial = dict(free)
+        trial = free.copy()
         chosen: list[tuple[TaskKey, Place]] = []
         for task in members:
             place = self._choose(progress, task, step, trial, now)
             if place is None:
                 return []
             chosen.append((task, place))
-            trial[place.upstream_id] = _without(place, step)
+            trial.update(_without(place, step))
         run = max(progress.next_run(task) for task in members)
         for task, place in chosen:
             progress.note_run(task, run)
@@ -163,14 +167,10 @@
         task: TaskKey,
         step: Step,
         place: Place,
-        free: dict[str, Place],
+        free: Places,
         run: int,
     ) -> None:
-        left = _without(place, step)
-        if left.cpu_milli <= 0 and left.memory_mb <= 0:
-            del free[place.upstream_id]
-        else:
-            free[place.upstream_id] = left
+        free.update(_without(place, step))
         self._runs.start(progress, task, self._fleet[place.upstream_id], run)
 
 
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -1,10 +1,20 @@
 """Decisions under load: pure functions, and replays of the load patterns that they answer."""
 
+import random
+
 import pytest
 
 from kumquatlift.authority import JobSpec, Queue, Step, _admission, _placement, _scheduler
 from kumquatlift.authority._admission import Ask, LateShare, Load, judge
-from kumquatlift.authority._placement import Candidate, Place, Waiting, choose, order_key
+from kumquatlift.authority._placement import (
+    Candidate,
+    Place,
+    Places,
+    Waiting,
+    choose,
+    order_key,
+    run_ms,
+)
 from kumquatlift.codes import ResultCode
 from tools.experiment import PATTERNS, Pattern, replay
 from tools.fleet_model import FleetModel
@@ -44,6 +54,51 @@
         assert choose(task, [far, place("near")], 0.0).upstream_id == "near"  # type: ignore[union-attr]
 
 
+class TestPlaces:
+    """Guards against another choice by the search in order of speed than by the whole search."""
+
+    @pytest.mark.parametrize("seed", range(30))
+    def test_the_choice_is_as_good_as_that_of_the_whole_search(self, seed: int) -> None:
+        rng = random.Random(seed)
+        found = [
+            place(
+                f"u{number}",
+                speed=rng.choice([0.5, 1.0, 1.0, 1.6]),
+                cpu_milli=rng.choice([0, 4000, 6800, 16_000]),
+                failures=rng.choice([0.0, 0.0, 1.0]),
+            )
+            for number in range(12)
+        ]
+        places = Places(found)
+        for _ in range(20):
+            task = TASK._replace(
+                expected_ms=rng.uniform(20, 900),
+                objective_at=rng.uniform(9.5, 12.0),
+                label=rng.choice(["", "", "a", "none"]),
+                data_rack=rng.choice(["", "", "r1"]),
+                avoid=frozenset(rng.sample([each.upstream_id for each in found], 1)),
+            )
+            task = task._replace(avoid=rng.choice([frozenset(), task.avoid]))
+            exclude = frozenset(rng.sample([each.upstream_id for each in found], 3))
+            whole = choose(task, found, 10.0, exclude)
+            chosen = places.choose(task, 10.0, exclude)
+            assert (whole is None) == (chosen is None)
+            if whole is None or chosen is None:
+                continue
+            assert run_ms(task, chosen) == pytest.approx(run_ms(task, whole))
+            left = chosen._replace(cpu_milli=chosen.cpu_milli - 6800)
+            places.update(left)
+            found = [left if each.upstream_id == left.upstream_id else each for each in found]
+
+    def test_a_full_place_is_chosen_no_more(self) -> None:
+        places = Places([place("u", cpu_milli=6800)])
+        chosen = places.choose(TASK, 0.0)
+        assert chosen is not None
+        places.update(chosen._replace(cpu_milli=0, memory_mb=0))
+        assert places.choose(TASK, 0.0) is None
+        assert not places
+
+
 class TestOrder:
     """Which job is served first."""
 
