--- a/kumquatlift/jobs/dispatcher.py
+++ b/kumquatlift/jobs/dispatcher.py
@@ -4,7 +4,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
@@ -192,31 +192,32 @@
         self._attempts.submit(_logged, function, *args)
 
     @property
-    def parts(self) -> tuple[SlotSource, RunnerClient, Timer, Clock, PauseWatch, Section]:
+    def parts(self) -> "_Parts":
         """What a running job works with."""
-        return (
-            self._slots,
-            self._client,
-            self._timer,
-            self._clock,
-            self._pauses,
-            self._section,
+        return _Parts(
+            self._slots, self._client, self._timer, self._clock, self._pauses, self._section
         )
 
 
+class _Parts(NamedTuple):
+    """What a running job works with."""
+
+    slots: SlotSource
+    client: RunnerClient
+    timer: Timer
+    clock: Clock
+    pauses: PauseWatch
+    section: Section
+
+
 class _RunningJob:
     """Connects one job's state machine with slots, runners and timers."""
 
     def __init__(self, *, dispatcher: Dispatcher, run: JobRun, fut: Future[JobAnswer]) -> None:
         self._dispatcher = dispatcher
-        (
-            self._slots,
-            self._client,
-            self._timer,
-            self._clock,
-            self._pauses,
-            self._section,
-        ) = dispatcher.parts
+        self._slots, self._client, self._timer, self._clock, self._pauses, self._section = (
+            dispatcher.parts
+        )
         self._run = run
         self._fut = fut
         self._lock = threading.Lock()
