Answer requests in a module of their own

Cause: _authority.py had 424 lines and two jobs, the state machine that every instance runs and the requests that only the leader answers, with the callers that wait in between.

Change: Requests handles the operations under one leader and holds the callers that wait for a commit or for the end of a job; Authority applies the log, begins and ends to lead, and asks Requests to give up its callers when leadership changes. No behaviour changes.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -1,30 +1,23 @@
-"""Answers requests for jobs, configuration and upstreams on the instance that leads."""
+"""State machine of the log on every instance, with a leader on the one that leads."""
 
 import time
-from collections.abc import Callable
 from concurrent.futures import Future
 from typing import Any, Protocol
 
-from kumquatlift.authority._admission import MIN_RETRY_MS
 from kumquatlift.authority._api import Operation, Reply, Request
-from kumquatlift.authority._commands import Command, CommandKind, UpstreamState
+from kumquatlift.authority._commands import Command, CommandKind
 from kumquatlift.authority._leader import Leader, Limits
 from kumquatlift.authority._orders import UpstreamGateway
-from kumquatlift.authority._serving import ConfigReader, Queue
-from kumquatlift.authority._state import Applied, State, job_of
-from kumquatlift.authority._work import Job, JobSpec, JobState
+from kumquatlift.authority._requests import Requests
+from kumquatlift.authority._serving import ConfigReader
+from kumquatlift.authority._state import Applied, State
+from kumquatlift.authority._work import Job
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.codes import ResultCode
-from kumquatlift.log import get_logger
 from kumquatlift.store import Entry, EventLoop, Role
 
 TICK_S = 0.05
-# Jobs held at a time; beyond this nothing is accepted, so that memory stays bounded.
-MAX_JOBS = 60_000
-
-Waiter = Callable[[Reply], None]
-_DONE = Reply(ResultCode.ACCEPTED)
 
 
 class Log(Protocol):
@@ -93,11 +86,7 @@
         self._section = section
         self._log: Log | None = None
         self._leader: Leader | None = None
-        # Callers that wait for the commit of an entry, by its index.
-        self._waiters: dict[int, list[Waiter]] = {}
-        # Callers that wait for the end of a job.
-        self._job_waiters: dict[str, list[Waiter]] = {}
-        self._open_submits: dict[str, int] = {}
+        self._requests: Requests | None = None
 
     def attach(self, log: Log) -> None:
         """Set the log and begin."""
@@ -122,22 +111,16 @@
     def on_role(self, role: Role, term: int) -> None:
         """Begin or end to lead; a new leader acts once it has applied its own first entry."""
         self._leader = None
-        waiters, self._waiters = self._waiters, {}
-        job_waiters, self._job_waiters = self._job_waiters, {}
-        self._open_submits.clear()
-        unknown = Reply(ResultCode.CLAIM_UNKNOWN, {"reason": "leadership changed"})
-        for group in (*waiters.values(), *job_waiters.values()):
-            for waiter in group:
-                waiter(unknown)
+        requests, self._requests = self._requests, None
+        if requests is not None:
+            requests.give_up()
 
     def _on_applied(self, applied: Applied) -> None:
         leader = self._leader
         if leader is not None:
             self._tell_leader(leader, applied)
-        if applied.job is not None:
-            self._open_submits.pop(applied.job.job_id, None)
-        for waiter in self._waiters.pop(applied.position, ()):
-            waiter(_DONE)
+        if self._requests is not None:
+            self._requests.on_applied(applied)
 
     def _tell_leader(self, leader: Leader, applied: Applied) -> None:
         fields = applied.command.fields
@@ -157,12 +140,9 @@
             case CommandKind.CONFIG:
                 leader.on_config()
 
-    def _tell_job_waiters(self, job: Job) -> None:
-        reply = Reply(ResultCode.ACCEPTED, {"state": job.state})
-        if job.state == JobState.REFUSED:
-            reply = Reply(ResultCode.OVERLOADED, {"retry_after_ms": MIN_RETRY_MS})
-        for waiter in self._job_waiters.pop(job.job_id, ()):
-            waiter(reply)
+    def _on_closed(self, job: Job) -> None:
+        if self._requests is not None:
+            self._requests.on_closed(job)
 
     # Time
 
@@ -189,7 +169,14 @@
             may_order=lambda: log.has_lease and log.term == term,
             lease_age_s=lambda: log.lease_age_s,
             former_quiet_s=log.former_quiet_s,
-            on_closed=self._tell_job_waiters,
+            on_closed=self._on_closed,
+            section=self._section,
+        )
+        self._requests = Requests(
+            leader=self._leader,
+            term=term,
+            state=self.state,
+            propose=self._propose,
             section=self._section,
         )
         self._leader.begin()
@@ -214,195 +201,19 @@
         return fut
 
     def _ask(self, request: Request, fut: Future[Reply]) -> None:
+        log, requests = self._log, self._requests
+        if log is None or requests is None or not log.is_serving:
+            fut.set_result(Reply(ResultCode.NOT_LEADER, _members(log)))
+            return
+        if request.operation is Operation.WHO_LEADS:
+            fut.set_result(Reply(ResultCode.ACCEPTED, _members(log)))
+            return
         try:
-            self._handle(request, fut.set_result)
+            requests.handle(request, fut.set_result)
         except (KeyError, TypeError, ValueError) as exc:
             if not fut.done():
                 fut.set_result(Reply(ResultCode.MALFORMED, {"reason": repr(exc)}))
 
-    def _handle(self, request: Request, answer: Waiter) -> None:
-        leader = self._leader
-        log = self._log
-        if log is None or leader is None or not log.is_serving:
-            answer(Reply(ResultCode.NOT_LEADER, _members(log)))
-            return
-        fields = request.fields
-        match request.operation:
-            case Operation.SUBMIT:
-                self._submit(leader, log.term, fields, answer)
-            case Operation.STATUS:
-                self._status(leader, fields, answer)
-            case Operation.CANCEL:
-                self._cancel(leader, fields, answer)
-            case Operation.PENDING:
-                self._pending(leader, fields, answer)
-            case Operation.REPLACE_CONFIG:
-                self._replace_config(fields, answer)
-            case Operation.READ_CONFIG:
-                cfg = self.state.routing.cfg
-                answer(Reply(ResultCode.ACCEPTED, {"version": cfg.version, "source": cfg.source}))
-            case Operation.ANNOUNCE:
-                self._announce(leader, UpstreamState(*fields["upstream"]), answer)
-            case Operation.LEAVE:
-                self._leave(fields, answer)
-            case Operation.WHO_LEADS:
-                answer(Reply(ResultCode.ACCEPTED, _members(log)))
-
-    def _commit(self, command: Command, answer: Waiter) -> int | None:
-        index = self._propose(command)
-        if index is None:
-            answer(Reply(ResultCode.NOT_LEADER))
-        else:
-            self._waiters.setdefault(index, []).append(answer)
-        return index
-
-    def _find_queue(self, fields: dict[str, Any], answer: Waiter) -> Queue | None:
-        if not self.state.routing.cfg.version:
-            answer(Reply(ResultCode.OVERLOADED, {"reason": "there is no configuration yet"}))
-            return None
-        queue = self.state.routing.find(fields["host"], fields["path"])
-        if queue is None:
-            answer(Reply(ResultCode.UNKNOWN_SERVICE, {"version": self.state.routing.cfg.version}))
-        return queue
-
-    def _submit(
-        self, leader: Leader, log_term: int, fields: dict[str, Any], answer: Waiter
-    ) -> None:
-        job_id = fields["job"]
-        known = leader.find_job(job_id)
-        if known is not None:
-            self._answer_known(known, answer)
-            return
-        queue = self._find_queue(fields, answer)
-        if queue is None:
-            return
-        open_index = self._open_submits.get(job_id)
-        if open_index is not None:
-            self._waiters.setdefault(open_index, []).append(answer)
-            return
-        spec = JobSpec.from_plain(fields["spec"])
-        verdict = leader.judge(queue, spec)
-        if not verdict.is_taken or len(self.state.jobs) + len(leader.unkept) >= MAX_JOBS:
-            get_logger().info(
-                "job_refused",
-                job=job_id,
-                queue=queue.name,
-                wait_ms=round(verdict.wait_ms),
-                retry_after_ms=verdict.retry_after_ms,
-                jobs=len(self.state.jobs),
-                config=self.state.routing.cfg.version,
-            )
-            self._section.count("jobs_refused")
-            answer(Reply(ResultCode.OVERLOADED, {"retry_after_ms": verdict.retry_after_ms}))
-            return
-        command = Command(
-            CommandKind.JOB,
-            {
-                "job": job_id,
-                "queue": queue.key,
-                "spec": spec.to_plain(),
-                "at_ms": self.state.wall_ms(),
-                "max_attempts": queue.max_attempts,
-                "zone": fields["zone"],
-            },
-        )
-        index = None
-        if spec.answers_at_end:
-            self._job_waiters.setdefault(job_id, []).append(answer)
-            leader.add_job(job_of(command, log_term, is_kept=False))
-        else:
-            index = self._commit(command, answer)
-            if index is not None:
-                self._open_submits[job_id] = index
-        get_logger().info(
-            "job_accepted",
-            job=job_id,
-            queue=queue.name,
-            index=index,
-            wait_ms=round(verdict.wait_ms),
-            work_ms=round(spec.work_ms),
-            config=self.state.routing.cfg.version,
-        )
-        self._section.count("jobs_accepted")
-
-    def _answer_known(self, job: Job, answer: Waiter) -> None:
-        if job.spec.answers_at_end and job.is_open:
-            self._job_waiters.setdefault(job.job_id, []).append(answer)
-        else:
-            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
-
-    def _status(self, leader: Leader, fields: dict[str, Any], answer: Waiter) -> None:
-        job = leader.find_job(fields["job"])
-        if job is None:
-            answer(Reply(ResultCode.NOT_FOUND))
-            return
-        state = "running" if job.is_open and job.is_started else job.state
-        answer(Reply(ResultCode.ACCEPTED, {"state": state}))
-
-    def _cancel(self, leader: Leader, fields: dict[str, Any], answer: Waiter) -> None:
-        job = leader.find_job(fields["job"])
-        if job is None and fields["job"] not in self._open_submits:
-            answer(Reply(ResultCode.NOT_FOUND))
-            return
-        if job is not None and not job.is_open:
-            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
-            return
-        if job is not None and not job.is_kept:
-            job.close(JobState.CANCELLED, self.state.wall_ms())
-            leader.on_cancelled(job)
-            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
-            return
-        fields = {"job": fields["job"], "at_ms": self.state.wall_ms()}
-        get_logger().info("job_cancelled", job=fields["job"])
-        self._section.count("cancels")
-        self._commit(Command(CommandKind.CANCEL, fields), answer)
-
-    def _pending(self, leader: Leader, fields: dict[str, Any], answer: Waiter) -> None:
-        queue = self._find_queue(fields, answer)
-        if queue is not None:
-            answer(Reply(ResultCode.ACCEPTED, {"pending": leader.pending(queue.key)}))
-
-    def _replace_config(self, fields: dict[str, Any], answer: Waiter) -> None:
-        if fields["version"] <= self.state.routing.cfg.version:
-            answer(Reply(ResultCode.APPLIED, {"version": self.state.routing.cfg.version}))
-            return
-        get_logger().info("config_proposed", version=fields["version"])
-        command = Command(
-            CommandKind.CONFIG, {"version": fields["version"], "source": fields["source"]}
-        )
-        self._commit(command, answer)
-
-    def _announce(self, leader: Leader, upstream: UpstreamState, answer: Waiter) -> None:
-        upstream = upstream._replace(labels=tuple(upstream.labels))
-        known = self.state.upstreams.get(upstream.upstream_id)
-        if known is not None and upstream.born_ms < known.born_ms:
-            # A late announcement of a former life.
-            answer(_DONE)
-            return
-        leader.hear(upstream.upstream_id)
-        if known is not None and upstream.born_ms == known.born_ms and known.is_draining:
-            upstream = upstream._replace(is_draining=True)
-        if upstream == known:
-            answer(_DONE)
-            return
-        get_logger().info(
-            "upstream_announced",
-            upstream=upstream.upstream_id,
-            born_ms=upstream.born_ms,
-            draining=upstream.is_draining,
-            address=upstream.address,
-        )
-        self._commit(Command(CommandKind.UPSTREAM, {"upstream": list(upstream)}), answer)
-
-    def _leave(self, fields: dict[str, Any], answer: Waiter) -> None:
-        known = self.state.upstreams.get(fields["upstream"])
-        if known is None:
-            answer(_DONE)
-            return
-        left = {"upstream": known.upstream_id, "born_ms": known.born_ms}
-        get_logger().info("upstream_leaves", upstream=known.upstream_id)
-        self._commit(Command(CommandKind.UPSTREAM_LEFT, left), answer)
-
     def dump(self) -> dict[str, Any]:
         """Return the state of this instance for the state dump."""
         log = self._log
--- /dev/null
+++ b/kumquatlift/authority/_requests.py
@@ -0,0 +1,259 @@
+"""Answers requests for jobs, configuration and upstreams on the instance that leads."""
+
+from collections.abc import Callable
+from typing import Any
+
+from kumquatlift.authority._admission import MIN_RETRY_MS
+from kumquatlift.authority._api import Operation, Reply, Request
+from kumquatlift.authority._commands import Command, CommandKind, UpstreamState
+from kumquatlift.authority._leader import Leader
+from kumquatlift.authority._serving import Queue
+from kumquatlift.authority._state import Applied, State, job_of
+from kumquatlift.authority._work import Job, JobSpec, JobState
+from kumquatlift.blackboard import Section
+from kumquatlift.codes import ResultCode
+from kumquatlift.log import get_logger
+
+# Jobs held at a time; beyond this nothing is accepted, so that memory stays bounded.
+MAX_JOBS = 60_000
+
+Waiter = Callable[[Reply], None]
+_DONE = Reply(ResultCode.ACCEPTED)
+
+
+class Requests:
+    """Requests under one leader, and the callers that wait for a commit or for the end of a job.
+
+    Args:
+        leader: The leader.
+        term: Its term.
+        state: Replicated state.
+        propose: Appends a command to the log and returns its index, or None.
+        section: Section of the blackboard.
+    """
+
+    def __init__(
+        self,
+        *,
+        leader: Leader,
+        term: int,
+        state: State,
+        propose: Callable[[Command], int | None],
+        section: Section,
+    ) -> None:
+        self._leader = leader
+        self._term = term
+        self._state = state
+        self._propose = propose
+        self._section = section
+        # Callers that wait for the commit of an entry, by its index.
+        self._waiters: dict[int, list[Waiter]] = {}
+        # Callers that wait for the end of a job.
+        self._job_waiters: dict[str, list[Waiter]] = {}
+        self._open_submits: dict[str, int] = {}
+
+    def handle(self, request: Request, answer: Waiter) -> None:
+        """Answer a request now or when what it waits for has come.
+
+        Raises:
+            KeyError, TypeError, ValueError: The request's fields are not those of its operation.
+        """
+        fields = request.fields
+        match request.operation:
+            case Operation.SUBMIT:
+                self._submit(fields, answer)
+            case Operation.STATUS:
+                self._status(fields, answer)
+            case Operation.CANCEL:
+                self._cancel(fields, answer)
+            case Operation.PENDING:
+                self._pending(fields, answer)
+            case Operation.REPLACE_CONFIG:
+                self._replace_config(fields, answer)
+            case Operation.READ_CONFIG:
+                cfg = self._state.routing.cfg
+                answer(Reply(ResultCode.ACCEPTED, {"version": cfg.version, "source": cfg.source}))
+            case Operation.ANNOUNCE:
+                self._announce(UpstreamState(*fields["upstream"]), answer)
+            case Operation.LEAVE:
+                self._leave(fields, answer)
+            case Operation.WHO_LEADS:
+                raise ValueError("every instance answers this by itself")
+
+    def on_applied(self, applied: Applied) -> None:
+        """Answer the callers that wait for the commit of an entry."""
+        if applied.job is not None:
+            self._open_submits.pop(applied.job.job_id, None)
+        for waiter in self._waiters.pop(applied.position, ()):
+            waiter(_DONE)
+
+    def on_closed(self, job: Job) -> None:
+        """Answer the callers that wait for the end of a job."""
+        reply = Reply(ResultCode.ACCEPTED, {"state": job.state})
+        if job.state == JobState.REFUSED:
+            reply = Reply(ResultCode.OVERLOADED, {"retry_after_ms": MIN_RETRY_MS})
+        for waiter in self._job_waiters.pop(job.job_id, ()):
+            waiter(reply)
+
+    def give_up(self) -> None:
+        """Tell all callers that wait that another instance may lead now."""
+        waiters, self._waiters = self._waiters, {}
+        job_waiters, self._job_waiters = self._job_waiters, {}
+        self._open_submits.clear()
+        unknown = Reply(ResultCode.CLAIM_UNKNOWN, {"reason": "leadership changed"})
+        for group in (*waiters.values(), *job_waiters.values()):
+            for waiter in group:
+                waiter(unknown)
+
+    def _commit(self, command: Command, answer: Waiter) -> int | None:
+        index = self._propose(command)
+        if index is None:
+            answer(Reply(ResultCode.NOT_LEADER))
+        else:
+            self._waiters.setdefault(index, []).append(answer)
+        return index
+
+    def _find_queue(self, fields: dict[str, Any], answer: Waiter) -> Queue | None:
+        if not self._state.routing.cfg.version:
+            answer(Reply(ResultCode.OVERLOADED, {"reason": "there is no configuration yet"}))
+            return None
+        queue = self._state.routing.find(fields["host"], fields["path"])
+        if queue is None:
+            answer(Reply(ResultCode.UNKNOWN_SERVICE, {"version": self._state.routing.cfg.version}))
+        return queue
+
+    def _submit(self, fields: dict[str, Any], answer: Waiter) -> None:
+        job_id = fields["job"]
+        known = self._leader.find_job(job_id)
+        if known is not None:
+            self._answer_known(known, answer)
+            return
+        queue = self._find_queue(fields, answer)
+        if queue is None:
+            return
+        open_index = self._open_submits.get(job_id)
+        if open_index is not None:
+            self._waiters.setdefault(open_index, []).append(answer)
+            return
+        spec = JobSpec.from_plain(fields["spec"])
+        verdict = self._leader.judge(queue, spec)
+        if not verdict.is_taken or len(self._state.jobs) + len(self._leader.unkept) >= MAX_JOBS:
+            get_logger().info(
+                "job_refused",
+                job=job_id,
+                queue=queue.name,
+                wait_ms=round(verdict.wait_ms),
+                retry_after_ms=verdict.retry_after_ms,
+                jobs=len(self._state.jobs),
+                config=self._state.routing.cfg.version,
+            )
+            self._section.count("jobs_refused")
+            answer(Reply(ResultCode.OVERLOADED, {"retry_after_ms": verdict.retry_after_ms}))
+            return
+        command = Command(
+            CommandKind.JOB,
+            {
+                "job": job_id,
+                "queue": queue.key,
+                "spec": spec.to_plain(),
+                "at_ms": self._state.wall_ms(),
+                "max_attempts": queue.max_attempts,
+                "zone": fields["zone"],
+            },
+        )
+        index = None
+        if spec.answers_at_end:
+            self._job_waiters.setdefault(job_id, []).append(answer)
+            self._leader.add_job(job_of(command, self._term, is_kept=False))
+        else:
+            index = self._commit(command, answer)
+            if index is not None:
+                self._open_submits[job_id] = index
+        get_logger().info(
+            "job_accepted",
+            job=job_id,
+            queue=queue.name,
+            index=index,
+            wait_ms=round(verdict.wait_ms),
+            work_ms=round(spec.work_ms),
+            config=self._state.routing.cfg.version,
+        )
+        self._section.count("jobs_accepted")
+
+    def _answer_known(self, job: Job, answer: Waiter) -> None:
+        if job.spec.answers_at_end and job.is_open:
+            self._job_waiters.setdefault(job.job_id, []).append(answer)
+        else:
+            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
+
+    def _status(self, fields: dict[str, Any], answer: Waiter) -> None:
+        job = self._leader.find_job(fields["job"])
+        if job is None:
+            answer(Reply(ResultCode.NOT_FOUND))
+            return
+        state = "running" if job.is_open and job.is_started else job.state
+        answer(Reply(ResultCode.ACCEPTED, {"state": state}))
+
+    def _cancel(self, fields: dict[str, Any], answer: Waiter) -> None:
+        job = self._leader.find_job(fields["job"])
+        if job is None and fields["job"] not in self._open_submits:
+            answer(Reply(ResultCode.NOT_FOUND))
+            return
+        if job is not None and not job.is_open:
+            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
+            return
+        if job is not None and not job.is_kept:
+            job.close(JobState.CANCELLED, self._state.wall_ms())
+            self._leader.on_cancelled(job)
+            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
+            return
+        fields = {"job": fields["job"], "at_ms": self._state.wall_ms()}
+        get_logger().info("job_cancelled", job=fields["job"])
+        self._section.count("cancels")
+        self._commit(Command(CommandKind.CANCEL, fields), answer)
+
+    def _pending(self, fields: dict[str, Any], answer: Waiter) -> None:
+        queue = self._find_queue(fields, answer)
+        if queue is not None:
+            answer(Reply(ResultCode.ACCEPTED, {"pending": self._leader.pending(queue.key)}))
+
+    def _replace_config(self, fields: dict[str, Any], answer: Waiter) -> None:
+        if fields["version"] <= self._state.routing.cfg.version:
+            answer(Reply(ResultCode.APPLIED, {"version": self._state.routing.cfg.version}))
+            return
+        get_logger().info("config_proposed", version=fields["version"])
+        command = Command(
+            CommandKind.CONFIG, {"version": fields["version"], "source": fields["source"]}
+        )
+        self._commit(command, answer)
+
+    def _announce(self, upstream: UpstreamState, answer: Waiter) -> None:
+        upstream = upstream._replace(labels=tuple(upstream.labels))
+        known = self._state.upstreams.get(upstream.upstream_id)
+        if known is not None and upstream.born_ms < known.born_ms:
+            # A late announcement of a former life.
+            answer(_DONE)
+            return
+        self._leader.hear(upstream.upstream_id)
+        if known is not None and upstream.born_ms == known.born_ms and known.is_draining:
+            upstream = upstream._replace(is_draining=True)
+        if upstream == known:
+            answer(_DONE)
+            return
+        get_logger().info(
+            "upstream_announced",
+            upstream=upstream.upstream_id,
+            born_ms=upstream.born_ms,
+            draining=upstream.is_draining,
+            address=upstream.address,
+        )
+        self._commit(Command(CommandKind.UPSTREAM, {"upstream": list(upstream)}), answer)
+
+    def _leave(self, fields: dict[str, Any], answer: Waiter) -> None:
+        known = self._state.upstreams.get(fields["upstream"])
+        if known is None:
+            answer(_DONE)
+            return
+        left = {"upstream": known.upstream_id, "born_ms": known.born_ms}
+        get_logger().info("upstream_leaves", upstream=known.upstream_id)
+        self._commit(Command(CommandKind.UPSTREAM_LEFT, left), answer)
