Split load measuring and end logging from the leader

Change: LoadMeter (_load.py) and EndLog (_ends.py). The bare factor 0.25 of a running task's expected time is the constant LEFT_SHARE. No behaviour changes.

What LEFT_SHARE should be is measured next.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from kumquatlift.authority._admission import Ask, Load, Verdict, judge
+from kumquatlift.authority._admission import Ask, Verdict, judge
 from kumquatlift.authority._commands import (
     Command,
     CommandKind,
@@ -12,8 +12,10 @@
     TaskKey,
     UpstreamState,
 )
+from kumquatlift.authority._ends import EndLog
 from kumquatlift.authority._estimates import Estimates
 from kumquatlift.authority._fleet import MAX_CLOCK_SLOWNESS, Run, Upstream
+from kumquatlift.authority._load import LoadMeter
 from kumquatlift.authority._orders import UpstreamGateway
 from kumquatlift.authority._progress import LATE_FACTOR, Progress
 from kumquatlift.authority._runs import Runs
@@ -32,12 +34,6 @@
 RECOVERY_MARGIN_S = 0.1
 # Fencing tokens of one leader: lives of one upstream that it can tell apart.
 LIVES_PER_TERM = 1 << 16
-# The number of slots changes with upstreams that come and go, within heartbeats of 1.5 s.
-SLOTS_S = 0.1
-# Which upstreams are usable is looked up again after this time; a pass over 176 takes 0.1 ms, and
-# up to 700 jobs a second are judged.
-USABLE_S = 0.02
-MAX_SLOT_COUNTS = 1000
 # Callers whose answer was lost ask again within a few seconds; until then the end of a job that is
 # not in the log is remembered.
 KEEP_UNKEPT_S = 10.0
@@ -102,14 +98,10 @@
         self.fleet: dict[str, Upstream] = {}
         self.progress: dict[str, Progress] = {}
         self.estimates = Estimates()
-        self._usable_lists: dict[str, tuple[float, list[Upstream]]] = {}
-        self._slot_counts: dict[tuple[str, int], tuple[float, float, float]] = {}
+        self._meter = LoadMeter(fleet=self.fleet, progress=self.progress, clock=clock)
         self._lives = 0
         self._arrivals = 0
         self._heard_at: dict[str, float] = {}
-        self._new_ends: list[tuple[Upstream, list[TaskEnd]]] = []
-        # Newest listed end of each upstream, by the index of the command that makes it durable.
-        self._open_ends: dict[int, list[tuple[Upstream, int]]] = {}
         longest_lease_s = limits.lease_s / (1 - MAX_CLOCK_SLOWNESS)
         self._recovers_until = clock.now() + longest_lease_s + RECOVERY_MARGIN_S - former_quiet_s
         self._is_recovering = True
@@ -131,6 +123,13 @@
             may_order=may_order,
             section=section,
         )
+        self._ends = EndLog(
+            state=state,
+            unkept=self.unkept,
+            clock=clock,
+            propose=propose,
+            on_committed=self.runs.on_end_committed,
+        )
         self._watch = Watch(
             find_job=self.find_job,
             fleet=self.fleet,
@@ -141,9 +140,10 @@
             lease_s=lambda: limits.lease_s - lease_age_s(),
             look_wait_s=LOOK_SHARE * limits.lease_s,
             may_order=may_order,
-            log_ends=self._log_ends,
+            log_ends=self._ends.add,
             section=section,
         )
+        self._ends.on_durable = self._watch.pump
         self._scheduler = Scheduler(
             fleet=self.fleet,
             progress=self.progress,
@@ -179,59 +179,13 @@
         objective_ms = queue.slack_factor * chain + queue.target_ms
         work = sum(step.tasks * ms for step, ms in zip(spec.steps, expected, strict=True))
         cpu = max((step.cpu_milli for step in spec.steps), default=0)
-        load = self._load(queue.service, cpu, now + (objective_ms - chain) / 1000)
+        load = self._meter.load(queue.service, cpu, now + (objective_ms - chain) / 1000)
         ask = Ask(work, chain, objective_ms, LATE_FACTOR * objective_ms)
         return judge(ask, load, random.random(), self.runs.late_share.caution)
 
     def _expected(self, queue: str, spec: JobSpec) -> tuple[float, ...]:
         return tuple(self.estimates.expected_ms(queue, step.estimate_ms) for step in spec.steps)
 
-    def _load(self, service: str, cpu_milli: int, start_by: float) -> Load:
-        """Return the load that a job meets which must start by a time."""
-        now = self._clock.now()
-        usable = self._usable(service, now)
-        slots, speed = self._slots(service, cpu_milli, usable, now)
-        is_free = any(upstream.room.cpu_milli >= cpu_milli for upstream in usable)
-        ahead_ms = 0.0
-        for progress in self.progress.values():
-            if progress.waiting and progress.queue and progress.queue.service == service:
-                latest = progress.objective_at - progress.chain_ms / 1000
-                if latest <= start_by and progress.late_at > now:
-                    ahead_ms += progress.waiting_ms
-        if not is_free:
-            ahead_ms += sum(
-                0.25 * run.expected_ms for upstream in usable for run in upstream.runs.values()
-            )
-        return Load(slots, speed, ahead_ms)
-
-    def _usable(self, service: str, now: float) -> list[Upstream]:
-        """Return the upstreams that may take tasks of a service; kept for a while."""
-        known = self._usable_lists.get(service)
-        if known is not None and now - known[0] < USABLE_S:
-            return known[1]
-        usable = [
-            upstream
-            for upstream in self.fleet.values()
-            if upstream.state.service == service and upstream.is_usable(now)
-        ]
-        self._usable_lists[service] = (now, usable)
-        return usable
-
-    def _slots(
-        self, service: str, cpu_milli: int, usable: list[Upstream], now: float
-    ) -> tuple[float, float]:
-        """Return how many tasks of a size run at a time, and the mean speed; kept for a while."""
-        key = (service, cpu_milli)
-        known = self._slot_counts.get(key)
-        if known is not None and now - known[0] < SLOTS_S:
-            return known[1], known[2]
-        if len(self._slot_counts) >= MAX_SLOT_COUNTS:
-            self._slot_counts.clear()
-        slots = sum(upstream.state.cpu_milli // max(1, cpu_milli) for upstream in usable)
-        speed = sum(upstream.speed for upstream in usable) / len(usable) if usable else 1.0
-        self._slot_counts[key] = (now, slots, speed)
-        return slots, speed
-
     def find_job(self, job_id: str) -> Job | None:
         """Return a job, in the log or not."""
         return self.unkept.get(job_id) or self._state.jobs.get(job_id)
@@ -361,49 +315,15 @@
 
     # Ends
 
-    def _log_ends(self, upstream: Upstream, ends: list[TaskEnd]) -> None:
-        kept: list[TaskEnd] = []
-        for end in ends:
-            job = self.unkept.get(end.task.job)
-            if job is not None:
-                if job.end_task(end, self._state.wall_ms()):
-                    self.runs.on_end_committed(end)
-            elif end.task.job in self._state.jobs:
-                kept.append(end)
-        if kept:
-            upstream.open_batches += 1
-            self._new_ends.append((upstream, kept))
-        elif not upstream.open_batches:
-            upstream.durable_end = upstream.listed_end
-            upstream.durable_at = self._clock.now()
-
-    def _propose_ends(self) -> None:
-        batch, self._new_ends = self._new_ends, []
-        rows = [[*end.task, end.run, end.how, end.saved] for _, ends in batch for end in ends]
-        command = Command(CommandKind.ENDS, {"at_ms": self._state.wall_ms(), "ends": rows})
-        index = self._propose(command)
-        if index is not None:
-            self._open_ends[index] = [(upstream, upstream.listed_end) for upstream, _ in batch]
-
     def on_ends(self, index: int, ends: tuple[TaskEnd, ...]) -> None:
         """Take note that ends are durable."""
-        now = self._clock.now()
-        for end in ends:
-            self.runs.on_end_committed(end)
-        for upstream, number in self._open_ends.pop(index, ()):
-            upstream.open_batches -= 1
-            # Ends listed since then that are not kept need no command.
-            number = number if upstream.open_batches else upstream.listed_end
-            upstream.durable_end = max(upstream.durable_end, number)
-            upstream.durable_at = now
-            self._watch.pump(upstream)
+        self._ends.on_applied(index, ends)
 
     # Time
 
     def flush(self) -> None:
         """Commit what was listed and place what waits, after a batch of events."""
-        if self._new_ends:
-            self._propose_ends()
+        self._ends.flush()
         if self.runs.needs_placing and self._may_order():
             self._scheduler.run()
 
--- /dev/null
+++ b/kumquatlift/authority/_load.py
@@ -0,0 +1,88 @@
+"""Measures the load that a new job meets."""
+
+from kumquatlift.authority._admission import Load
+from kumquatlift.authority._fleet import Upstream
+from kumquatlift.authority._progress import Progress
+from kumquatlift.clock import Clock
+
+# The number of slots changes with upstreams that come and go, within heartbeats of 1.5 s.
+SLOTS_S = 0.1
+MAX_SLOT_COUNTS = 1000
+# Which upstreams are usable is looked up again after this time; a pass over 176 takes 0.1 ms, and
+# up to 700 jobs a second are judged.
+USABLE_S = 0.02
+# What is left of a run that works, as a share of its expected time, when nothing is free: half of
+# it on average, of which other jobs ahead take a half again.
+LEFT_SHARE = 0.25
+
+
+class LoadMeter:
+    """Load of the services under one leader.
+
+    Args:
+        fleet: Upstreams by identity.
+        progress: Open jobs by identity.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self, *, fleet: dict[str, Upstream], progress: dict[str, Progress], clock: Clock
+    ) -> None:
+        self._fleet = fleet
+        self._progress = progress
+        self._clock = clock
+        self._usable_lists: dict[str, tuple[float, list[Upstream]]] = {}
+        self._slot_counts: dict[tuple[str, int], tuple[float, float, float]] = {}
+
+    def load(self, service: str, cpu_milli: int, start_by: float) -> Load:
+        """Return the load that a job meets.
+
+        Args:
+            service: Service of its queue.
+            cpu_milli: Room that its largest task needs.
+            start_by: Time by which it must start; jobs that must start later are not ahead of it.
+        """
+        now = self._clock.now()
+        usable = self._usable(service, now)
+        slots, speed = self._slots(service, cpu_milli, usable, now)
+        ahead_ms = 0.0
+        for progress in self._progress.values():
+            if progress.waiting and progress.queue and progress.queue.service == service:
+                latest = progress.objective_at - progress.chain_ms / 1000
+                if latest <= start_by and progress.late_at > now:
+                    ahead_ms += progress.waiting_ms
+        if not any(upstream.room.cpu_milli >= cpu_milli for upstream in usable):
+            ahead_ms += sum(
+                LEFT_SHARE * run.expected_ms
+                for upstream in usable
+                for run in upstream.runs.values()
+            )
+        return Load(slots, speed, ahead_ms)
+
+    def _usable(self, service: str, now: float) -> list[Upstream]:
+        """Return the upstreams that may take tasks of a service; kept for a while."""
+        known = self._usable_lists.get(service)
+        if known is not None and now - known[0] < USABLE_S:
+            return known[1]
+        usable = [
+            upstream
+            for upstream in self._fleet.values()
+            if upstream.state.service == service and upstream.is_usable(now)
+        ]
+        self._usable_lists[service] = (now, usable)
+        return usable
+
+    def _slots(
+        self, service: str, cpu_milli: int, usable: list[Upstream], now: float
+    ) -> tuple[float, float]:
+        """Return how many tasks of a size run at a time, and the mean speed; kept for a while."""
+        key = (service, cpu_milli)
+        known = self._slot_counts.get(key)
+        if known is not None and now - known[0] < SLOTS_S:
+            return known[1], known[2]
+        if len(self._slot_counts) >= MAX_SLOT_COUNTS:
+            self._slot_counts.clear()
+        slots = sum(upstream.state.cpu_milli // max(1, cpu_milli) for upstream in usable)
+        speed = sum(upstream.speed for upstream in usable) / len(usable) if usable else 1.0
+        self._slot_counts[key] = (now, slots, speed)
+        return slots, speed
