Keep runs of unknown jobs in a class of their own

Ruled out: passing the dictionaries to the watch; their rules (what an end of an unknown run means, what a job adopts) would have been in three modules.

Change: Orphans in _orphans.py. size_of and ref_of move beside Room and Upstream. Upstream.hear_clock accepts an answer without a reading, which removes the same check from three callers. No behaviour changes.

The tests of the authority and of the load patterns pass.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 from kumquatlift.authority._commands import TaskKey, UpstreamState
+from kumquatlift.authority._orders import UpstreamRef
+from kumquatlift.authority._work import Step
 
 # Clocks of upstreams may be this much slower than ours, by the platform's bounds.
 MAX_CLOCK_SLOWNESS = 0.02
@@ -199,8 +201,10 @@
         passed_ms = (now - self._clock_at) * 1000 * (1 - MAX_CLOCK_SLOWNESS)
         return self._clock_ms + int(passed_ms)
 
-    def hear_clock(self, clock_ms: int, now: float) -> None:
-        """Take note of a reading of its clock that arrived now."""
+    def hear_clock(self, clock_ms: int | None, now: float) -> None:
+        """Take note of a reading of its clock that arrived now, if there was one."""
+        if clock_ms is None:
+            return
         if not self.has_clock:
             # An earlier leader may have given a lease just before.
             self._lease_end_ms = clock_ms + int(self._lease_s * 1000)
@@ -236,3 +240,14 @@
         weight = max(SPEED_WEIGHT, 1 / (self.speed_samples + 2))
         self.speed += weight * (sample - self.speed)
         self.speed_samples += 1
+
+
+def size_of(step: Step) -> Room:
+    """Return the room that a task of a step takes; fillers use what others leave."""
+    return Room(0 if step.is_filler else step.cpu_milli, step.memory_mb, step.gpus)
+
+
+def ref_of(upstream: Upstream) -> UpstreamRef:
+    """Return the address of a life of an upstream, with this leader's token."""
+    state = upstream.state
+    return UpstreamRef(state.upstream_id, state.born_ms, state.address, upstream.token)
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -213,7 +213,7 @@
         )
         self.progress[job.job_id] = progress
         if not job.is_kept:
-            self.runs.adopt(progress)
+            self.runs.orphans.adopt(progress)
             if not job.is_open:
                 self.runs.close(progress)
                 return
@@ -358,7 +358,7 @@
                 self.runs.close(progress)
 
     def _forget_unkept(self, now: float) -> None:
-        self.runs.forget_orphan_ends(now - KEEP_UNKEPT_S)
+        self.runs.orphans.forget_ends(now - KEEP_UNKEPT_S)
         before_ms = self._state.wall_ms() - int(KEEP_UNKEPT_S * 1000)
         old = [
             job.job_id
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -7,7 +7,7 @@
 from kumquatlift.authority._admission import LateShare
 from kumquatlift.authority._commands import EndHow, TaskEnd, TaskKey
 from kumquatlift.authority._estimates import Estimates
-from kumquatlift.authority._fleet import Room, Run, RunState, Upstream
+from kumquatlift.authority._fleet import Run, RunState, Upstream, ref_of, size_of
 from kumquatlift.authority._orders import (
     MAX_ORDER_TIMEOUT_S,
     ORDER_TIMEOUT_S,
@@ -16,11 +16,11 @@
     StartOrder,
     StopOrder,
     UpstreamGateway,
-    UpstreamRef,
 )
+from kumquatlift.authority._orphans import Orphans
 from kumquatlift.authority._progress import Progress
 from kumquatlift.authority._state import State
-from kumquatlift.authority._work import Job, JobState, Step
+from kumquatlift.authority._work import Job, JobState
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.log import get_logger
@@ -35,8 +35,6 @@
 # An order without an answer is sent again after this pause.
 RESEND_S = 0.005
 SILENT_RESEND_S = 0.1
-# Ends of unknown jobs that are remembered; about those of one second at the largest size.
-MAX_ORPHAN_ENDS = 2000
 # An upstream that could not read a start is left alone for a while.
 MALFORMED_REST_S = 1.0
 
@@ -93,10 +91,7 @@
         # Jobs accepted before the end of recovery are late through no fault of the estimates.
         self.recovered_at = math.inf
         self.needs_placing = False
-        # Runs of jobs that this leader does not know, until their callers ask again, and ends of
-        # such runs.
-        self.orphans: dict[TaskKey, Upstream] = {}
-        self.orphan_ends: dict[TaskKey, tuple[TaskEnd, float]] = {}
+        self.orphans = Orphans(state=state, clock=clock)
         # Jobs of earlier leaders whose tasks may run on upstreams that have not been heard.
         self.held_jobs: set[str] = set()
         self.on_change: Callable[[Upstream], None] = lambda upstream: None
@@ -144,8 +139,7 @@
         self, upstream: Upstream, run: Run, sent_at: float, answer: OrderAnswer
     ) -> None:
         now = self._clock.now()
-        if answer.clock_ms is not None:
-            upstream.hear_clock(answer.clock_ms, now)
+        upstream.hear_clock(answer.clock_ms, now)
         if not self._is_current(upstream, run) or run.state is not RunState.STARTING:
             return
         if answer.result is OrderResult.OK:
@@ -245,8 +239,7 @@
 
     def _on_stopped(self, upstream: Upstream, run: Run, answer: OrderAnswer) -> None:
         now = self._clock.now()
-        if answer.clock_ms is not None:
-            upstream.hear_clock(answer.clock_ms, now)
+        upstream.hear_clock(answer.clock_ms, now)
         if not self._is_current(upstream, run):
             return
         if answer.result is OrderResult.OK:
@@ -271,8 +264,8 @@
         """
         run = upstream.runs.get(end.task)
         progress = self._progress.get(end.task.job)
-        if self.orphans.pop(end.task, None) is not None or self._find_job(end.task.job) is None:
-            self._note_orphan_end(end)
+        if self.orphans.remove(end.task) or self._find_job(end.task.job) is None:
+            self.orphans.note_end(end)
         if run is None:
             if progress is not None:
                 self._hold_until_committed(upstream, end, progress)
@@ -289,34 +282,6 @@
         del progress.running[end.task]
         self._wait_again(progress, end.task, upstream.state.upstream_id, end.how.value)
 
-    def _note_orphan_end(self, end: TaskEnd) -> None:
-        if end.how is EndHow.DONE and len(self.orphan_ends) < MAX_ORPHAN_ENDS:
-            self.orphan_ends[end.task] = (end, self._clock.now())
-
-    def adopt(self, progress: Progress) -> None:
-        """Give a job the runs and ends that an earlier leader left for it."""
-        job = progress.job
-        for task in [task for task in self.orphan_ends if task.job == job.job_id]:
-            job.end_task(self.orphan_ends.pop(task)[0], self._state.wall_ms())
-        for task in [task for task in self.orphans if task.job == job.job_id]:
-            upstream = self.orphans.pop(task)
-            run = upstream.runs.get(task)
-            if run is not None and run.state is RunState.RUNNING:
-                run.expected_ms = progress.expected_ms[task.step]
-                upstream.resize(run, size_of(job.spec.steps[task.step]))
-                progress.running[task] = upstream.state.upstream_id
-                progress.note_run(task, run.number)
-
-    def forget_orphan_ends(self, before: float) -> None:
-        """Drop ends of unknown jobs that were listed before a time."""
-        old = [task for task, (_, at) in self.orphan_ends.items() if at < before]
-        for task in old:
-            del self.orphan_ends[task]
-
-    def is_live(self, task: TaskKey) -> bool:
-        """Whether a run of a task that does not belong to its job may still work."""
-        return task in self.orphans
-
     def _hold_until_committed(self, upstream: Upstream, end: TaskEnd, progress: Progress) -> None:
         """Keep a task from starting while the end of a run of an earlier leader is not durable."""
         task = end.task
@@ -435,8 +400,7 @@
     def requeue(self, upstream: Upstream, run: Run, reason: str, *, is_first: bool = True) -> None:
         """Free a run that certainly does not run, and let its task wait again."""
         upstream.remove(run.task)
-        if self.orphans.get(run.task) is upstream:
-            del self.orphans[run.task]
+        self.orphans.remove(run.task, upstream)
         progress = self._progress.get(run.task.job)
         self.needs_placing = True
         if progress is None or progress.running.get(run.task) != upstream.state.upstream_id:
@@ -449,7 +413,7 @@
         former, upstream.former = upstream.former, {}
         for task, run in former.items():
             if task not in listed:
-                self.orphans.pop(task, None)
+                self.orphans.remove(task)
             progress = self._progress.get(task.job)
             if task in listed or progress is None:
                 continue
@@ -481,14 +445,3 @@
     def unreleased(self) -> Iterator[Progress]:
         """Yield the jobs with occurrences that are not due yet."""
         return (each for each in self._progress.values() if each.job.spec.occurrences)
-
-
-def size_of(step: Step) -> Room:
-    """Return the room that a task of a step takes; fillers use what others leave."""
-    return Room(0 if step.is_filler else step.cpu_milli, step.memory_mb, step.gpus)
-
-
-def ref_of(upstream: Upstream) -> UpstreamRef:
-    """Return the address of a life of an upstream, with this leader's token."""
-    state = upstream.state
-    return UpstreamRef(state.upstream_id, state.born_ms, state.address, upstream.token)
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -3,10 +3,10 @@
 from collections import Counter
 
 from kumquatlift.authority._commands import TaskKey
-from kumquatlift.authority._fleet import Room, Upstream
+from kumquatlift.authority._fleet import Room, Upstream, size_of
 from kumquatlift.authority._placement import Candidate, Place, Places, Waiting, order_key
 from kumquatlift.authority._progress import Progress
-from kumquatlift.authority._runs import Runs, size_of
+from kumquatlift.authority._runs import Runs
 from kumquatlift.authority._work import Step
 from kumquatlift.clock import Clock
 from kumquatlift.log import get_logger
@@ -99,7 +99,7 @@
         seen_gangs: set[tuple[int, int]] = set()
         for task in list(progress.waiting):
             step = progress.job.spec.steps[task.step]
-            if self._runs.is_live(task):
+            if task in self._runs.orphans:
                 continue
             if step.is_gang:
                 gang = (task.occurrence, task.step)
--- a/kumquatlift/authority/_watch.py
+++ b/kumquatlift/authority/_watch.py
@@ -4,10 +4,10 @@
 from functools import partial
 
 from kumquatlift.authority._commands import TaskEnd, TaskKey
-from kumquatlift.authority._fleet import Room, Run, RunState, Upstream
+from kumquatlift.authority._fleet import Room, Run, RunState, Upstream, ref_of, size_of
 from kumquatlift.authority._orders import LookAnswer, LookOrder, OrderResult, UpstreamGateway
 from kumquatlift.authority._progress import Progress
-from kumquatlift.authority._runs import Runs, ref_of, size_of
+from kumquatlift.authority._runs import Runs
 from kumquatlift.authority._work import Job
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
@@ -159,8 +159,7 @@
         if self._fleet.get(upstream.state.upstream_id) is not upstream:
             return
         now = self._clock.now()
-        if answer.clock_ms is not None:
-            upstream.hear_clock(answer.clock_ms, now)
+        upstream.hear_clock(answer.clock_ms, now)
         if answer.result is not OrderResult.OK:
             self._on_look_failed(upstream, answer, now)
             return
@@ -255,7 +254,7 @@
         upstream.add(run)
         if job is None:
             # Its caller may ask again, since a leader that was lost did not log it.
-            self._runs.orphans[task] = upstream
+            self._runs.orphans.add(task, upstream)
             return
         progress = self._progress.get(task.job)
         holder = progress.running.get(task) if progress is not None else None
