--- a/kumquatlift/store/_raft.py
+++ b/kumquatlift/store/_raft.py
@@ -9,11 +9,13 @@
 from kumquatlift.store._journal import HardState, Recovered, Snapshot, entry_record, hard_record
 from kumquatlift.store._log import Log
 from kumquatlift.store._messages import Entry, Message, MessageKind
+from kumquatlift.store._peer import Peer
+from kumquatlift.store._snapshot_parts import ArrivingSnapshot, snapshot_part
+from kumquatlift.store._unsynced import Unsynced
 from kumquatlift.store._voters import DiskRecovery, Joiner, next_voters
 
 # Data of one message; a follower that is far behind gets several.
 MAX_APPEND_BYTES = 512 * 1024
-SNAPSHOT_PART_BYTES = 1024 * 1024
 # Entries sent to a follower ahead of its answers.
 MAX_IN_FLIGHT = 2000
 # A replica without state, or one that no leader has sent to for the longer time, asks this often.
@@ -63,23 +65,6 @@
         """Take note that this replica leads or no longer leads."""
 
 
-class Peer:
-    """What a leader knows of another replica."""
-
-    __slots__ = ("acked_at", "heard_at", "is_member", "match", "next", "sent_at", "snapshot_at")
-
-    def __init__(self, *, next_index: int, now: float) -> None:
-        self.next = next_index
-        self.match = 0
-        # Send time of the newest message that was answered; leases count from it.
-        self.acked_at = 0.0
-        self.sent_at = 0.0
-        self.heard_at = now
-        self.is_member = False
-        # Bytes of the snapshot sent so far; None while entries are sent.
-        self.snapshot_at: int | None = None
-
-
 class Raft:
     """One replica.
 
@@ -118,15 +103,11 @@
         self._rng = rng or random.Random()
         self.role = Role.FOLLOWER
         self.leader = ""
-        self._records: list[bytes] = []
-        # Messages and log position that become true with the next sync, and with the one running.
-        self._after_sync: list[tuple[str, Message]] = []
-        self._in_sync: list[tuple[str, Message]] = []
-        self._in_sync_index = 0
+        self._unsynced = Unsynced(send=send)
         self._load(recovered, founders)
+        self._unsynced.restart_at(self.last_index)
         self.commit = self._log.base.position
         self.applied = self._log.base.position
-        self._synced_index = self.last_index
         self.peers: dict[str, Peer] = {}
         # Voters for this replica, and when each had last heard a leader.
         self._votes: dict[str, float] = {}
@@ -138,7 +119,7 @@
         self._first_own_index = 0
         self._is_leaving = False
         self._recovery = DiskRecovery(name=name)
-        self._snapshot_parts: list[bytes] = []
+        self._arriving = ArrivingSnapshot()
         self._joiners: dict[str, float] = {}
         self._asked_at = 0.0
         self._reset_election()
@@ -150,7 +131,7 @@
         if hard is None and self.name in founders:
             hard = HardState(0, "", True)
             self._log = Log(base=Snapshot(0, 0, founders, b""), entries=[])
-            self._records.append(hard_record(hard))
+            self._unsynced.records.append(hard_record(hard))
             self._append(Entry(0, b"", founders))
         else:
             self._log = Log(base=recovered.snapshot, entries=list(recovered.entries))
@@ -220,7 +201,7 @@
 
     def _append(self, entry: Entry) -> int:
         index = self._log.append(entry)
-        self._records.append(entry_record(index, entry))
+        self._unsynced.records.append(entry_record(index, entry))
         return index
 
     def propose(self, data: bytes, voters: tuple[str, ...] | None = None) -> int | None:
@@ -237,32 +218,25 @@
 
     def take_records(self) -> list[bytes]:
         """Return what must be written before ``synced`` is called; empty when nothing waits."""
-        records, self._records = self._records, []
-        self._in_sync, self._after_sync = self._after_sync, []
-        self._in_sync_index = self.last_index
-        return records
+        return self._unsynced.take(self.last_index)
 
     def synced(self) -> None:
         """Take note that the records taken last are durable."""
-        # A conflicting leader may have cut the log while the sync ran.
-        self._synced_index = min(self._in_sync_index, self.last_index)
-        waiting, self._in_sync = self._in_sync, []
-        for to, message in waiting:
-            self._send_now(to, message)
+        self._unsynced.on_synced(self.last_index)
 
     def _send_when_synced(self, to: str, message: Message) -> None:
-        if self._records or self._in_sync:
-            self._after_sync.append((to, message))
-            if not self._records:
-                # Gives the message a sync of its own to wait for.
-                self._records.append(hard_record(self._hard))
-        else:
+        if self._unsynced.is_empty:
             self._send_now(to, message)
+            return
+        self._unsynced.send_later(to, message)
+        if not self._unsynced.records:
+            # Gives the message a sync of its own to wait for.
+            self._unsynced.records.append(hard_record(self._hard))
 
     def _set_hard(self, hard: HardState) -> None:
         if hard != self._hard:
             self._hard = hard
-            self._records.append(hard_record(hard))
+            self._unsynced.records.append(hard_record(hard))
 
     # Elections
 
@@ -436,7 +410,7 @@
             "member": self.is_member,
         }
         answer = Message(MessageKind.APPEND_ANSWER, self.term, fields)
-        if became_member or (is_match and matched > self._synced_index):
+        if became_member or (is_match and matched > self._unsynced.synced_index):
             self._send_when_synced(sender, answer)
         else:
             # A heartbeat's answer must not wait for a slow disk.
@@ -449,8 +423,7 @@
                 continue
             if index <= self.last_index:
                 self._log.truncate(index - 1)
-                self._synced_index = min(self._synced_index, index - 1)
-                self._in_sync_index = min(self._in_sync_index, index - 1)
+                self._unsynced.truncate(index - 1)
             self._append(entry)
         return index
 
@@ -493,7 +466,7 @@
 
     def _match(self, voter: str) -> int:
         if voter == self.name:
-            return self._synced_index
+            return self._unsynced.synced_index
         peer = self.peers.get(voter)
         return peer.match if peer is not None and peer.is_member else 0
 
@@ -523,7 +496,7 @@
 
     def whole_records(self) -> list[bytes]:
         """Return the records of everything but the snapshot, in place of those not yet taken."""
-        self._records = []
+        self._unsynced.records = []
         return [hard_record(self._hard), *self._log.records()]
 
     def _start_snapshot(self, name: str, peer: Peer) -> None:
@@ -532,31 +505,18 @@
         self._send_part(name, peer)
 
     def _send_part(self, name: str, peer: Peer) -> None:
-        at = peer.snapshot_at or 0
-        state = self._log.base.state
-        fields = {
-            "index": self._log.base.position,
-            "index_term": self._log.base.term,
-            "voters": self._log.base.voters,
-            "at": at,
-            "is_last": at + SNAPSHOT_PART_BYTES >= len(state),
-            "sent_at": self._now(),
-        }
-        part = state[at : at + SNAPSHOT_PART_BYTES]
         peer.sent_at = self._now()
-        self._send_now(name, Message(MessageKind.SNAPSHOT, self.term, fields, (), part))
+        message = snapshot_part(
+            self._log.base, peer.snapshot_at or 0, term=self.term, sent_at=peer.sent_at
+        )
+        self._send_now(name, message)
 
     def _on_snapshot(self, sender: str, message: Message) -> Snapshot | None:
         """Take a part; return the snapshot when it is whole and must be saved."""
         if not self._hear_leader(sender, message):
             return None
         fields = message.fields
-        if fields["at"] == 0:
-            self._snapshot_parts = []
-        have = sum(map(len, self._snapshot_parts))
-        if have == fields["at"]:
-            self._snapshot_parts.append(message.blob)
-            have += len(message.blob)
+        have = self._arriving.add(fields["at"], message.blob)
         is_whole = fields["is_last"] and have == fields["at"] + len(message.blob)
         answer = {
             "ok": True,
@@ -569,12 +529,13 @@
         if not is_whole or fields["index"] <= self.applied:
             self._send_now(sender, reply)
             return None
-        state = b"".join(self._snapshot_parts)
+        state = self._arriving.state()
         base = Snapshot(fields["index"], fields["index_term"], tuple(fields["voters"]), state)
         self._log.replace(base)
-        self.commit = self.applied = self._synced_index = self._in_sync_index = base.position
+        self._unsynced.restart_at(base.position)
+        self.commit = self.applied = base.position
         self._machine.restore(state)
-        self._after_sync.append((sender, reply))
+        self._unsynced.send_later(sender, reply)
         return base
 
     def _on_snapshot_answer(self, sender: str, peer: Peer, message: Message) -> None:
