Try a disk again that refuses while a process starts

A core that was killed and started again while its disk refused a sync ended with start_failed and was gone for good. With another disk lost at the same time the system had no majority and served nothing for the rest of the run.

Ruled out: a supervisor that starts it again.

Change: open_journal tries again every 0.25 s after errors that may pass (EIO, ENOSPC, EDQUOT, ETIMEDOUT), logs each as disk_refused, and ends on SIGTERM. Other errors end the start with a clear line as before. A failed open closes its file. Three tests, which failed before.

No decision changes.

--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -20,7 +20,7 @@
 from kumquatlift.platform._upstream_client import UpstreamClient
 from kumquatlift.platform._wire import read_config
 from kumquatlift.settings import Address
-from kumquatlift.store import EventLoop, Journal, JournalError, Replica
+from kumquatlift.store import EventLoop, JournalError, Replica, open_journal
 from kumquatlift.timer import Timer
 from kumquatlift.transport.channel import Topic
 from kumquatlift.transport.server import HttpServer
@@ -55,6 +55,10 @@
         while not self._event.wait():
             pass
 
+    def gives_up(self, seconds: float) -> bool:
+        """Wait for a number of seconds; return whether SIGTERM came meanwhile."""
+        return self._event.wait(seconds)
+
     def _on_term(self, _signal: int, _frame: object) -> None:
         self._event.set()
 
@@ -89,6 +93,9 @@
 def run_core(cfg: PlatformSettings) -> None:
     """Keep a replica of the log, and lead when elected, until SIGTERM."""
     stop = Stop()
+    journal = open_journal(Path(cfg.data_folder), gives_up=stop.gives_up)
+    if journal is None:
+        return
     board = Blackboard()
     clock = MonotonicClock()
     loop = EventLoop(clock=clock)
@@ -110,7 +117,7 @@
         name=cfg.peer_name,
         channel=channel,
         loop=loop,
-        journal=Journal(path=Path(cfg.data_folder)),
+        journal=journal,
         machine=authority,
         founders=cfg.contacts if cfg.is_first_formation else (),
         contacts=cfg.contacts,
--- a/kumquatlift/store/__init__.py
+++ b/kumquatlift/store/__init__.py
@@ -1,7 +1,7 @@
 """A replicated, durable log of commands, kept by the instances with disks."""
 
 from kumquatlift.store._event_loop import EventLoop
-from kumquatlift.store._journal import Journal, JournalError
+from kumquatlift.store._journal import Journal, JournalError, open_journal
 from kumquatlift.store._messages import Entry, Message
 from kumquatlift.store._raft import Raft, Role, StateMachine, Timing
 from kumquatlift.store._replica import Replica
@@ -17,4 +17,5 @@
     "Role",
     "StateMachine",
     "Timing",
+    "open_journal",
 ]
--- a/kumquatlift/store/_journal.py
+++ b/kumquatlift/store/_journal.py
@@ -1,8 +1,10 @@
 """The file that makes a replica's log durable, with its snapshots."""
 
+import errno
 import json
 import os
 import struct
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 from zlib import crc32
@@ -17,8 +19,23 @@
 MAX_RECORD_BYTES = 64 * 1024 * 1024
 
 
+# Errors of a disk that may pass; others, such as a missing permission, need an operator.
+PASSING_ERRORS = frozenset({errno.EIO, errno.ENOSPC, errno.EDQUOT, errno.ETIMEDOUT})
+# A disk that refuses is tried again after this time.
+RETRY_S = 0.25
+
+
 class JournalError(Exception):
-    """The data folder cannot be read or written."""
+    """The data folder cannot be read or written.
+
+    Args:
+        reason: What is wrong.
+        may_pass: Whether the same call may succeed later.
+    """
+
+    def __init__(self, reason: str, *, may_pass: bool = False) -> None:
+        super().__init__(reason)
+        self.may_pass = may_pass
 
 
 class HardState(NamedTuple):
@@ -65,6 +82,30 @@
     entries: list[Entry]
 
 
+def open_journal(path: Path, *, gives_up: Callable[[float], bool]) -> "Journal | None":
+    """Open a journal, again and again while its disk refuses for a reason that may pass.
+
+    Args:
+        path: Data folder.
+        gives_up: Waits for a number of seconds; tells whether the process ends meanwhile.
+
+    Returns:
+        The journal; None when the process ends.
+
+    Raises:
+        JournalError: The folder cannot be used, for a reason that does not pass.
+    """
+    while True:
+        try:
+            return Journal(path=path)
+        except JournalError as exc:
+            if not exc.may_pass:
+                raise
+            get_logger().error("disk_refused", error=repr(exc), retry_s=RETRY_S)
+        if gives_up(RETRY_S):
+            return None
+
+
 def entry_record(index: int, entry: Entry) -> bytes:
     """Return the record of an entry; a later record of the same index replaces it and its tail."""
     return _record({"index": index, "term": entry.term, "voters": entry.voters}, entry.data)
@@ -101,7 +142,10 @@
             path.mkdir(parents=True, exist_ok=True)
             self.recovered = self._recover()
         except OSError as exc:
-            raise JournalError(f"{path}: {exc}") from exc
+            if self._fd >= 0:
+                os.close(self._fd)
+            may_pass = exc.errno in PASSING_ERRORS
+            raise JournalError(f"{path}: {exc}", may_pass=may_pass) from exc
 
     def append(self, records: list[bytes]) -> None:
         """Write records and return once they are durable.
--- a/kumquatlift/store/_replica.py
+++ b/kumquatlift/store/_replica.py
@@ -7,14 +7,12 @@
 from kumquatlift.histogram import Histogram
 from kumquatlift.log import get_logger
 from kumquatlift.store._event_loop import EventLoop
-from kumquatlift.store._journal import Journal, Snapshot
+from kumquatlift.store._journal import RETRY_S, Journal, Snapshot
 from kumquatlift.store._messages import Message
 from kumquatlift.store._raft import Raft, StateMachine
 from kumquatlift.transport.channel import Channel, Topic
 
 TICK_S = 0.04
-# A disk that refuses a write is tried again after this time.
-RETRY_S = 0.25
 
 
 def suspended_clock() -> float:
--- a/tests/test_store_journal.py
+++ b/tests/test_store_journal.py
@@ -1,10 +1,13 @@
 """The journal of a replica: torn tails, replaced entries and snapshots."""
 
+import errno
+import os
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from kumquatlift.store import Entry, Journal, JournalError
+from kumquatlift.store import Entry, Journal, JournalError, _journal, open_journal
 from kumquatlift.store._journal import HardState, Snapshot, entry_record, hard_record
 
 
@@ -89,3 +92,50 @@
                 journal.append([entry_record(2, Entry(1, b"lost"))])
         journal.append([entry_record(2, Entry(1, b"b"))])
         assert [entry.data for entry in Journal(path=tmp_path).recovered.entries] == [b"a", b"b"]
+
+
+class RefusingOs:
+    """The module ``os`` with a disk that refuses some syncs."""
+
+    def __init__(self, *refusals: int) -> None:
+        self.refusals = list(refusals)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(os, name)
+
+    def fsync(self, fd: int) -> None:
+        if self.refusals:
+            raise OSError(self.refusals.pop(0), "refused")
+        os.fsync(fd)
+
+
+class TestOpen:
+    """A disk that refuses while a process starts.
+
+    Found by the soak: an instance that was killed and started again on a disk that refused a sync
+    ended for good, which with another disk lost left the system without a majority.
+    """
+
+    def test_a_disk_that_refuses_for_a_while_is_tried_again(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        write(tmp_path, entry_record(1, Entry(1, b"a")))
+        monkeypatch.setattr(_journal, "os", RefusingOs(errno.EIO, errno.ENOSPC))
+        waits: list[float] = []
+        journal = open_journal(tmp_path, gives_up=lambda seconds: bool(waits.append(seconds)))
+        assert journal is not None
+        assert journal.recovered.entries == [Entry(1, b"a")]
+        assert len(waits) == 2
+
+    def test_an_error_that_does_not_pass_ends_the_start(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_journal, "os", RefusingOs(errno.EACCES))
+        with pytest.raises(JournalError):
+            open_journal(tmp_path, gives_up=lambda seconds: False)
+
+    def test_a_process_that_is_told_to_end_stops_trying(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_journal, "os", RefusingOs(*[errno.EIO] * 5))
+        assert open_journal(tmp_path, gives_up=lambda seconds: True) is None
