Keep work that arrives while the system refuses another thread

A topic counted a worker before its thread was started, so that one with a single worker was dead from then on. Two more paths have the same symptom, a job that waits for a slot until its deadline while later jobs are complete: a listener that raises, as an attempt without a thread did, kept every later grant of the same message from its listener, while both sides counted these slots as held; and starts and looks of the platform's client were lost in the same way.

Ruled out: retrying at each caller. ThreadPoolExecutor queues a function before it starts the thread and raises, so that a retry may run it twice.

Change: WorkerPool keeps such a function for the next free thread, starts one with the next message or at a tick of 0.1 s, and logs thread_not_started; topics, attempts, orders and looks use it, and exceptions of orders and looks are logged instead of lost. SlotClient gives a slot back when its listener fails and goes on with the others.

--- a/kumquatlift/jobs/dispatcher.py
+++ b/kumquatlift/jobs/dispatcher.py
@@ -3,7 +3,7 @@
 import itertools
 import threading
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future
 from typing import Any, NamedTuple, Protocol
 
 from kumquatlift.blackboard import Section
@@ -21,9 +21,12 @@
 from kumquatlift.scheduling.slot_source import GrantedSlot, SlotSource
 from kumquatlift.timer import Timer, TimerHandle
 from kumquatlift.upstreams.runner_client import AttemptEnd, AttemptResult, RunnerClient
+from kumquatlift.worker_pool import WorkerPool
 
 # Attempts in flight in one process; each holds a thread while its runner works.
 MAX_ATTEMPTS_IN_FLIGHT = 256
+# An attempt that found no thread waits at most this long, well within a grant's time of use.
+WAKE_S = 0.1
 # Jobs that run or wait in one process; beyond it new jobs are refused.
 MAX_JOBS = 20_000
 # Deadline of a job whose kind is not configured here; it is refused before the deadline matters.
@@ -90,9 +93,8 @@
         self._lock = threading.Lock()
         self._jobs: dict[str, _RunningJob] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._attempts = ThreadPoolExecutor(
-            max_workers=MAX_ATTEMPTS_IN_FLIGHT, thread_name_prefix="attempt"
-        )
+        self._attempts = WorkerPool(threads=MAX_ATTEMPTS_IN_FLIGHT, name="attempt")
+        timer.call_every(WAKE_S, self._attempts.wake)
         section.publish(lambda: {"jobs": len(self._jobs)})
 
     def admit(self, req: JobRequest) -> Failure | None:
@@ -152,7 +154,7 @@
 
     def close(self) -> None:
         """End the threads once their attempts are over."""
-        self._attempts.shutdown(wait=False, cancel_futures=True)
+        self._attempts.close()
 
     def forget(self, job_id: str, answer: JobAnswer) -> None:
         """Drop a job that has its answer and no attempt in flight."""
@@ -189,7 +191,7 @@
 
     def submit_attempt(self, function: Callable[..., None], *args: Any) -> None:
         """Run a function in an attempt thread."""
-        self._attempts.submit(_logged, function, *args)
+        self._attempts.submit(function, *args)
 
     @property
     def parts(self) -> "_Parts":
@@ -370,10 +372,3 @@
     if result.end is AttemptEnd.UNKNOWN:
         return AttemptOutcome.UNKNOWN
     return AttemptOutcome.REFUSED if result.sent else AttemptOutcome.UNREACHABLE
-
-
-def _logged(function: Callable[..., None], *args: Any) -> None:
-    try:
-        function(*args)
-    except Exception as exc:
-        get_logger().error("attempt_crashed", error=repr(exc), exc_info=True)
--- a/kumquatlift/platform/_upstream_client.py
+++ b/kumquatlift/platform/_upstream_client.py
@@ -2,7 +2,6 @@
 
 import http.client
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 
 from kumquatlift.authority import (
@@ -23,6 +22,7 @@
 )
 from kumquatlift.store import EventLoop
 from kumquatlift.transport.connection_pool import ConnectionPool, HttpAnswer, NotSentError
+from kumquatlift.worker_pool import WorkerPool
 
 # Looks that wait for an end get their wait on top.
 LOOK_TIMEOUT_S = 0.2
@@ -45,8 +45,8 @@
     def __init__(self, *, loop: EventLoop) -> None:
         self._loop = loop
         self._pool = ConnectionPool(max_idle_s=MAX_IDLE_S)
-        self._orders = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix="order")
-        self._looks = ThreadPoolExecutor(LOOK_THREADS, thread_name_prefix="look")
+        self._orders = WorkerPool(threads=ORDER_THREADS, name="order")
+        self._looks = WorkerPool(threads=LOOK_THREADS, name="look")
 
     def start(
         self, ref: UpstreamRef, order: StartOrder, done: Callable[[OrderAnswer], None]
--- a/kumquatlift/scheduling/slot_client.py
+++ b/kumquatlift/scheduling/slot_client.py
@@ -157,7 +157,12 @@
                     refused.append((*rest, refusal.failure))
         self._changed.set()
         for listener, slot in granted:
-            listener.slot_granted(slot)
+            try:
+                listener.slot_granted(slot)
+            except Exception as exc:
+                # The other grants of the message must reach their listeners all the same.
+                get_logger().error("grant_failed", slot=slot.id, error=repr(exc), exc_info=True)
+                self.finish(slot, AttemptOutcome.UNUSED, 0.0)
         for listener, count, failure in refused:
             listener.slots_refused(count, failure)
 
--- a/kumquatlift/transport/_lanes.py
+++ b/kumquatlift/transport/_lanes.py
@@ -3,11 +3,12 @@
 import threading
 from collections import deque
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future
 
 from kumquatlift.log import get_logger
 from kumquatlift.transport._envelope import Envelope, Kind
 from kumquatlift.transport.channel import Handler, LateHandler
+from kumquatlift.worker_pool import WorkerPool
 
 MAX_QUEUE = 2000
 Answer = Callable[[Kind, bytes], None]
@@ -59,7 +60,7 @@
         self._topic = topic
         self._handler = handler
         self._workers = workers
-        self._executor = ThreadPoolExecutor(max_workers=workers, thread_name_prefix=f"on-{topic}")
+        self._pool = WorkerPool(threads=workers, name=f"on-{topic}")
         self._lock = threading.Lock()
         self._waiting: deque[tuple[str, bytes, Answer]] = deque()
         self._active = 0
@@ -70,18 +71,20 @@
             if len(self._waiting) >= MAX_QUEUE:
                 return False
             self._waiting.append((sender, body, answer))
-            if self._active >= self._workers:
-                return True
-            self._active += 1
-        # One executor task drains many messages: a submit costs more than a short handler.
-        self._executor.submit(self._drain)
+            needs_worker = self._active < self._workers
+            self._active += needs_worker
+        if needs_worker:
+            # One task of the pool drains many messages: a submit costs more than a short handler.
+            self._pool.submit(self._drain)
+        else:
+            self._pool.wake()
         return True
 
     def close(self) -> None:
         """Drop what waits."""
         with self._lock:
             self._waiting.clear()
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        self._pool.close()
 
     def _drain(self) -> None:
         while True:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -45,6 +45,13 @@
         self.refused += count
 
 
+class FailingListener(Listener):
+    """Fails at every grant."""
+
+    def slot_granted(self, slot: GrantedSlot) -> None:
+        raise RuntimeError("can't start new thread")
+
+
 class Process:
     """Owner and requester of one entry process on a fake network."""
 
@@ -332,6 +339,21 @@
         assert len(listener.slots) >= granted + 2
         assert {slot.place for slot in listener.slots[-2:]} == {("s", "z")}
 
+    def test_listener_that_fails_keeps_no_grant_from_the_others(self) -> None:
+        """Guards against a job that waits until its deadline for a slot that it was granted."""
+        clock = ManualClock()
+        process, _ = pair(FakeNetwork(), clock)
+        failing, listener, third = FailingListener(), Listener(), Listener()
+        for name, each in (("first", failing), ("second", listener)):
+            process.client.request("s", demand(name, 2), each)
+        process.client.flush()
+        process.owner.announce(announcement(token_of(process, clock)))
+        assert len(listener.slots) == 2
+        process.client.flush()
+        process.client.request("s", demand("third", 2), third)
+        process.client.flush()
+        assert len(third.slots) == 2, "the slots that were not taken are free again"
+
     def test_withdrawn_demand_that_waited_long_is_logged_with_the_zones(self) -> None:
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
