Ask a zone again some time after it refused a demand

Cause: the known-red scenario "The owner of a zone's slots is frozen and resumed". A zone that refused a demand, for example while the others' queues were long, was left out for the life of the demand, so that its requests went to a zone without slots or to the longest queue, and stayed there until the deadline. Later jobs, which no zone had refused, were complete first.

Change: a refusal leaves the zone out for its Retry-After, 1 s at least, and for good only without one, such as a job that never fits. Requests that wait in a zone without any slot move to one that has some, also when nothing is free there at present. Each refusal of a demand is logged as demand_refused with its reason.

--- a/kumquatlift/scheduling/open_demands.py
+++ b/kumquatlift/scheduling/open_demands.py
@@ -1,9 +1,14 @@
 """What a requester of slots has asked for, and what the owners have not been told yet."""
 
+import math
+
 from kumquatlift.failure import Failure
 from kumquatlift.scheduling.slot_messages import SlotCancel, SlotDemand, SlotFinish
 from kumquatlift.scheduling.slot_source import SlotListener
 
+# Two zones that both refuse are asked in turn no more often than this.
+MIN_REFUSAL_S = 1.0
+
 
 class OpenDemand:
     """A demand that is not fully granted: open counts by zone, and zones that refused it."""
@@ -17,7 +22,17 @@
         self.asked_at = asked_at
         self.deadline_at = asked_at + demand.deadline_s
         self.by_zone: dict[str, int] = {}
-        self.refused: dict[str, Failure] = {}
+        # When each zone that refused the demand may be asked again.
+        self._refused_until: dict[str, float] = {}
+
+    def note_refusal(self, zone: str, failure: Failure, now: float) -> None:
+        """Leave a zone out for as long as its refusal holds; one without Retry-After holds on."""
+        pause_s = max(MIN_REFUSAL_S, failure.retry_after_ms / 1000)
+        self._refused_until[zone] = now + pause_s if failure.retry_after_ms else math.inf
+
+    def is_refused(self, zone: str, now: float) -> bool:
+        """Whether a zone has refused the demand and is not to be asked yet."""
+        return now < self._refused_until.get(zone, 0.0)
 
     def at(self, zone: str, now: float) -> SlotDemand:
         """Return the demand as one zone sees it now."""
--- a/kumquatlift/scheduling/slot_client.py
+++ b/kumquatlift/scheduling/slot_client.py
@@ -218,7 +218,8 @@
         """Divide an open count over the zones that have not refused the demand."""
         own = self._members.me.zone
         zones = {zone: self._zone_load(entry.service, zone) for zone in self._zones() | {own}}
-        open_zones = {zone: load for zone, load in zones.items() if zone not in entry.refused}
+        now = self._clock.now()
+        open_zones = {zone: load for zone, load in zones.items() if not entry.is_refused(zone, now)}
         if not open_zones:
             return False
         weight = self._message_weight(entry.service)
@@ -241,7 +242,8 @@
         Loads are up to a second old when a job is divided, and a zone may lose its runners later.
         """
         zones = {zone: self._zone_load(entry.service, zone) for zone in self._zones()}
-        usable = {zone: load for zone, load in zones.items() if zone not in entry.refused}
+        now = self._clock.now()
+        usable = {zone: load for zone, load in zones.items() if not entry.is_refused(zone, now)}
         waiting = {zone: count for zone, count in entry.by_zone.items() if count > 0}
         silent = {
             zone: count for zone, count in waiting.items() if self._is_silent(entry.service, zone)
@@ -264,7 +266,7 @@
         for zone in sorted(self._zones() | set(entry.by_zone)):
             load = self._zone_load(entry.service, zone)
             state = "silent" if self._is_silent(entry.service, zone) else "heard"
-            state = "refused" if zone in entry.refused else state
+            state = "refused" if entry.is_refused(zone, self._clock.now()) else state
             parts.append(
                 f"{zone}:open={entry.by_zone.get(zone, 0)},free={load.free},"
                 f"queued={load.queued},slots={load.slots},{state}"
@@ -303,7 +305,15 @@
         if entry is None:
             return None
         count = entry.by_zone.pop(zone, 0)
-        entry.refused[zone] = failure
+        entry.note_refusal(zone, failure, self._clock.now())
+        get_logger().info(
+            "demand_refused",
+            demand=demand_id,
+            zone=zone,
+            count=count,
+            reason=failure.reason,
+            retry_after_ms=failure.retry_after_ms,
+        )
         if count == 0 or self._place(entry, count):
             return None
         if not any(entry.by_zone.values()):
--- a/kumquatlift/scheduling/zone_choice.py
+++ b/kumquatlift/scheduling/zone_choice.py
@@ -99,9 +99,12 @@
 
     Returns:
         Requests to take back, by zone; they are demanded anew with ``choose_zones``. Empty unless
-        free slots are known elsewhere.
+        free slots are known elsewhere, or the requests wait in a zone without any slots.
     """
-    if not any(load.free > load.queued for zone, load in zones.items() if zone not in waiting):
+    others = [load for zone, load in zones.items() if zone not in waiting]
+    has_room = any(load.free > load.queued for load in others)
+    is_stranded = any(zone in zones and not zones[zone].slots for zone in waiting)
+    if not has_room and not (is_stranded and any(load.slots for load in zones.values())):
         return {}
     without = {
         zone: load._replace(queued=max(0, load.queued - waiting.get(zone, 0)))
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -12,6 +12,7 @@
 from kumquatlift.configuration.document_check import read_mapping
 from kumquatlift.failure import Failure
 from kumquatlift.membership.members import Member
+from kumquatlift.scheduling.admission import NO_RUNNER_GRACE_S
 from kumquatlift.scheduling.scheduler import AttemptOutcome
 from kumquatlift.scheduling.service_slots import OWNER_LEASE_S, RELEASED_WAIT_S
 from kumquatlift.scheduling.slot_client import REBALANCE_INTERVAL_S, SlotClient, slot_owner_of
@@ -373,6 +374,42 @@
         assert (line["demand"], line["waited_s"]) == ("long", 1.5)
         assert line["zones"] == "z:open=6,free=0,queued=6,slots=4,heard"
 
+    def test_zone_that_refused_is_asked_again_when_it_has_slots(self) -> None:
+        """Guards against requests that wait for a zone without slots beside one with free slots.
+
+        Found by a loop of the scenario of the frozen owner: two zones refused a job while their
+        queues were long, its requests went to a zone without runners, and stayed there until the
+        deadline.
+        """
+        clock, network = ManualClock(), FakeNetwork()
+        north, south = member("a", "z"), member("b", "y")
+        refusing = Process(north, [south], network, clock)
+        lonely = Process(south, [north], network, clock)
+        early, listener = Listener(), Listener()
+        refusing.owner.announce(announcement(token_of(refusing, clock)))
+        clock.advance(NO_RUNNER_GRACE_S)
+        refusing.owner.announce(announcement(token_of(refusing, clock)))
+        lonely.client.request("s", demand("early", 1), early)
+        for _ in range(2):
+            clock.advance(REBALANCE_INTERVAL_S)
+            lonely.client.rebalance()
+            lonely.client.flush()
+        assert early.slots
+        # The load that is known is old: the runner has gone, and its owner refuses. The owner of
+        # the other zone is new and still waits for runners.
+        clock.advance(OWNER_LEASE_S)
+        lonely.client.request("s", demand("w", 2), listener)
+        lonely.client.flush()
+        assert not listener.slots
+        for _ in range(10):
+            clock.advance(REBALANCE_INTERVAL_S)
+            refusing.owner.announce(announcement(token_of(refusing, clock)))
+            lonely.client.send_state()
+            lonely.client.rebalance()
+            lonely.client.flush()
+        assert {slot.place for slot in listener.slots} == {("s", "z")}
+        assert len(listener.slots) == 2
+
     def test_slots_of_a_vanished_wish_are_given_back(self) -> None:
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
