Let the soak break disks and clocks, and break each promise on purpose

The soak had signals, proxies and lost disks, one fault at a time, and no mutant.

The check of unexpected statuses looks at every answer, not at the last one only.

Faults between cores are not injected yet, and order and attempts are not checked.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,9 +3,14 @@
 import time
 from pathlib import Path
 
+import pytest
+
 from tools.soak import Soak
 from tools.users_platform import Journal
 
+MUTANT_S = 4.0
+TRIES = 4
+
 
 class TestChecks:
     """Guards against a checker that never fires."""
@@ -43,3 +48,46 @@
         assert soak.violations == []
         assert soak.checked["starts"] > 0
         assert sum(soak.faults.values()) > 3
+
+
+class TestMutants:
+    """Guards against checks that cannot fire: each break of the programs is seen by one."""
+
+    @pytest.mark.parametrize(
+        ("mutant", "faults", "text"),
+        [
+            ("acknowledges before the log", ("core killed",), "after an end that was acknowledged"),
+            ("answers with an error", ("proxies pass",), "was answered with 500"),
+            ("doubles the room", ("proxies pass",), "exceeds the capacity"),
+            ("drops cancels", ("proxies pass",), "was cancelled and its tasks went on"),
+            ("elects late", ("all cores killed",), "no job was accepted within"),
+            ("ends leases early", ("upstream not heard", "proxies pass"), "while it runs on"),
+            ("ends without order", ("frontend stopped",), "did not end in order"),
+            ("leaks memory", ("proxies pass",), "MB"),
+            (
+                "loses what was synced",
+                ("all cores killed", "frontend stopped"),
+                "was accepted and is unknown",
+            ),
+            ("places on draining", ("upstream drained",), "which drains"),
+            ("reads an old configuration", ("proxies pass",), "was accepted"),
+            ("refuses what runs", ("proxies pass",), "was refused and has run"),
+        ],
+    )
+    def test_a_mutant_is_caught(
+        self, mutant: str, faults: tuple[str, ...], text: str, tmp_path: Path
+    ) -> None:
+        # Some breaks show only if a fault meets a task that runs; later seeds repeat the search.
+        for seed in range(1, TRIES + 1):
+            soak = Soak(
+                seed=seed,
+                seconds=MUTANT_S,
+                folder=tmp_path / str(seed),
+                mutant=mutant,
+                only=faults,
+                settle_s=MUTANT_S,
+            )
+            soak.run()
+            if any(text in violation for violation in soak.violations):
+                return
+        raise AssertionError(f"{mutant!r} broke no promise that the soak checks")
--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,170 @@
+"""Deliberate breaks of the programs, one for each promise that the soak checks.
+
+A check that no mutant can break proves nothing. The mutants replace functions of a process that
+``tools.faulty_program`` starts; the product has no switch for them.
+"""
+
+import os
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+from kumquatlift.authority import Reply, _ends, _fleet, _requests
+from kumquatlift.codes import ResultCode
+from kumquatlift.platform import _control, _frontend, _programs
+from kumquatlift.store import _journal, _raft
+from kumquatlift.transport.wsgi import ApiResponse
+
+WRONG_SHARE = 0.3
+LATE_S = 1.0
+# Short enough that the first formation is on the disk before the first fault.
+LATE_WRITE_S = 0.3
+LATE_ELECTION_S = 30.0
+LEAK_BYTES = 400_000_000
+
+
+def _acknowledge_before_the_log() -> None:
+    """Acknowledge ends at once and log them a second later."""
+    add, flush = _ends.EndLog.add, _ends.EndLog.flush
+    flushed_at = time.monotonic()
+
+    def add_acknowledged(log: Any, upstream: Any, ends: Any) -> None:
+        add(log, upstream, ends)
+        upstream.durable_end = upstream.listed_end
+
+    def flush_late(log: Any) -> None:
+        nonlocal flushed_at
+        if time.monotonic() - flushed_at > LATE_S:
+            flushed_at = time.monotonic()
+            flush(log)
+
+    _set(_ends.EndLog, "add", add_acknowledged)
+    _set(_ends.EndLog, "flush", flush_late)
+
+
+def _answer_with_an_error() -> None:
+    """Answer a share of the jobs with a status that means nothing."""
+    submit = _frontend.Frontend._submit
+
+    def submit_or_fail(frontend: Any, *args: Any) -> ApiResponse:
+        is_wrong = random.random() < WRONG_SHARE
+        return ApiResponse.from_json(500, {}) if is_wrong else submit(frontend, *args)
+
+    _set(_frontend.Frontend, "_submit", submit_or_fail)
+
+
+def _double_the_room() -> None:
+    """Count twice the room that an upstream has."""
+    _change_heartbeats(lambda state: state._replace(cpu_milli=2 * state.cpu_milli))
+
+
+def _drop_cancels() -> None:
+    """Acknowledge a cancel and let the job run on."""
+
+    def answer_only(requests: Any, fields: dict[str, Any], answer: Any) -> None:
+        answer(Reply(ResultCode.ACCEPTED, {"state": "cancelled"}))
+
+    _set(_requests.Requests, "_cancel", answer_only)
+
+
+def _elect_late() -> None:
+    """Wait half a minute before an election, in every start but the first."""
+    init = _raft.Raft.__init__
+
+    def init_slow(raft: Any, **options: Any) -> None:
+        is_first = options["recovered"].hard is None
+        timing = _raft.Timing() if is_first else _raft.Timing(election_s=LATE_ELECTION_S)
+        init(raft, **options, timing=timing)
+
+    _set(_raft.Raft, "__init__", init_slow)
+
+
+def _end_leases_early() -> None:
+    """Take the tasks of a silent upstream for free while its lease still holds."""
+    _set(_fleet.Upstream, "is_lease_over", lambda upstream, now: True)
+
+
+def _end_without_order() -> None:
+    """End at once on SIGTERM."""
+    wait = _programs.Stop.wait
+
+    def wait_and_exit(stop: Any) -> None:
+        wait(stop)
+        os._exit(3)
+
+    _set(_programs.Stop, "wait", wait_and_exit)
+
+
+def _leak_memory() -> None:
+    """Hold more memory than an instance has."""
+    _set(_programs, "leaked", b"x" * LEAK_BYTES)
+
+
+def _lose_what_was_synced() -> None:
+    """Say that records are durable, and write them a little later."""
+    append = _journal.Journal.append
+    waiting: list[tuple[float, list[bytes]]] = []
+
+    def append_late(journal: Any, records: list[bytes]) -> None:
+        waiting.append((time.monotonic(), records))
+        while waiting and time.monotonic() - waiting[0][0] > LATE_WRITE_S:
+            append(journal, waiting.pop(0)[1])
+
+    _set(_journal.Journal, "append", append_late)
+
+
+def _place_on_draining() -> None:
+    """Take every upstream for one that stays."""
+    _change_heartbeats(lambda state: state._replace(is_draining=False))
+
+
+def _read_an_old_configuration() -> None:
+    """Answer every read of the configuration with the first one read."""
+    read = _control.Control._read_config
+    kept: list[ApiResponse] = []
+
+    def read_first(control: Any) -> ApiResponse:
+        answer = read(control)
+        if answer.status == 200:
+            kept.append(answer)
+        return kept[0] if kept else answer
+
+    _set(_control.Control, "_read_config", read_first)
+
+
+def _refuse_what_runs() -> None:
+    """Answer a share of the accepted jobs as refused."""
+    submit = _frontend.Frontend._submit
+
+    def submit_or_lie(frontend: Any, *args: Any) -> ApiResponse:
+        answer = submit(frontend, *args)
+        is_wrong = random.random() < WRONG_SHARE
+        return ApiResponse.from_json(503, {"reason": "has not run"}) if is_wrong else answer
+
+    _set(_frontend.Frontend, "_submit", submit_or_lie)
+
+
+def _change_heartbeats(change: Callable[[Any], Any]) -> None:
+    read: Callable[[str, bytes], Any] = vars(_control)["read_heartbeat"]
+    _set(_control, "read_heartbeat", lambda upstream_id, body: change(read(upstream_id, body)))
+
+
+def _set(owner: Any, name: str, value: Any) -> None:
+    setattr(owner, name, value)
+
+
+MUTANTS: dict[str, Callable[[], None]] = {
+    "acknowledges before the log": _acknowledge_before_the_log,
+    "answers with an error": _answer_with_an_error,
+    "doubles the room": _double_the_room,
+    "drops cancels": _drop_cancels,
+    "elects late": _elect_late,
+    "ends leases early": _end_leases_early,
+    "ends without order": _end_without_order,
+    "leaks memory": _leak_memory,
+    "loses what was synced": _lose_what_was_synced,
+    "places on draining": _place_on_draining,
+    "reads an old configuration": _read_an_old_configuration,
+    "refuses what runs": _refuse_what_runs,
+}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,9 +5,12 @@
 """
 
 import argparse
+import contextlib
 import random
+import re
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -17,9 +20,10 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from tools.users_platform import CONFIG, Cluster, Program, try_call, wait_until
+from tools.users_platform import CONFIG, DRAIN_S, Cluster, Program, try_call, wait_until
 
 PORT = 18720
+NETWORK = "127.0.9"
 CALLERS = 6
 FRONTENDS = 2
 UPSTREAMS = 6
@@ -31,6 +35,22 @@
 # A refused caller comes back with another job after this time, so that the machine is not busy with
 # refusals alone.
 REFUSED_PAUSE_S = 0.05
+# Bounds of the platform: a cancel that was acknowledged starts nothing after this time, service is
+# back this long after the last fault, and an instance has this much memory and so many descriptors.
+CANCEL_S = 3.0
+RECOVERY_S = 12.0
+MAX_MEMORY_MB = 296
+MAX_OPEN_FILES = 4096
+# Jobs that are cancelled run longer than the time in which they must stop.
+CANCELLED_SHARE = 0.1
+CANCELLED_RUN_MS = 6000
+# Heartbeats come twice a second; a change of leader delays their acknowledgement.
+DRAIN_TIMEOUT_S = 3.0
+# The largest step of the time of day, either way.
+CLOCK_STEP_S = 5.0
+
+# A shorter schedule hardly reaches a second fault.
+MIN_SECONDS = 2.0
 
 
 class Soak:
@@ -40,14 +60,39 @@
         seed: Seed of the schedule.
         seconds: Length of the time with faults.
         folder: Where settings, logs and data lie.
+        mutant: Name of a deliberate break of the programs, which some check must see.
+        only: Kinds of faults; empty for all.
+        settle_s: Time after the last fault in which accepted jobs must end.
+        network: First three numbers of the loopback addresses; runs at a time need their own.
     """
 
-    def __init__(self, *, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        mutant: str = "",
+        only: tuple[str, ...] = (),
+        settle_s: float = SETTLE_S,
+        network: str = NETWORK,
+    ) -> None:
         self._rng = random.Random(seed)
+        self._outer_rng = random.Random(-seed)
+        self._only = only
+        self._settle_s = settle_s
+        unknown = set(only) - set(self.kinds)
+        if unknown:
+            raise ValueError(f"no such kinds of faults: {sorted(unknown)}; {self.kinds}")
         self._seconds = seconds
         self._folder = folder
         self._cluster = Cluster(
-            folder=folder, port=PORT, frontends=FRONTENDS, upstreams=UPSTREAMS, network="127.0.9"
+            folder=folder,
+            port=PORT,
+            frontends=FRONTENDS,
+            upstreams=UPSTREAMS,
+            network=network,
+            mutant=mutant,
         )
         self._is_over = threading.Event()
         self._lock = threading.Lock()
@@ -59,6 +104,7 @@
         self.violations: list[str] = []
         self._accepted: list[int] = []
         self._refused: list[int] = []
+        self._cancelled: dict[int, float] = {}
         self._not_kept: set[int] = set()
         self._acknowledged = 3
 
@@ -67,13 +113,19 @@
         try:
             self._cluster.configure()
             self._cluster.wait_ready()
-            with ThreadPoolExecutor(CALLERS + 1, thread_name_prefix="caller") as executor:
-                callers = [executor.submit(self._call, index) for index in range(CALLERS)]
-                operator = executor.submit(self._operate)
-                self._inject()
+            with ThreadPoolExecutor(CALLERS + 3, thread_name_prefix="soak") as executor:
+                futs = [executor.submit(self._call, index) for index in range(CALLERS)]
+                futs.append(executor.submit(self._operate))
+                # Faults of programs and faults of upstreams and connections overlap.
+                injectors = [
+                    executor.submit(self._inject, self._rng, self._program_faults()),
+                    executor.submit(self._inject, self._outer_rng, self._outer_faults()),
+                ]
+                for fut in injectors:
+                    fut.result()
                 self._is_over.set()
                 self._heal()
-                for fut in (*callers, operator):
+                for fut in futs:
                     fut.result()
             self._check_end()
         finally:
@@ -87,10 +139,13 @@
             with self._lock:
                 self._number += 1
                 number = self._number
-            is_kept = rng.random() < 0.5
+            is_cancelled = rng.random() < CANCELLED_SHARE
+            is_kept = is_cancelled or rng.random() < 0.5
             if not is_kept:
                 self._not_kept.add(number)
             tasks, run_ms = rng.randrange(1, 5), rng.choice([20, 60, 200, 900])
+            if is_cancelled:
+                run_ms = CANCELLED_RUN_MS
             statuses = []
             for _ in range(3):
                 front = rng.randrange(FRONTENDS)
@@ -106,11 +161,15 @@
                     self._accepted.append(number)
                 if set(statuses) <= {503, 429}:
                     self._refused.append(number)
+            if is_cancelled and statuses[-1] == 200:
+                time.sleep(rng.random())
+                if self._cluster.cancel(number, front) in (200, 410):
+                    self._cancelled[number] = time.monotonic()
             self.checked["answers"] += 1
             if statuses[-1] != 200:
                 time.sleep(REFUSED_PAUSE_S)
-            if statuses[-1] not in (0, 200, 429, 503, 504):
-                self._violate(f"job {number:016x} was answered with {statuses[-1]}")
+            for status in set(statuses) - {0, 200, 429, 503, 504}:
+                self._violate(f"job {number:016x} was answered with {status}")
 
     def _operate(self) -> None:
         version = 3
@@ -131,29 +190,53 @@
 
     # Faults
 
-    def _inject(self) -> None:
-        kinds: list[tuple[str, Callable[[], None]]] = [
-            ("core killed", lambda: self._kill(self._rng.choice(self._cluster.cores))),
-            ("core paused", lambda: self._pause(self._rng.choice(self._cluster.cores))),
-            ("core stopped", lambda: self._stop(self._rng.choice(self._cluster.cores))),
-            ("all cores killed", self._kill_all),
-            ("disk lost", self._wipe),
-            ("frontend stopped", lambda: self._stop(self._rng.choice(self._cluster.frontends))),
-            ("frontend killed", lambda: self._kill(self._rng.choice(self._cluster.frontends))),
-            ("upstream crashed", self._crash_upstream),
-            ("connections reset", lambda: self._proxy("reset")),
-            ("connections silent", lambda: self._proxy("freeze")),
-            ("upstream cut off", lambda: self._proxy("cut")),
-            ("upstream not heard", lambda: self._proxy("cut down")),
-            ("upstream delayed", lambda: self._proxy("delay 60")),
-            ("proxies pass", lambda: self._proxy("pass")),
-        ]
+    def _inject(self, rng: random.Random, kinds: dict[str, Callable[[], None]]) -> None:
+        names = [name for name in kinds if not self._only or name in self._only]
         deadline = time.monotonic() + self._seconds
-        while time.monotonic() < deadline:
-            name, inject = self._rng.choice(kinds)
+        while names and time.monotonic() < deadline:
+            name = rng.choice(names)
             self.faults[name] += 1
-            inject()
-            time.sleep(self._rng.uniform(0.1, 1.2))
+            kinds[name]()
+            time.sleep(rng.uniform(0.1, 1.2))
+
+    @property
+    def kinds(self) -> tuple[str, ...]:
+        """Kinds of faults that a schedule may hold."""
+        return (*self._program_faults(), *self._outer_faults())
+
+    def _program_faults(self) -> dict[str, Callable[[], None]]:
+        return {
+            "core killed": lambda: self._kill(self._core()),
+            "core paused": lambda: self._pause(self._core()),
+            "core stopped": lambda: self._stop(self._core()),
+            "all cores killed": self._kill_all,
+            "disk lost": self._wipe,
+            "disk slow": lambda: self._disturb(self._core(), disk="slow"),
+            "disk full": lambda: self._disturb(self._core(), disk="full"),
+            "disk refuses": lambda: self._disturb(self._core(), disk="refuses"),
+            "power lost in a sync": lambda: self._tear(self._core()),
+            "time of day jumps": self._step_clock,
+            "frontend stopped": lambda: self._stop(self._rng.choice(self._cluster.frontends)),
+            "frontend killed": lambda: self._kill(self._rng.choice(self._cluster.frontends)),
+        }
+
+    def _outer_faults(self) -> dict[str, Callable[[], None]]:
+        return {
+            "upstream crashed": lambda: self._replace_upstream(self._upstream()),
+            "upstream drained": self._drain_upstream,
+            "connections reset": lambda: self._proxy("reset"),
+            "connections silent": lambda: self._proxy("freeze"),
+            "upstream cut off": lambda: self._proxy("cut"),
+            "upstream not heard": lambda: self._proxy("cut down"),
+            "upstream delayed": lambda: self._proxy("delay 60"),
+            "proxies pass": lambda: self._proxy("pass"),
+        }
+
+    def _core(self) -> Program:
+        return self._rng.choice(self._cluster.cores)
+
+    def _upstream(self) -> int:
+        return self._outer_rng.randrange(UPSTREAMS)
 
     def _kill(self, program: Program) -> None:
         program.kill()
@@ -193,8 +276,42 @@
         victim.start()
         self._wiped_at = time.monotonic()
 
-    def _crash_upstream(self) -> None:
-        number = self._rng.randrange(UPSTREAMS)
+    def _disturb(self, core: Program, *, disk: str) -> None:
+        core.set_faults(disk=disk)
+        time.sleep(self._rng.uniform(0.2, 2.0))
+        core.set_faults()
+
+    def _tear(self, core: Program) -> None:
+        """Lose power while a sync has written a part of its bytes."""
+        core.set_faults(disk="torn")
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            core.wait(timeout_s=2.0)
+        core.set_faults()
+        core.kill()
+        core.start()
+
+    def _step_clock(self) -> None:
+        programs = [*self._cluster.cores, *self._cluster.frontends]
+        moved = self._rng.sample(programs, self._rng.randrange(1, len(programs)))
+        for program in moved:
+            step_s = self._rng.uniform(-CLOCK_STEP_S, CLOCK_STEP_S)
+            program.set_faults(clock_offset_s=step_s)
+        time.sleep(self._rng.uniform(0.2, 2.0))
+        for program in moved:
+            program.set_faults()
+
+    def _drain_upstream(self) -> None:
+        number = self._upstream()
+        upstream = self._cluster.upstreams[number]
+        upstream.drain()
+        deadline = time.monotonic() + DRAIN_TIMEOUT_S
+        while not upstream.is_drain_acknowledged and time.monotonic() < deadline:
+            time.sleep(0.05)
+        time.sleep(DRAIN_S + self._outer_rng.uniform(0.0, 2.0))
+        self.checked["upstreams drained"] += upstream.is_drain_acknowledged
+        self._replace_upstream(number)
+
+    def _replace_upstream(self, number: int) -> None:
         self._cluster.upstreams[number].close()
         self._lives += 1
         self._cluster.upstreams[number] = self._cluster.new_upstream(
@@ -202,7 +319,7 @@
         )
 
     def _proxy(self, command: str) -> None:
-        self._rng.choice(self._cluster.proxies).command(command)
+        self._outer_rng.choice(self._cluster.proxies).command(command)
 
     def _heal(self) -> None:
         for proxy in self._cluster.proxies:
@@ -215,10 +332,18 @@
             self.violations.append(text)
 
     def _check_end(self) -> None:
+        try:
+            wait_until(lambda: self._cluster.submit(self._number + 1) == 200, RECOVERY_S)
+        except AssertionError:
+            self._violate(f"no job was accepted within {RECOVERY_S} s after the last fault")
+        self.checked["service after the last fault"] += 1
+        self._check_processes()
+        settled_at = time.monotonic() + self._settle_s
         for number in self._accepted:
             self.checked["accepted jobs that ended"] += 1
+            left_s = max(0.0, settled_at - time.monotonic())
             try:
-                wait_until(lambda n=number: self._has_ended(n), SETTLE_S)  # type: ignore[misc]
+                wait_until(lambda n=number: self._has_ended(n), left_s)  # type: ignore[misc]
             except AssertionError:
                 state = self._cluster.state(number)
                 self._violate(f"job {number:016x} was accepted and is {state or 'unknown'}")
@@ -226,6 +351,10 @@
             self.checked["refused jobs that did not run"] += 1
             if self._cluster.journal.started(f"{number:016x}"):
                 self._violate(f"job {number:016x} was refused and has run")
+        for number, at in self._cancelled.items():
+            self.checked["cancels"] += 1
+            if self._cluster.journal.last_event(f"{number:016x}") > at + CANCEL_S:
+                self._violate(f"job {number:016x} was cancelled and its tasks went on")
         self.checked["starts"] = sum(
             1 for seen in self._cluster.journal.events if seen.what == "start"
         )
@@ -235,8 +364,57 @@
             if int(task.split(".")[0], 16) not in self._not_kept:
                 self._violate(f"{task} starts after an end that was acknowledged")
 
+    def _check_processes(self) -> None:
+        for program in (*self._cluster.cores, *self._cluster.frontends):
+            self.checked["processes measured"] += 1
+            if program.memory_mb > MAX_MEMORY_MB:
+                self._violate(f"{program.host} holds {program.memory_mb:.0f} MB")
+            if program.open_files > MAX_OPEN_FILES:
+                self._violate(f"{program.host} holds {program.open_files} descriptors")
+
     def _has_ended(self, number: int) -> bool:
-        return self._cluster.state(number) in ("completed", "failed")
+        state = self._cluster.state(number)
+        return state in ("completed", "failed") or (
+            number in self._cancelled and state in ("cancelled", "")
+        )
+
+
+def shrink(
+    seed: int, seconds: float, kinds: tuple[str, ...], found: str, *, network: str
+) -> tuple[tuple[str, ...], float]:
+    """Find fewer kinds of faults and a shorter time that still break the same promise.
+
+    Args:
+        seed: Seed of a run that failed.
+        seconds: Its time with faults.
+        kinds: Kinds of faults that it could have.
+        found: A violation of that run; its digits are left out of the comparison.
+        network: First three numbers of the loopback addresses.
+
+    Returns:
+        Kinds of faults and seconds. The processes run in real time, so that a run that passes once
+        is taken as one that passes.
+    """
+
+    def fails(kinds: tuple[str, ...], length_s: float) -> bool:
+        with tempfile.TemporaryDirectory(prefix=f"soak-{seed}-") as folder:
+            soak = Soak(
+                seed=seed, seconds=length_s, folder=Path(folder), only=kinds, network=network
+            )
+            soak.run()
+        return _sentence(found) in map(_sentence, soak.violations)
+
+    for kind in kinds:
+        fewer = tuple(other for other in kinds if other != kind)
+        if fewer and fails(fewer, seconds):
+            kinds = fewer
+    while seconds > MIN_SECONDS and fails(kinds, seconds / 2):
+        seconds /= 2
+    return kinds, seconds
+
+
+def _sentence(violation: str) -> str:
+    return re.sub(r"[0-9a-f.]*[0-9][0-9a-f.]*", "#", violation)
 
 
 def main() -> None:
@@ -245,11 +423,20 @@
     parser.add_argument("--seed", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
     parser.add_argument("--seconds", type=float, default=20.0, help="time with faults, each")
+    parser.add_argument("--only", action="append", default=[], help="kind of fault; may repeat")
+    parser.add_argument("--network", default=NETWORK, help="first numbers of the addresses")
+    parser.add_argument("--shrink", action="store_true", help="shorten schedules that fail")
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = Soak(seed=seed, seconds=args.seconds, folder=folder)
+        soak = Soak(
+            seed=seed,
+            seconds=args.seconds,
+            folder=folder,
+            only=tuple(args.only),
+            network=args.network,
+        )
         soak.run()
         faults = ", ".join(f"{name} {count}" for name, count in sorted(soak.faults.items()))
         checked = ", ".join(f"{name} {count}" for name, count in sorted(soak.checked.items()))
@@ -258,6 +445,15 @@
             print(f"  VIOLATION {text}; logs in {folder}")
         if soak.violations:
             failed += 1
+            if args.shrink:
+                kinds, seconds = shrink(
+                    seed,
+                    args.seconds,
+                    tuple(args.only) or soak.kinds,
+                    soak.violations[0],
+                    network=args.network,
+                )
+                print(f"  still fails after {seconds:g} s of: {', '.join(kinds)}")
         else:
             shutil.rmtree(folder)
     print(f"{args.seeds - failed} passed, {failed} failed")
--- a/tools/users_platform/__init__.py
+++ b/tools/users_platform/__init__.py
@@ -8,10 +8,11 @@
 from tools.users_platform._http import call, try_call
 from tools.users_platform._journal import Journal
 from tools.users_platform._program import Program
-from tools.users_platform._upstream import StandInUpstream
+from tools.users_platform._upstream import DRAIN_S, StandInUpstream
 
 __all__ = [
     "CONFIG",
+    "DRAIN_S",
     "Cluster",
     "Journal",
     "Program",
--- a/tools/users_platform/_cluster.py
+++ b/tools/users_platform/_cluster.py
@@ -53,6 +53,7 @@
         frontends: Number of frontends.
         upstreams: Number of upstreams.
         network: First three numbers of the loopback addresses.
+        mutant: Name of a deliberate break of all programs.
     """
 
     def __init__(
@@ -63,9 +64,11 @@
         frontends: int = 1,
         upstreams: int = 4,
         network: str = "127.0.7",
+        mutant: str = "",
     ) -> None:
         self._port = port
         self._network = network
+        self._mutant = mutant
         self.seeds = [f"{network}.{number + 1}:{port + 1}" for number in range(CORES)]
         self.journal = Journal()
         self.cores: list[Program] = []
@@ -91,7 +94,12 @@
 
     def _program(self, role: str, host: str, folder: Path) -> Program:
         return Program(
-            role=role, host=host, seeds=self.seeds, port=self._port, folder=folder / host
+            role=role,
+            host=host,
+            seeds=self.seeds,
+            port=self._port,
+            folder=folder / host,
+            mutant=self._mutant,
         )
 
     def _proxy(self, number: int) -> FaultProxy:
@@ -147,6 +155,10 @@
         status, _ = try_call(callers, "POST", f"/q/{number:016x}", body, timeout_s=12.0)
         return status
 
+    def cancel(self, number: int, frontend: int = 0) -> int:
+        """Cancel a job and return the status; 0 when no answer came."""
+        return try_call(self.frontends[frontend].callers, "DELETE", f"/q/{number:016x}")[0]
+
     def state(self, number: int) -> str:
         """Return the state of a job; empty when it is not known."""
         for frontend in self.frontends:
--- a/tools/users_platform/_journal.py
+++ b/tools/users_platform/_journal.py
@@ -56,6 +56,13 @@
         """Whether a task of a job was ever started."""
         return any(seen.what == "start" and seen.task.startswith(job) for seen in self.events)
 
+    def last_event(self, job: str) -> float:
+        """Return when a task of a job was last seen to start or to end; 0 for never."""
+        seen_at = (
+            seen.at for seen in self.events if seen.task.startswith(job) and seen.what != "crashed"
+        )
+        return max(seen_at, default=0.0)
+
     def end(self, task: str, upstream: str, how: str) -> None:
         """Take note of an end."""
         with self._lock:
--- a/tools/users_platform/_program.py
+++ b/tools/users_platform/_program.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -18,6 +19,7 @@
         folder: Where its settings, log and data lie.
         port: First of the ports that it uses.
         is_first_formation: Whether the whole system starts for the first time.
+        mutant: Name of a deliberate break.
     """
 
     def __init__(
@@ -29,6 +31,7 @@
         folder: Path,
         port: int,
         is_first_formation: bool = True,
+        mutant: str = "",
     ) -> None:
         self.role = role
         self.host = host
@@ -36,9 +39,11 @@
         self._port = port
         self._seeds = seeds
         self._is_first_formation = is_first_formation
+        self._mutant = mutant
         self._log_start = 0
         self._process: subprocess.Popen[bytes] | None = None
         folder.mkdir(parents=True, exist_ok=True)
+        self.set_faults()
         self.start()
 
     @property
@@ -61,6 +66,29 @@
         """Address for the readiness check of a frontend."""
         return f"{self.host}:{self._port + 3}"
 
+    @property
+    def memory_mb(self) -> float:
+        """Memory of the present process, as the system counts it; 0 when it has ended."""
+        if self._process is None or self._process.poll() is not None:
+            return 0.0
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        resident = re.search(r"VmRSS:\s+(\d+) kB", status)
+        return int(resident[1]) / 1024 if resident else 0.0
+
+    @property
+    def open_files(self) -> int:
+        """Descriptors of the present process; 0 when it has ended."""
+        if self._process is None or self._process.poll() is not None:
+            return 0
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
+    def set_faults(self, *, disk: str = "", clock_offset_s: float = 0.0) -> None:
+        """Set what is wrong with the disk and the time of day; see ``tools.faulty_program``."""
+        fields = {"disk": disk, "clock_offset_s": clock_offset_s, "mutant": self._mutant}
+        new = self._folder / "faults.new"
+        new.write_text(json.dumps(fields))
+        new.replace(self._folder / "faults.json")
+
     def start(self) -> None:
         """Start the process; only its first start may form the system."""
         settings = self._folder / "settings.toml"
@@ -83,7 +111,7 @@
         env = {**os.environ, "KUMQUATLIFT_NODE_FILE": str(settings)}
         log = (self._folder / "log.txt").open("ab")
         self._process = subprocess.Popen(
-            [sys.executable, "-m", "kumquatlift.platform", self.role],
+            [sys.executable, "-m", "tools.faulty_program", self._folder / "faults.json", self.role],
             env=env,
             stdout=log,
             stderr=log,
--- a/tools/users_platform/_upstream.py
+++ b/tools/users_platform/_upstream.py
@@ -13,6 +13,8 @@
 MAX_LEASE_MS = 1000
 HEARTBEAT_S = 0.5
 POLL_S = 0.005
+# Time after the acknowledgement in which tasks may still be started on a draining upstream.
+DRAIN_S = 2.0
 
 
 class StandInUpstream:
@@ -58,6 +60,9 @@
         self._number = 0
         self._sequence = 0
         self._is_closed = False
+        self._state = "ready"
+        # When an instance acknowledged that this upstream drains.
+        self._drains_since: float | None = None
         host, port = address.split(":")
         self._server = ThreadingHTTPServer((host, int(port)), self._handler())
         self._server.daemon_threads = True
@@ -77,6 +82,15 @@
                 self._journal.end(task, self.upstream_id, "crashed")
             self._runs.clear()
 
+    def drain(self) -> None:
+        """Report that it leaves soon; tasks that run go on."""
+        self._state = "draining"
+
+    @property
+    def is_drain_acknowledged(self) -> bool:
+        """Whether an instance knows that it drains."""
+        return self._drains_since is not None
+
     def _clock_ms(self) -> int:
         return int((time.monotonic() - self._started_at) * 1000)
 
@@ -90,7 +104,7 @@
                 "zone": "z1",
                 "version": "v1",
                 "slots": 8,
-                "state": "ready",
+                "state": self._state,
                 "coldRemainingMs": 0,
                 "capacity": {"cpu": self._cpu_milli, "requestedMemoryMb": 32768, "gpu": 0},
                 "labels": ["a", "r1"],
@@ -106,6 +120,8 @@
                 status = 0
             if status != 200:
                 target += 1
+            elif body["state"] == "draining" and self._drains_since is None:
+                self._drains_since = time.monotonic()
             time.sleep(HEARTBEAT_S if status == 200 else POLL_S * 10)
 
     def _work(self) -> None:
@@ -156,6 +172,9 @@
             return 200, {}
         if run <= self._barred.get(task, 0):
             return 409, {"reason": "old"}
+        drained_s = time.monotonic() - (self._drains_since or time.monotonic())
+        if drained_s > DRAIN_S:
+            self._journal.fail(f"{task} starts on {self.upstream_id}, which drains")
         work = json.loads(fields["spec"])
         used = sum(json.loads(spec)["cpu"] for spec in self._specs.values())
         if used + work["cpu"] > self._cpu_milli:
