--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,6 +61,7 @@
             ("doubles the room", ("proxies pass",), "exceeds the capacity"),
             ("drops cancels", ("proxies pass",), "was cancelled and its tasks went on"),
             ("elects late", ("all cores killed",), "no job was accepted within"),
+            ("ends by itself", ("proxies pass",), "has ended by itself"),
             ("ends leases early", ("upstream not heard", "proxies pass"), "while it runs on"),
             ("ends without order", ("frontend stopped",), "did not end in order"),
             ("leaks memory", ("proxies pass",), "MB"),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -6,6 +6,7 @@
 
 import os
 import random
+import threading
 import time
 from collections.abc import Callable
 from typing import Any
@@ -22,6 +23,8 @@
 LATE_WRITE_S = 0.3
 LATE_ELECTION_S = 30.0
 LEAK_BYTES = 400_000_000
+# Long enough for the first formation, so that the soak begins.
+LIFE_S = 6.0
 
 
 def _acknowledge_before_the_log() -> None:
@@ -80,6 +83,13 @@
     _set(_raft.Raft, "__init__", init_slow)
 
 
+def _end_by_itself() -> None:
+    """End a few seconds after the start."""
+    timer = threading.Timer(LIFE_S, os._exit, (1,))
+    timer.daemon = True
+    timer.start()
+
+
 def _end_leases_early() -> None:
     """Take the tasks of a silent upstream for free while its lease still holds."""
     _set(_fleet.Upstream, "is_lease_over", lambda upstream, now: True)
@@ -160,6 +170,7 @@
     "doubles the room": _double_the_room,
     "drops cancels": _drop_cancels,
     "elects late": _elect_late,
+    "ends by itself": _end_by_itself,
     "ends leases early": _end_leases_early,
     "ends without order": _end_without_order,
     "leaks memory": _leak_memory,
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -78,7 +78,8 @@
         network: str = NETWORK,
     ) -> None:
         self._rng = random.Random(seed)
-        self._outer_rng = random.Random(-seed)
+        # A text, since a number and its negative give the same sequence.
+        self._outer_rng = random.Random(f"outer {seed}")
         self._only = only
         self._settle_s = settle_s
         unknown = set(only) - set(self.kinds)
@@ -121,9 +122,12 @@
                     executor.submit(self._inject, self._rng, self._program_faults()),
                     executor.submit(self._inject, self._outer_rng, self._outer_faults()),
                 ]
-                for fut in injectors:
-                    fut.result()
-                self._is_over.set()
+                try:
+                    for fut in injectors:
+                        fut.result()
+                finally:
+                    # Callers end also when an injector fails.
+                    self._is_over.set()
                 self._heal()
                 for fut in futs:
                     fut.result()
@@ -367,6 +371,8 @@
     def _check_processes(self) -> None:
         for program in (*self._cluster.cores, *self._cluster.frontends):
             self.checked["processes measured"] += 1
+            if not program.is_running:
+                self._violate(f"{program.host} has ended by itself")
             if program.memory_mb > MAX_MEMORY_MB:
                 self._violate(f"{program.host} holds {program.memory_mb:.0f} MB")
             if program.open_files > MAX_OPEN_FILES:
--- a/tools/users_platform/_program.py
+++ b/tools/users_platform/_program.py
@@ -66,10 +66,15 @@
         """Address for the readiness check of a frontend."""
         return f"{self.host}:{self._port + 3}"
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the present process has not ended."""
+        return self._process is not None and self._process.poll() is None
+
     @property
     def memory_mb(self) -> float:
         """Memory of the present process, as the system counts it; 0 when it has ended."""
-        if self._process is None or self._process.poll() is not None:
+        if self._process is None or not self.is_running:
             return 0.0
         status = Path(f"/proc/{self._process.pid}/status").read_text()
         resident = re.search(r"VmRSS:\s+(\d+) kB", status)
@@ -78,7 +83,7 @@
     @property
     def open_files(self) -> int:
         """Descriptors of the present process; 0 when it has ended."""
-        if self._process is None or self._process.poll() is not None:
+        if self._process is None or not self.is_running:
             return 0
         return len(os.listdir(f"/proc/{self._process.pid}/fd"))
 
