Keep what is known of the zones' loads in a class of its own

Ruled out: moving the decisions as well; which zones get what is in zone_choice already.

Change: ZoneLoads (zone_loads.py); one function gives the zones that may be asked, instead of the same expression twice. No behaviour changes, no check changes.

--- a/kumquatlift/scheduling/slot_client.py
+++ b/kumquatlift/scheduling/slot_client.py
@@ -14,7 +14,6 @@
 from kumquatlift.scheduling.scheduler import AttemptOutcome
 from kumquatlift.scheduling.service_slots import OUTCOMES
 from kumquatlift.scheduling.slot_messages import (
-    NO_LOAD,
     SlotCancel,
     SlotDemand,
     SlotDemands,
@@ -24,6 +23,7 @@
 from kumquatlift.scheduling.slot_source import GrantedSlot, Place, SlotListener
 from kumquatlift.scheduling.slots_in_use import LEASE_MARGIN_S
 from kumquatlift.scheduling.zone_choice import ZoneLoad, choose_moves, choose_zones
+from kumquatlift.scheduling.zone_loads import ZoneLoads
 from kumquatlift.transport.channel import Channel, Topic
 
 # The owner takes back a grant that was not used within 1 s; the shorter time here leaves room for
@@ -36,11 +36,8 @@
 STATE_INTERVAL_S = 1.0
 # While requests wait, loads are asked for and waiting requests moved this often.
 REBALANCE_INTERVAL_S = 0.25
-# An owner that was asked for its load and said nothing for this long cannot send grants either.
-SILENT_AFTER_S = 1.5
 # Zones of a service that had no request for this long are not asked for their load any more.
 INTEREST_S = 30.0
-ZONE_DELAY_S = 0.001
 # A withdrawn demand that has waited this long is logged with what was known of every zone; most
 # demands are granted within 0.1 s, so that the lines stay few.
 LONG_WAIT_S = 1.0
@@ -82,8 +79,7 @@
         self._open: dict[str, OpenDemand] = {}
         self._held: dict[str, GrantedSlot] = {}
         self._changes: dict[Place, OwnerChanges] = {}
-        self._loads: dict[Place, ZoneLoad] = {}
-        self._unanswered: dict[Place, float] = {}
+        self._loads = ZoneLoads(members=members, clock=clock)
         self._interest: dict[str, float] = {}
         self._changed = threading.Event()
         self._closed = False
@@ -144,8 +140,7 @@
         granted: list[tuple[SlotListener, GrantedSlot]] = []
         refused: list[tuple[SlotListener, int, Failure]] = []
         with self._lock:
-            self._loads[place] = msg.load
-            self._unanswered.pop(place, None)
+            self._loads.note(place, msg.load)
             for grant in msg.grants:
                 slot = GrantedSlot(grant.id, place, grant.runner, grant.address, use_by)
                 listener = self._accept(grant.demand, slot)
@@ -170,7 +165,7 @@
         """Send the whole state to every owner of a service that had recent requests."""
         now = self._clock.now()
         with self._lock:
-            zones = self._zones()
+            zones = self._loads.zones()
             for service, since in list(self._interest.items()):
                 is_used = any(demand.service == service for demand in self._open.values())
                 is_used = is_used or any(slot.place[0] == service for slot in self._held.values())
@@ -193,14 +188,14 @@
             for entry in waiting:
                 self._rebalance(entry)
             for service in {entry.service for entry in waiting}:
-                for zone in self._zones():
+                for zone in self._loads.zones():
                     self._at((service, zone)).asks_load = True
         self._changed.set()
 
     def load(self, service: str) -> dict[str, ZoneLoad]:
         """Return the last known load of a service by zone."""
         with self._lock:
-            return {zone: load for (name, zone), load in self._loads.items() if name == service}
+            return self._loads.of_service(service)
 
     def close(self) -> None:
         """End the sending thread."""
@@ -208,18 +203,13 @@
         self._changed.set()
         self._executor.shutdown(wait=False)
 
-    def _zones(self) -> set[str]:
-        return {member.zone for member in self._members.live()}
-
     def _at(self, place: Place) -> OwnerChanges:
         return self._changes.setdefault(place, OwnerChanges())
 
     def _place(self, entry: OpenDemand, count: int) -> bool:
         """Divide an open count over the zones that have not refused the demand."""
         own = self._members.me.zone
-        zones = {zone: self._zone_load(entry.service, zone) for zone in self._zones() | {own}}
-        now = self._clock.now()
-        open_zones = {zone: load for zone, load in zones.items() if not entry.is_refused(zone, now)}
+        open_zones = self._usable_zones(entry, self._loads.zones() | {own})
         if not open_zones:
             return False
         weight = self._message_weight(entry.service)
@@ -231,22 +221,27 @@
     def _add(self, entry: OpenDemand, zone: str, count: int) -> None:
         entry.by_zone[zone] = entry.by_zone.get(zone, 0) + count
         self._at((entry.service, zone)).demands.append(entry.demand.id)
-        load = self._loads.get((entry.service, zone))
-        if load is not None:
-            # Until the owner reports again, what was sent there counts as taken.
-            self._loads[(entry.service, zone)] = load.after(count)
+        self._loads.note_placed((entry.service, zone), count)
+
+    def _usable_zones(self, entry: OpenDemand, zones: set[str]) -> dict[str, ZoneLoad]:
+        now = self._clock.now()
+        return {
+            zone: self._loads.at((entry.service, zone))
+            for zone in zones
+            if not entry.is_refused(zone, now)
+        }
 
     def _rebalance(self, entry: OpenDemand) -> None:
         """Move what waits in one zone while another has free slots.
 
         Loads are up to a second old when a job is divided, and a zone may lose its runners later.
         """
-        zones = {zone: self._zone_load(entry.service, zone) for zone in self._zones()}
-        now = self._clock.now()
-        usable = {zone: load for zone, load in zones.items() if not entry.is_refused(zone, now)}
+        usable = self._usable_zones(entry, self._loads.zones())
         waiting = {zone: count for zone, count in entry.by_zone.items() if count > 0}
         silent = {
-            zone: count for zone, count in waiting.items() if self._is_silent(entry.service, zone)
+            zone: count
+            for zone, count in waiting.items()
+            if self._loads.is_silent((entry.service, zone))
         }
         if silent and any(load.slots for load in usable.values()):
             moves = silent
@@ -263,9 +258,10 @@
     def _describe(self, entry: OpenDemand) -> str:
         """Return what a demand has asked of every zone, and what is known of the zone."""
         parts = []
-        for zone in sorted(self._zones() | set(entry.by_zone)):
-            load = self._zone_load(entry.service, zone)
-            state = "silent" if self._is_silent(entry.service, zone) else "heard"
+        for zone in sorted(self._loads.zones() | set(entry.by_zone)):
+            place = (entry.service, zone)
+            load = self._loads.at(place)
+            state = "silent" if self._loads.is_silent(place) else "heard"
             state = "refused" if entry.is_refused(zone, self._clock.now()) else state
             parts.append(
                 f"{zone}:open={entry.by_zone.get(zone, 0)},free={load.free},"
@@ -273,17 +269,6 @@
             )
         return ";".join(parts)
 
-    def _is_silent(self, service: str, zone: str) -> bool:
-        asked_at = self._unanswered.get((service, zone))
-        return asked_at is not None and self._clock.now() - asked_at > SILENT_AFTER_S
-
-    def _zone_load(self, service: str, zone: str) -> ZoneLoad:
-        load = self._loads.get((service, zone), NO_LOAD)
-        if self._is_silent(service, zone):
-            load = NO_LOAD
-        delay = 0.0 if zone == self._members.me.zone else ZONE_DELAY_S
-        return load._replace(delay_s=delay)
-
     def _accept(self, demand_id: str, slot: GrantedSlot) -> SlotListener | None:
         entry = self._open.get(demand_id)
         zone = slot.place[1]
@@ -346,7 +331,7 @@
         ids = change.demands
         held: tuple[str, ...] = ()
         if change.full or change.asks_load:
-            self._unanswered.setdefault(place, now)
+            self._loads.note_asked(place)
         if change.full:
             ids = [key for key, demand in self._open.items() if demand.service == service]
             held = tuple(key for key, slot in self._held.items() if slot.place == place)
@@ -364,13 +349,10 @@
             change.full,
             held,
             change.asks_load,
-            self._total_slots(service) if change.full else 0,
+            self._loads.total_slots(service) if change.full else 0,
             now,
         )
 
-    def _total_slots(self, service: str) -> int:
-        return sum(load.slots for (name, _), load in self._loads.items() if name == service)
-
     def _send(self, msg: SlotDemands) -> None:
         owner = slot_owner_of(msg.service, msg.zone, self._members)
         if owner is None:
@@ -386,9 +368,7 @@
             return {
                 "open": len(self._open),
                 "held": len(self._held),
-                "loads": {
-                    f"{key[0]}@{key[1]}": load._asdict() for key, load in self._loads.items()
-                },
+                "loads": self._loads.snapshot(),
             }
 
 
--- /dev/null
+++ b/kumquatlift/scheduling/zone_loads.py
@@ -0,0 +1,70 @@
+"""What a requester of slots knows of the load of each zone, and which owners are silent."""
+
+from typing import Any
+
+from kumquatlift.clock import Clock
+from kumquatlift.membership.members import Members
+from kumquatlift.scheduling.slot_messages import NO_LOAD
+from kumquatlift.scheduling.slot_source import Place
+from kumquatlift.scheduling.zone_choice import ZoneLoad
+
+# An owner that was asked for its load and said nothing for this long cannot send grants either.
+SILENT_AFTER_S = 1.5
+ZONE_DELAY_S = 0.001
+
+
+class ZoneLoads:
+    """Loads by place, as the owners last told them; the caller serializes the calls.
+
+    Args:
+        members: Membership view.
+        clock: Source of time.
+    """
+
+    def __init__(self, *, members: Members, clock: Clock) -> None:
+        self._members = members
+        self._clock = clock
+        self._loads: dict[Place, ZoneLoad] = {}
+        self._unanswered: dict[Place, float] = {}
+
+    def note(self, place: Place, load: ZoneLoad) -> None:
+        """Take what an owner says."""
+        self._loads[place] = load
+        self._unanswered.pop(place, None)
+
+    def note_asked(self, place: Place) -> None:
+        """Take note that an owner is asked for its load."""
+        self._unanswered.setdefault(place, self._clock.now())
+
+    def note_placed(self, place: Place, count: int) -> None:
+        """Count requests that are sent to a place as taken until its owner reports again."""
+        load = self._loads.get(place)
+        if load is not None:
+            self._loads[place] = load.after(count)
+
+    def zones(self) -> set[str]:
+        """Return the zones with live entry processes."""
+        return {member.zone for member in self._members.live()}
+
+    def at(self, place: Place) -> ZoneLoad:
+        """Return the load of a place; one without slots when nothing is known or it is silent."""
+        load = NO_LOAD if self.is_silent(place) else self._loads.get(place, NO_LOAD)
+        delay_s = 0.0 if place[1] == self._members.me.zone else ZONE_DELAY_S
+        return load._replace(delay_s=delay_s)
+
+    def is_silent(self, place: Place) -> bool:
+        """Whether the owner of a place was asked some time ago and has said nothing since."""
+        asked_at = self._unanswered.get(place)
+        return asked_at is not None and self._clock.now() - asked_at > SILENT_AFTER_S
+
+    def of_service(self, service: str) -> dict[str, ZoneLoad]:
+        """Return the last known loads of a service by zone."""
+        return {zone: load for (name, zone), load in self._loads.items() if name == service}
+
+    def total_slots(self, service: str) -> int:
+        """Return the slots of a service in all zones as far as they are known."""
+        return sum(load.slots for load in self.of_service(service).values())
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the loads for the state dump."""
+        return {f"{name}@{zone}": load._asdict() for (name, zone), load in self._loads.items()}
