Send starts and stops of runs from a class of their own

Ruled out: splitting starts from stops; an order without an answer turns one into the other.

Change: RunOrders (_run_orders.py) sends a start or a stop until it is known what became of it, and reports runs that certainly were not started and upstreams on which nothing runs any more. Runs keeps what follows for tasks and jobs. No behaviour changes.

--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -1,24 +1,16 @@
-"""Starts and stops runs, and says what happens to a task when its run is over."""
+"""Says what happens to a task when its run begins and when it is over."""
 
 import math
 from collections.abc import Callable, Iterator
-from functools import partial
 
 from kumquatlift.authority._admission import LateShare
 from kumquatlift.authority._commands import EndHow, TaskEnd, TaskKey
 from kumquatlift.authority._estimates import Estimates
-from kumquatlift.authority._fleet import Run, RunState, Upstream, ref_of, size_of
-from kumquatlift.authority._orders import (
-    MAX_ORDER_TIMEOUT_S,
-    ORDER_TIMEOUT_S,
-    OrderAnswer,
-    OrderResult,
-    StartOrder,
-    StopOrder,
-    UpstreamGateway,
-)
+from kumquatlift.authority._fleet import Run, Upstream, size_of
+from kumquatlift.authority._orders import UpstreamGateway
 from kumquatlift.authority._orphans import Orphans
 from kumquatlift.authority._progress import Progress
+from kumquatlift.authority._run_orders import RunOrders
 from kumquatlift.authority._state import State
 from kumquatlift.authority._work import Job, JobState
 from kumquatlift.blackboard import Section
@@ -30,13 +22,6 @@
 FAILURES_TO_REST = 2
 REST_S = 1.5
 MAX_REST_S = 12.0
-# A refusal says that the upstream itself considers itself unhealthy.
-REFUSED_REST_S = 0.5
-# An order without an answer is sent again after this pause.
-RESEND_S = 0.005
-SILENT_RESEND_S = 0.1
-# An upstream that could not read a start is left alone for a while.
-MALFORMED_REST_S = 1.0
 
 
 class Runs:
@@ -79,12 +64,20 @@
         self._fleet = fleet
         self._progress = progress
         self._estimates = estimates
-        self._gateway = gateway
-        self._loop = loop
         self._clock = clock
-        self._lease_s = lease_s
-        self._may_order = may_order
         self._section = section
+        self.orders = RunOrders(
+            find_job=find_job,
+            fleet=fleet,
+            gateway=gateway,
+            loop=loop,
+            clock=clock,
+            lease_s=lease_s,
+            may_order=may_order,
+            on_not_run=self.requeue,
+            on_all_lost=self.free_all,
+            section=section,
+        )
         self._job_ms = section.histogram("job_ms", "time from acceptance to the end of a job")
         self._wait_ms = section.histogram("wait_ms", "time from acceptance to the first start")
         self.late_share = LateShare()
@@ -94,7 +87,6 @@
         self.orphans = Orphans(state=state, clock=clock)
         # Jobs of earlier leaders whose tasks may run on upstreams that have not been heard.
         self.held_jobs: set[str] = set()
-        self.on_change: Callable[[Upstream], None] = lambda upstream: None
 
     # Starts
 
@@ -117,142 +109,7 @@
         )
         upstream.add(entry)
         self._section.count("starts")
-        self._send_start(upstream, entry)
-
-    def _send_start(self, upstream: Upstream, run: Run) -> None:
-        job = self._find_job(run.task.job)
-        if job is None or not self._may_order():
-            return
-        now = self._clock.now()
-        order = StartOrder(
-            run.task,
-            run.number,
-            job.spec.payload,
-            upstream.extend_lease(self._lease_s(), now),
-            job.saved.get(run.task, ""),
-            timeout_s=min(MAX_ORDER_TIMEOUT_S, ORDER_TIMEOUT_S * 2**run.attempts),
-        )
-        run.attempts += 1
-        self._gateway.start(ref_of(upstream), order, partial(self._on_started, upstream, run, now))
-
-    def _on_started(
-        self, upstream: Upstream, run: Run, sent_at: float, answer: OrderAnswer
-    ) -> None:
-        now = self._clock.now()
-        upstream.hear_clock(answer.clock_ms, now)
-        if not self._is_current(upstream, run) or run.state is not RunState.STARTING:
-            return
-        if answer.result is OrderResult.OK:
-            run.state = RunState.RUNNING
-            run.confirmed_at = now
-            run.percent_at = now
-            self.on_change(upstream)
-            return
-        get_logger().info(
-            "start_not_confirmed",
-            task=str(run.task),
-            run=run.number,
-            upstream=upstream.state.upstream_id,
-            result=answer.result.name.lower(),
-            reason=answer.reason,
-            waited_ms=round((now - sent_at) * 1000),
-        )
-        self._section.count(f"starts_{answer.result.name.lower()}")
-        self._on_not_started(upstream, run, answer.result, now)
-
-    def _on_not_started(
-        self, upstream: Upstream, run: Run, result: OrderResult, now: float
-    ) -> None:
-        match result:
-            case OrderResult.UNKNOWN | OrderResult.BORN_AGAIN:
-                run.was_doubtful = True
-                if result is OrderResult.BORN_AGAIN:
-                    upstream.silent_since = upstream.silent_since or now
-                self._loop.call_after(RESEND_S, partial(self._resend, upstream, run))
-            case OrderResult.STALE_RUN:
-                # Its end is in the upstream's list, which the next look returns.
-                run.state = RunState.RUNNING
-                run.confirmed_at = now
-                self.on_change(upstream)
-            case OrderResult.OTHER_LIFE:
-                self.free_all(upstream, "other_life")
-            case OrderResult.NOT_SENT if run.was_doubtful:
-                self._loop.call_after(RESEND_S, partial(self._resend, upstream, run))
-            case _ if run.was_doubtful:
-                # The first order may still be carried out; a stop bars this run number.
-                run.state = RunState.STOPPING
-                self._send_stop(upstream, run)
-            case _:
-                self._rest_after(upstream, result, now)
-                self.requeue(upstream, run, result.name.lower(), is_first=True)
-
-    def _rest_after(self, upstream: Upstream, result: OrderResult, now: float) -> None:
-        if result is OrderResult.NOT_SENT:
-            upstream.silent_since = upstream.silent_since or now
-            upstream.next_look_at = now
-        elif result is OrderResult.MALFORMED:
-            upstream.rest_until = now + MALFORMED_REST_S
-        elif result is OrderResult.NO_ROOM:
-            # What this leader knows of its room is wrong until it has listed its runs.
-            upstream.is_known = False
-        else:
-            upstream.rest_until = now + REFUSED_REST_S
-        self.on_change(upstream)
-
-    def _resend(self, upstream: Upstream, run: Run) -> None:
-        if not self._is_current(upstream, run) or run.state is not RunState.STARTING:
-            return
-        if upstream.silent_since is not None:
-            # Either it is heard again, or its lease ends and frees the run.
-            self._loop.call_after(SILENT_RESEND_S, partial(self._resend, upstream, run))
-        else:
-            self._send_start(upstream, run)
-
-    def _is_current(self, upstream: Upstream, run: Run) -> bool:
-        return (
-            self._fleet.get(upstream.state.upstream_id) is upstream
-            and upstream.runs.get(run.task) is run
-        )
-
-    # Stops
-
-    def stop(self, upstream: Upstream, run: Run, reason: str) -> None:
-        """Stop a run; its room is free when its end is listed."""
-        if run.state is RunState.STOPPING:
-            return
-        get_logger().info(
-            "run_stopped",
-            task=str(run.task),
-            run=run.number,
-            upstream=upstream.state.upstream_id,
-            reason=reason,
-        )
-        run.state = RunState.STOPPING
-        self._section.count("stops")
-        self._send_stop(upstream, run)
-
-    def _send_stop(self, upstream: Upstream, run: Run) -> None:
-        if not self._may_order():
-            return
-        order = StopOrder(run.task, run.number)
-        self._gateway.stop(ref_of(upstream), order, partial(self._on_stopped, upstream, run))
-
-    def _on_stopped(self, upstream: Upstream, run: Run, answer: OrderAnswer) -> None:
-        now = self._clock.now()
-        upstream.hear_clock(answer.clock_ms, now)
-        if not self._is_current(upstream, run):
-            return
-        if answer.result is OrderResult.OK:
-            run.confirmed_at = now
-            self.on_change(upstream)
-        elif answer.result is OrderResult.OTHER_LIFE:
-            self.free_all(upstream, "other_life")
-        else:
-            self._loop.call_after(RESEND_S * 5, partial(self._stop_again, upstream, run))
-
-    def _stop_again(self, upstream: Upstream, run: Run) -> None:
-        if self._is_current(upstream, run):
-            self._send_stop(upstream, run)
+        self.orders.start(upstream, entry)
 
     # Ends
 
@@ -377,7 +234,7 @@
             upstream = self._fleet.get(upstream_id)
             run = upstream.runs.get(task) if upstream else None
             if upstream is not None and run is not None:
-                self.stop(upstream, run, f"job_{job.state}")
+                self.orders.stop(upstream, run, f"job_{job.state}")
         get_logger().info(
             "job_ended",
             job=job.job_id,
@@ -397,7 +254,7 @@
         if job.state == JobState.COMPLETED and now <= progress.objective_at:
             self._section.count("jobs_in_time")
 
-    def requeue(self, upstream: Upstream, run: Run, reason: str, *, is_first: bool = True) -> None:
+    def requeue(self, upstream: Upstream, run: Run, reason: str) -> None:
         """Free a run that certainly does not run, and let its task wait again."""
         upstream.remove(run.task)
         self.orphans.remove(run.task, upstream)
--- a/kumquatlift/authority/_watch.py
+++ b/kumquatlift/authority/_watch.py
@@ -82,7 +82,7 @@
         self._log_ends = log_ends
         self._section = section
         self._look_wait_s = look_wait_s
-        runs.on_change = self.pump
+        runs.orders.on_change = self.pump
 
     def pump(self, upstream: Upstream) -> None:
         """Look at an upstream if there is a reason to."""
@@ -260,7 +260,7 @@
         holder = progress.running.get(task) if progress is not None else None
         is_elsewhere = holder is not None and task not in upstream.former
         if progress is None or task in progress.job.done or is_elsewhere:
-            self._runs.stop(upstream, run, "not_needed")
+            self._runs.orders.stop(upstream, run, "not_needed")
             return
         get_logger().info(
             "run_taken_over", task=str(task), run=number, upstream=upstream.state.upstream_id
@@ -274,7 +274,7 @@
 
     def _stop_if_unclaimed(self, upstream: Upstream, run: Run, now: float) -> None:
         if now - run.decided_at > ORPHAN_S:
-            self._runs.stop(upstream, run, "unknown_job")
+            self._runs.orders.stop(upstream, run, "unknown_job")
 
     def _stop_if_stalled(self, upstream: Upstream, run: Run, now: float) -> None:
         if run.state is not RunState.RUNNING or not run.expected_ms:
@@ -289,4 +289,4 @@
         quiet_s = now - run.percent_at
         if quiet_s > STALL_S * patience and now - run.decided_at > limit_s * patience:
             upstream.failures += 1
-            self._runs.stop(upstream, run, f"stalled_at_{run.percent}_percent")
+            self._runs.orders.stop(upstream, run, f"stalled_at_{run.percent}_percent")
