Keep the fuzzed voter in a module of its own, and name no deployment in a note

Cause: tools/fuzz_register.py had 406 lines, a quarter of them the voter with its failing disk; the note on the configuration named one deployment's example by its path.

Ruled out: a rename only; the voter and the schedule of faults are two subjects.

--- a/tools/fuzz_register.py
+++ b/tools/fuzz_register.py
@@ -12,13 +12,11 @@
 from typing import Any, NamedTuple
 
 from kumquatlift.codes import ResultCode
-from kumquatlift.configuration.acceptor import Accept, Accepted, Acceptor, Prepare, VoterState
-from kumquatlift.configuration.codec import decode, encode
-from kumquatlift.configuration.data_file import DataFile, FakeDisk
 from kumquatlift.configuration.proposer import Formation, Proposer, majority
 from kumquatlift.configuration.value import Ballot, Change, Proposal, Value
 from tools.fuzz import main
 from tools.register_history import History
+from tools.register_process import PowerLossError, Process
 
 STEPS_PER_WORLD = 1500
 WEIGHTS = {
@@ -37,10 +35,6 @@
 MAX_IN_FLIGHT = 60
 
 
-class PowerLossError(Exception):
-    """The process loses power in the middle of a sync."""
-
-
 class Envelope(NamedTuple):
     """One message in flight; ``task`` is the proposer's or formation's key."""
 
@@ -50,64 +44,6 @@
     body: Any
 
 
-class Process:
-    """A voter with its disk, and the proposers that run beside it."""
-
-    def __init__(self, *, world: "World", name: str) -> None:
-        self.world = world
-        self.name = name
-        self.disk = FakeDisk()
-        self.disk.before_sync = self._before_sync
-        self.is_isolated = False
-        self.in_force: Value | None = None
-        self.restart()
-
-    def restart(self) -> None:
-        """Lose everything but the disk's durable bytes."""
-        self.disk.crash(keep_names=self.world.rng.random() < 0.5)
-        file = DataFile(disk=self.disk, name="voter")
-        stored = file.read()
-        self.acceptor = Acceptor(
-            name=self.name,
-            state=None if stored is None else decode(stored, VoterState),
-            store=lambda state: file.write(encode(state)),
-            new_nonce=self.world.new_nonce,
-        )
-        self.tasks: dict[int, Any] = {}
-        self.register = ""
-        self.incarnation = self.world.new_nonce()
-        self.number = 0
-        self.in_force = None
-
-    def handle(self, msg: Any) -> Any:
-        """Answer a request as the controller does."""
-        try:
-            if isinstance(msg, Prepare):
-                return self.acceptor.prepare(msg)
-            if isinstance(msg, Accept):
-                reply = self.acceptor.accept(msg)
-                if isinstance(reply, Accepted):
-                    self.world.history.vote(self.name, msg, self.world.step)
-                return reply
-            self.acceptor.confirm(msg)
-            return self.acceptor.status
-        except OSError:
-            return None
-
-    def install(self, value: Value) -> None:
-        """Put an accepted value in force unless it is older."""
-        is_known = value.register == self.register or not self.register
-        if is_known and (self.in_force is None or value.version > self.in_force.version):
-            self.in_force = value
-
-    def _before_sync(self) -> None:
-        chance = self.world.rng.random() if self.world.is_faulty else 1.0
-        if chance < 0.005:
-            raise PowerLossError
-        if chance < 0.01:
-            raise OSError("sync failed")
-
-
 class World:
     """Voters, a network and operators under one seeded schedule."""
 
--- a/tools/measure_register.py
+++ b/tools/measure_register.py
@@ -3,7 +3,7 @@
 Real controllers run in one process on a network in memory that takes a fixed time one way, with
 disks in memory whose syncs take a fixed time.
 
-    python -m tools.measure_register examples/DEPLOYMENT/document.toml --runs 3
+    python -m tools.measure_register DOCUMENT --runs 3
 """
 
 import argparse
