Send a refused demand to no zone that has refused it

The new line demand_refused shows a storm: one demand refused by the same zone every 0.08 ms, hundreds of times in 5 ms, on three processes at once. When no zone had slots, the whole demand went to the own zone also after that one had refused, which refused again.

Ruled out: a pause before a refused demand is placed anew; it would hide the storm and hold demands that another zone would take.

Change: without slots anywhere the own zone gets the demand only if it may be asked, else the first zone that may.

--- a/kumquatlift/scheduling/zone_choice.py
+++ b/kumquatlift/scheduling/zone_choice.py
@@ -71,18 +71,18 @@
     Args:
         count: Number of requests.
         own_zone: Zone of the caller.
-        zones: Load of each zone that can be reached.
+        zones: Load of each zone that may be asked, one at least.
         message_weight: 0 weighs response time alone, 1 weighs messages alone.
 
     Returns:
-        Requests by zone, without zones that get none; everything goes to the own zone when no
-        zone has usable slots.
+        Requests by zone, without zones that get none. When no zone has usable slots, everything
+        goes to the own zone, or to the first one if the own zone may not be asked.
     """
     costs = {
         name: 0.0 if name == own_zone else _crossing_s(load, message_weight)
         for name, load in zones.items()
     }
-    return _split(count, zones, costs) or {own_zone: count}
+    return _split(count, zones, costs) or {own_zone if own_zone in zones else min(zones): count}
 
 
 def choose_moves(
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -321,6 +321,26 @@
         assert {slot.place for slot in listener.slots} == {("s", "z")}
         assert len(listener.slots) == 2
 
+    def test_refused_demand_is_not_sent_to_the_same_zone_again_at_once(self) -> None:
+        """Guards against a storm of demands and refusals between two processes.
+
+        Found by a run of the scenarios: hundreds of refusals of one demand in 5 ms, since the own
+        zone was the last resort also after it had refused.
+        """
+        clock, network = ManualClock(), FakeNetwork()
+        near, far = member("a", "z"), member("b", "y")
+        process, other = Process(near, [far], network, clock), Process(far, [near], network, clock)
+        other.owner.announce(announcement("someone-9.0"))
+        process.client.request("s", demand("first", 1), Listener())
+        process.client.flush()
+        clock.advance(NO_RUNNER_GRACE_S)
+        with structlog.testing.capture_logs() as lines:
+            process.client.request("s", demand("second", 1), Listener())
+            for _ in range(20):
+                process.client.flush()
+        zones = [line["zone"] for line in lines if line["event"] == "demand_refused"]
+        assert len(zones) == len(set(zones))
+
     def test_slots_of_a_vanished_demand_are_given_back(self) -> None:
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
