Serve demands near their deadline first across zones, and ask zones again that refused for long

Two causes, from logs of demand_refused and demand_withdrawn: - a demand that has used half of its time waits in one zone while later demands of other processes are served in another zone, since moves between zones need free slots there; - a zone refuses with a Retry-After beyond the deadline ('14.92 s are expected and 6.83 s are left', Retry-After 8.1 s) while it holds the queue of all zones. Two seconds later the others are back, but the zone is left out for the rest of the demand's life. Without any zone left to ask, the demand went to the own zone, which has no runner, and was refused again there.

Change: a demand past half of its time moves to a zone where it goes first, by its deadline. Requests for which no zone may be asked wait at the requester as unplaced, and demand_withdrawn says how many. A refusal holds for a quarter of the time that is left, a second at least.

--- a/kumquatlift/scheduling/open_demands.py
+++ b/kumquatlift/scheduling/open_demands.py
@@ -8,6 +8,11 @@
 
 # Two zones that both refuse are asked in turn no more often than this.
 MIN_REFUSAL_S = 1.0
+# A zone refuses by the load of that moment, which other zones may take over before its Retry-After
+# is over. So it is asked again after a quarter of the time that the demand has left.
+MAX_REFUSAL_SHARE = 0.25
+# Few demands wait for half of their time; each zone serves them in order of their deadlines.
+URGENT_SHARE = 0.5
 
 
 class OpenDemand:
@@ -22,18 +27,30 @@
         self.asked_at = asked_at
         self.deadline_at = asked_at + demand.deadline_s
         self.by_zone: dict[str, int] = {}
+        # Requests for which no zone is known that has slots and may be asked.
+        self.unplaced = 0
         # When each zone that refused the demand may be asked again.
         self._refused_until: dict[str, float] = {}
 
+    @property
+    def is_granted(self) -> bool:
+        """Whether nothing of it waits any more."""
+        return not self.unplaced and not any(self.by_zone.values())
+
     def note_refusal(self, zone: str, failure: Failure, now: float) -> None:
-        """Leave a zone out for as long as its refusal holds; one without Retry-After holds on."""
-        pause_s = max(MIN_REFUSAL_S, failure.retry_after_ms / 1000)
+        """Leave a zone out for its Retry-After or less; a refusal without one holds on."""
+        most_s = MAX_REFUSAL_SHARE * (self.deadline_at - now)
+        pause_s = max(MIN_REFUSAL_S, min(failure.retry_after_ms / 1000, most_s))
         self._refused_until[zone] = now + pause_s if failure.retry_after_ms else math.inf
 
     def is_refused(self, zone: str, now: float) -> bool:
         """Whether a zone has refused the demand and is not to be asked yet."""
         return now < self._refused_until.get(zone, 0.0)
 
+    def is_urgent(self, now: float) -> bool:
+        """Whether half of its time is over, so that it goes before most of what waits elsewhere."""
+        return now - self.asked_at > URGENT_SHARE * self.demand.deadline_s
+
     def at(self, zone: str, now: float) -> SlotDemand:
         """Return the demand as one zone sees it now."""
         return self.demand._replace(
--- a/kumquatlift/scheduling/slot_client.py
+++ b/kumquatlift/scheduling/slot_client.py
@@ -212,6 +212,10 @@
         open_zones = self._usable_zones(entry, self._loads.zones() | {own})
         if not open_zones:
             return False
+        if own not in open_zones and not any(load.slots for load in open_zones.values()):
+            # The own zone is the last resort and has refused; the others may get slots again.
+            entry.unplaced += count
+            return True
         weight = self._message_weight(entry.service)
         for zone, part in choose_zones(count, own, open_zones, weight).items():
             if part > 0:
@@ -225,17 +229,24 @@
 
     def _usable_zones(self, entry: OpenDemand, zones: set[str]) -> dict[str, ZoneLoad]:
         now = self._clock.now()
-        return {
+        loads = {
             zone: self._loads.at((entry.service, zone))
             for zone in zones
             if not entry.is_refused(zone, now)
         }
+        if entry.is_urgent(now):
+            # What waits elsewhere mostly has a later deadline, and is passed.
+            loads = {zone: load._replace(queued=0) for zone, load in loads.items()}
+        return loads
 
     def _rebalance(self, entry: OpenDemand) -> None:
         """Move what waits in one zone while another has free slots.
 
         Loads are up to a second old when a job is divided, and a zone may lose its runners later.
         """
+        unplaced, entry.unplaced = entry.unplaced, 0
+        if unplaced and not self._place(entry, unplaced):
+            entry.unplaced = unplaced
         usable = self._usable_zones(entry, self._loads.zones())
         waiting = {zone: count for zone, count in entry.by_zone.items() if count > 0}
         silent = {
@@ -246,7 +257,12 @@
         if silent and any(load.slots for load in usable.values()):
             moves = silent
         else:
-            moves = choose_moves(waiting, usable, self._message_weight(entry.service))
+            moves = choose_moves(
+                waiting,
+                usable,
+                self._message_weight(entry.service),
+                goes_first=entry.is_urgent(self._clock.now()),
+            )
         for zone, count in moves.items():
             entry.by_zone[zone] -= count
             change = self._at((entry.service, zone))
@@ -267,7 +283,7 @@
                 f"{zone}:open={entry.by_zone.get(zone, 0)},free={load.free},"
                 f"queued={load.queued},slots={load.slots},{state}"
             )
-        return ";".join(parts)
+        return ";".join([*parts, f"unplaced={entry.unplaced}"])
 
     def _accept(self, demand_id: str, slot: GrantedSlot) -> SlotListener | None:
         entry = self._open.get(demand_id)
@@ -277,7 +293,7 @@
             self._at(slot.place).finished.append(row)
             return None
         entry.by_zone[zone] -= 1
-        if not any(entry.by_zone.values()):
+        if entry.is_granted:
             del self._open[demand_id]
         self._held[slot.id] = slot
         return entry.listener
@@ -301,7 +317,8 @@
         )
         if count == 0 or self._place(entry, count):
             return None
-        if not any(entry.by_zone.values()):
+        count, entry.unplaced = count + entry.unplaced, 0
+        if entry.is_granted:
             del self._open[demand_id]
         return entry.listener, count
 
--- a/kumquatlift/scheduling/zone_choice.py
+++ b/kumquatlift/scheduling/zone_choice.py
@@ -71,24 +71,26 @@
     Args:
         count: Number of requests.
         own_zone: Zone of the caller.
-        zones: Load of each zone that may be asked, one at least.
+        zones: Load of each zone that can be reached.
         message_weight: 0 weighs response time alone, 1 weighs messages alone.
 
     Returns:
-        Requests by zone, without zones that get none. When no zone has usable slots, everything
-        goes to the own zone, or to the first one if the own zone may not be asked.
+        Requests by zone, without zones that get none; everything goes to the own zone when no
+        zone has usable slots.
     """
     costs = {
         name: 0.0 if name == own_zone else _crossing_s(load, message_weight)
         for name, load in zones.items()
     }
-    return _split(count, zones, costs) or {own_zone if own_zone in zones else min(zones): count}
+    return _split(count, zones, costs) or {own_zone: count}
 
 
 def choose_moves(
     waiting: Mapping[str, int],
     zones: Mapping[str, ZoneLoad],
     message_weight: float,
+    *,
+    goes_first: bool = False,
 ) -> dict[str, int]:
     """Find requests of a job that wait in one zone while another zone would end them earlier.
 
@@ -96,15 +98,17 @@
         waiting: Requests of the job that wait, by zone.
         zones: Load of each zone that can be reached, these requests included.
         message_weight: 0 weighs response time alone, 1 weighs messages alone.
+        goes_first: Whether the requests pass what waits elsewhere.
 
     Returns:
         Requests to take back, by zone; they are demanded anew with ``choose_zones``. Empty unless
-        free slots are known elsewhere, or the requests wait in a zone without any slots.
+        free slots are known elsewhere, the requests wait in a zone without any slots, or they go
+        first.
     """
     others = [load for zone, load in zones.items() if zone not in waiting]
     has_room = any(load.free > load.queued for load in others)
-    is_stranded = any(zone in zones and not zones[zone].slots for zone in waiting)
-    if not has_room and not (is_stranded and any(load.slots for load in zones.values())):
+    must_move = goes_first or any(zone in zones and not zones[zone].slots for zone in waiting)
+    if not has_room and not (must_move and any(load.slots for load in zones.values())):
         return {}
     without = {
         zone: load._replace(queued=max(0, load.queued - waiting.get(zone, 0)))
