Start the threads of an HTTP server when requests need them

Ruled out: a smaller limit; in a burst a frontend has that many callers whose jobs are under way.

Change: GrowingDispatcher starts a thread when a request waits and none is idle; when the system refuses one, the request waits for another thread. HttpServer.close raised an error on a closed descriptor each time, and now lets the server's own thread close its sockets; no program called it.

--- a/kumquatlift/transport/server.py
+++ b/kumquatlift/transport/server.py
@@ -10,6 +10,7 @@
 
 from kumquatlift.configuration.document import MAX_REQUEST_BYTES
 from kumquatlift.settings import Address
+from kumquatlift.transport._dispatcher import GrowingDispatcher
 from kumquatlift.transport.wsgi import WsgiApp
 
 MAX_CONNECTIONS = 1000
@@ -46,7 +47,7 @@
     Args:
         app: WSGI application.
         address: Where to listen; the port is open when the constructor returns.
-        threads: Requests served at a time.
+        threads: Requests served at a time; threads start when that many are needed.
         name: Prefix of thread names.
         lookahead: Requests read ahead on a connection while one is served, which is how a client
             that has left is noticed; 0 looks for none.
@@ -59,7 +60,7 @@
             app,
             host=address.host,
             port=address.port,
-            threads=threads,
+            _dispatcher=GrowingDispatcher(limit=threads, name=name),
             backlog=BACKLOG,
             connection_limit=MAX_CONNECTIONS,
             channel_timeout=IDLE_TIMEOUT_S,
@@ -76,6 +77,11 @@
         """Begin to serve requests."""
         self._running = self._executor.submit(self._server.run)
 
+    @property
+    def address(self) -> Address:
+        """Where this server listens."""
+        return Address(self._server.effective_host, int(self._server.effective_port))
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read, served or answered."""
@@ -107,10 +113,13 @@
         return True
 
     def close(self) -> None:
-        """Close the listening socket and all connections."""
-        self._server.close()
+        """End the threads once they have served what they serve, and close all connections."""
         self._server.task_dispatcher.shutdown(cancel_pending=False, timeout=1)
-        for channel in list(self._server.active_channels.values()):
-            channel.will_close = True
-        self._server.pull_trigger() if hasattr(self._server, "pull_trigger") else None
+        # The loop's own thread closes its sockets; it ends when there is none left.
+        self._server.trigger.pull_trigger(self._close_sockets)
         self._executor.shutdown(wait=False)
+
+    def _close_sockets(self) -> None:
+        for channel in list(self._server.active_channels.values()):
+            channel.handle_close()
+        self._server.close()
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,135 @@
+"""The HTTP server and the threads that serve its requests."""
+
+import http.client
+import threading
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+
+from kumquatlift.settings import Address
+from kumquatlift.transport._dispatcher import GrowingDispatcher
+from kumquatlift.transport.server import HttpServer
+from kumquatlift.transport.wsgi import ApiRequest, ApiResponse, application
+
+THREADS = 8
+WAIT_S = 10.0
+
+
+class Gate:
+    """A handler whose requests wait until the gate opens."""
+
+    def __init__(self) -> None:
+        self.is_open = threading.Event()
+        self.waiting = threading.Semaphore(0)
+
+    def __call__(self, _req: ApiRequest) -> ApiResponse:
+        self.waiting.release()
+        assert self.is_open.wait(WAIT_S)
+        return ApiResponse.from_json(200, {})
+
+
+@contextmanager
+def serving(handler: Any) -> Iterator[int]:
+    server = HttpServer(
+        app=application(handler),
+        address=Address("127.0.0.1", 0),
+        threads=THREADS,
+        name="gate",
+    )
+    server.start()
+    try:
+        yield server.address.port
+    finally:
+        server.close()
+
+
+def get(port: int) -> int:
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
+    try:
+        conn.request("GET", "/")
+        return conn.getresponse().status
+    finally:
+        conn.close()
+
+
+def server_threads() -> int:
+    return sum(1 for each in threading.enumerate() if each.name.startswith("waitress-"))
+
+
+class TestThreads:
+    """Guards against processes that hold the threads of their worst burst from the start.
+
+    A sweep with 270 frontends of 128 threads each took all threads of the machine.
+    """
+
+    def test_threads_start_with_the_requests_that_need_them(self) -> None:
+        before = server_threads()
+        gate = Gate()
+        with serving(gate) as port, ThreadPoolExecutor(THREADS) as callers:
+            assert server_threads() - before == 1
+            answers = [callers.submit(get, port) for _ in range(THREADS)]
+            for _ in range(THREADS):
+                assert gate.waiting.acquire(timeout=WAIT_S)
+            assert server_threads() - before == THREADS
+            gate.is_open.set()
+            assert [each.result(WAIT_S) for each in answers] == [200] * THREADS
+
+    def test_requests_one_after_the_other_need_no_more_threads(self) -> None:
+        before = server_threads()
+        gate = Gate()
+        gate.is_open.set()
+        with serving(gate) as port:
+            assert [get(port) for _ in range(20)] == [200] * 20
+            # The thread of a request may still close it when the next one has arrived.
+            assert server_threads() - before <= 2
+
+
+class TestGrowingDispatcher:
+    """Guards against requests that are lost with a thread that could not be started."""
+
+    def test_request_waits_for_a_thread_when_the_system_refuses_another(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        dispatcher = GrowingDispatcher(limit=4, name="test")
+
+        def refuse(*_args: object) -> None:
+            raise RuntimeError("can't start new thread")
+
+        monkeypatch.setattr(dispatcher, "start_new_thread", refuse)
+        first, second = Task(), Task()
+        dispatcher.add_task(first)
+        assert first.began.wait(WAIT_S)
+        dispatcher.add_task(second)
+        assert not second.began.is_set()
+        first.may_end.set()
+        assert second.began.wait(WAIT_S)
+        second.may_end.set()
+        assert second.done.result(WAIT_S)
+        dispatcher.shutdown()
+
+    def test_no_thread_starts_after_the_shutdown(self) -> None:
+        dispatcher = GrowingDispatcher(limit=4, name="test")
+        dispatcher.shutdown()
+        late = Task()
+        dispatcher.add_task(late)
+        assert not dispatcher.threads
+        assert not late.began.is_set()
+
+
+class Task:
+    """A request that ends when it is told to."""
+
+    def __init__(self) -> None:
+        self.began = threading.Event()
+        self.may_end = threading.Event()
+        self.done: Future[bool] = Future()
+
+    def service(self) -> None:
+        self.began.set()
+        self.done.set_result(self.may_end.wait(WAIT_S))
+
+    def cancel(self) -> None:
+        self.done.set_result(False)
