Judge no runner by the requests of a requester that stands still

The frozen process holds both slots of the zone's only runner. After 0.9 s without an end the runner was taken for stalled and eight times as slow, and when the slots lapsed it was blamed for two failures.

Ruled out: the queue itself, which had not grown, and learned run times, which need an end.

Change: a requester that has missed two of its state messages (2 s) is silent; its requests say nothing of their runners, neither while they take a slot nor when it lapses. Slots stay taken as long as before.

--- a/kumquatlift/scheduling/runner_pool.py
+++ b/kumquatlift/scheduling/runner_pool.py
@@ -100,6 +100,10 @@
             self.progress_at = now
         self.running[grant_id] = self.running[grant_id]._replace(started_at=now)
 
+    def leave_unreported(self, grant_id: str) -> None:
+        """Leave a request whose requester is silent out of the judgement of the runner."""
+        self.running[grant_id] = self.running[grant_id]._replace(started_at=0.0)
+
     def is_silent(self, slowness: float, now: float) -> bool:
         """Whether nothing ended for so long that the runner has probably stalled.
 
--- a/kumquatlift/scheduling/scheduler.py
+++ b/kumquatlift/scheduling/scheduler.py
@@ -180,6 +180,11 @@
         if use is not None:
             self._learn(grant_id, use, outcome, run_s, now)
 
+    def leave_unreported(self, requester: str) -> None:
+        """Judge no runner by the requests of a requester that is silent."""
+        if self._slots.leave_unreported(requester):
+            self._pool.invalidate()
+
     def next_wakeup(self, now: float) -> float:
         """Return when ``poll`` is due if nothing else happens; infinity for never."""
         times = [self._slots.next_lapse_at()]
@@ -284,8 +289,10 @@
 
     def _expire(self, now: float) -> None:
         for grant_id, use in self._slots.lapse(now):
-            # A grant that was not started tells nothing of the runner; a started one may have run.
-            outcome = AttemptOutcome.UNKNOWN if use.started_at else AttemptOutcome.UNUSED
+            # A grant that was not started, or whose requester is silent, tells nothing of the
+            # runner; another one may have run.
+            is_telling = use.started_at and not use.is_unreported
+            outcome = AttemptOutcome.UNKNOWN if is_telling else AttemptOutcome.UNUSED
             self._learn(grant_id, use, outcome, 0.0, now)
         while self._deadlines and self._deadlines[0][0] <= now:
             entry = self._entries.pop(heapq.heappop(self._deadlines)[1], None)
--- a/kumquatlift/scheduling/service_slots.py
+++ b/kumquatlift/scheduling/service_slots.py
@@ -27,7 +27,9 @@
 OWNER_LEASE_S = 2.0
 # After a release only the grants that are on their way to requesters have to be waited for.
 RELEASED_WAIT_S = 1.0
-# Requesters send their whole state every second; a silent one is gone or cut off.
+# Requesters send their whole state every second. After two that are missing, the ends of their
+# requests may be missing too; after the longer time a requester is gone or cut off.
+REQUESTER_SILENT_S = 2.0
 REQUESTER_TIMEOUT_S = 5.0
 # A grant younger than this may cross the requester's state message on the way.
 GRANT_CROSSING_S = 1.0
@@ -183,6 +185,8 @@
                 get_logger().warning("runner_lost", runner=name, service=self._service)
                 self.release(name, now)
         for requester, heard_at in list(self._heard.items()):
+            if now - heard_at > REQUESTER_SILENT_S:
+                self._scheduler.leave_unreported(requester)
             if now - heard_at > REQUESTER_TIMEOUT_S:
                 del self._heard[requester]
                 self._sent_at.pop(requester, None)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -84,6 +84,36 @@
         assert abs(left - (expected - 9 * 0.3)) < 1e-9
 
 
+class TestSilentRequester:
+    """Guards against runners that are judged by the requests of a requester that stands still.
+
+    Found by the scenario of the frozen owner: both slots of the only runner of a zone were held by
+    the frozen process, the runner was taken for eight times as slow, and the zone refused jobs with
+    "58.76 s are expected" that it could have run in time.
+    """
+
+    def refusal(self, *, is_known: bool) -> Failure | None:
+        scheduler = make_scheduler()
+        scheduler.offer(make_offer("r1", slots=2), 0.0)
+        for number in range(20):
+            scheduler.enqueue(make_demand(f"learn{number}"), 0.0)
+            run(scheduler, scheduler.poll(0.0), 0.0, OK)
+        scheduler.enqueue(make_demand("d1", 2), 1.0)
+        for grant in scheduler.poll(1.0):
+            scheduler.started(grant.id, 1.0)
+        if is_known:
+            scheduler.leave_unreported("e1")
+        # Requests of 0.3 s have been under way for 2.5 s; their lease and its margin end at 4.0.
+        scheduler.offer(make_offer("r1", slots=2), 3.5)
+        return scheduler.enqueue(make_demand("d2", 10, deadline_at=7.5), 3.5)
+
+    def test_runner_is_not_judged_by_ends_that_nobody_reports(self) -> None:
+        assert self.refusal(is_known=True) is None
+
+    def test_runner_is_judged_by_ends_that_a_requester_should_report(self) -> None:
+        assert self.refusal(is_known=False) is not None
+
+
 class TestRefusals:
     """Guards against refusals that come late, name no time or are about work that ran."""
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -11,7 +11,11 @@
 from kumquatlift.scheduling.admission import NO_RUNNER_GRACE_S
 from kumquatlift.scheduling.open_demands import MIN_REFUSAL_S, OpenDemand
 from kumquatlift.scheduling.scheduler import AttemptOutcome
-from kumquatlift.scheduling.service_slots import OWNER_LEASE_S, RELEASED_WAIT_S
+from kumquatlift.scheduling.service_slots import (
+    OWNER_LEASE_S,
+    RELEASED_WAIT_S,
+    REQUESTER_SILENT_S,
+)
 from kumquatlift.scheduling.slot_client import REBALANCE_INTERVAL_S
 from kumquatlift.scheduling.slot_messages import SlotGrants
 from kumquatlift.scheduling.slot_source import GrantedSlot
@@ -323,6 +327,28 @@
         assert {slot.place for slot in listener.slots} == {("s", "z")}
         assert len(listener.slots) == 2
 
+    def test_silent_requester_does_not_make_a_runner_look_slow(self) -> None:
+        """Guards against jobs that are refused since a frozen process holds all slots."""
+        clock, network = ManualClock(), FakeNetwork()
+        clock.advance(1.0)
+        owner, requester = pair(network, clock)
+        owner.owner.announce(announcement(token_of(owner, clock)))
+        held = Listener()
+        requester.client.request("s", demand("held", 4), held)
+        requester.client.flush()
+        assert len(held.slots) == 4
+
+        def slowness_after(seconds: float) -> float:
+            for _ in range(int(seconds / REBALANCE_INTERVAL_S)):
+                clock.advance(REBALANCE_INTERVAL_S)
+                owner.owner.announce(announcement(token_of(owner, clock), busy=4))
+                owner.owner.tick()
+            slots = owner.owner._services[("s", "z")]
+            return float(slots.snapshot(clock.now())["runners"]["r"]["slowness"])
+
+        assert slowness_after(REQUESTER_SILENT_S - REBALANCE_INTERVAL_S) > 1.0
+        assert slowness_after(2 * REBALANCE_INTERVAL_S) == 1.0
+
     def test_refusal_holds_for_a_share_of_the_time_that_is_left(self) -> None:
         """Guards against a Retry-After beyond the deadline that leaves a zone out for good.
 
