Bound the connections of a leader with thousands of upstreams

The busiest core held 4,908 connections where a process has 4,096 descriptors. Two sources: the pool kept a connection for each order and each look ever sent, since nothing closed those that were idle for longer than they may be used; and all 3,000 upstreams were told to send their heartbeats to the leader, each on a connection of its own.

Ruled out: a shorter idle time; connections are dear on one of the deployments, and 176 upstreams need them.

Change: the pool closes connections that are idle for too long every second, and keeps 1,500 idle ones at most, the longest idle closed first. A leader of more than 500 upstreams names no address for heartbeats, so that they stay spread over all instances.

--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -238,7 +238,7 @@
         if known is not None and upstream.born_ms == known.born_ms and known.is_draining:
             upstream = upstream._replace(is_draining=True)
         if upstream == known:
-            answer(_DONE)
+            answer(Reply(ResultCode.ACCEPTED, {"upstreams": len(self._leader.fleet)}))
             return
         get_logger().info(
             "upstream_announced",
--- a/kumquatlift/platform/_control.py
+++ b/kumquatlift/platform/_control.py
@@ -14,6 +14,9 @@
 ANNOUNCE_TIMEOUT_S = 0.8
 # The operator moves on to another instance after one second.
 CONFIG_TIMEOUT_S = 0.9
+# A leader of more upstreams than this takes their heartbeats from the other instances. Over HTTP
+# each of them holds a connection to the leader; an instance serves 1,000 of these.
+MAX_DIRECT_UPSTREAMS = 500
 _INSTANCES = "/api/instances/"
 
 
@@ -54,7 +57,8 @@
         if not isinstance(reply, Reply) or reply.code is not ResultCode.ACCEPTED:
             return self._unavailable("heartbeat_not_passed_on", upstream_id, reply)
         leader = self._client.leader
-        if not leader:
+        upstreams = reply.fields.get("upstreams")
+        if not leader or upstreams is None or upstreams > MAX_DIRECT_UPSTREAMS:
             return ApiResponse.from_json(200, {})
         # ``heartbeatAddress`` is where the next heartbeats go; the leader saves the hop.
         address = Address(Address.parse(leader).host, self._control_port)
--- a/kumquatlift/platform/_upstream_client.py
+++ b/kumquatlift/platform/_upstream_client.py
@@ -29,6 +29,8 @@
 CONNECT_TIMEOUT_S = 0.12
 # Upstreams close a connection that was idle for 4 s.
 MAX_IDLE_S = 3.0
+# Connections idle for longer are closed this often.
+CLOSE_IDLE_S = 1.0
 # Threads that send starts and stops; an upstream that does not answer holds one for the timeout.
 ORDER_THREADS = 24
 # A look waits in its thread, one for each upstream at a time.
@@ -47,6 +49,7 @@
         self._pool = ConnectionPool(max_idle_s=MAX_IDLE_S)
         self._orders = WorkerPool(threads=ORDER_THREADS, name="order")
         self._looks = WorkerPool(threads=LOOK_THREADS, name="look")
+        loop.call_every(CLOSE_IDLE_S, partial(self._orders.submit, self._pool.close_idle))
 
     def start(
         self, ref: UpstreamRef, order: StartOrder, done: Callable[[OrderAnswer], None]
--- a/kumquatlift/transport/connection_pool.py
+++ b/kumquatlift/transport/connection_pool.py
@@ -5,7 +5,7 @@
 import socket
 import threading
 import time
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -15,6 +15,8 @@
 # A connection idle for longer may have been dropped by something between the two ends without a
 # reset, and a request lost on it could not be told from one that ran.
 MAX_IDLE_S = 2.0
+# Descriptors of a process are bounded, and connections in use come on top.
+MAX_IDLE = 1500
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 _READ_BYTES = 65536
 
@@ -61,12 +63,22 @@
 
     Args:
         max_idle_s: Connections idle for longer are not used again.
+        max_idle: Idle connections that are kept; the ones that were idle longest are closed first.
     """
 
-    def __init__(self, *, max_idle_s: float = MAX_IDLE_S) -> None:
+    def __init__(self, *, max_idle_s: float = MAX_IDLE_S, max_idle: int = MAX_IDLE) -> None:
         self._max_idle_s = max_idle_s
+        self._max_idle = max_idle
         self._lock = threading.Lock()
         self._idle: dict[str, list[tuple[float, Connection]]] = defaultdict(list)
+        # Addresses in the order in which their connections became idle; some were taken since.
+        self._aged: deque[tuple[float, str]] = deque()
+        self._idle_count = 0
+
+    @property
+    def idle(self) -> int:
+        """Number of idle connections."""
+        return self._idle_count
 
     def exchange(
         self,
@@ -115,29 +127,38 @@
     def close(self) -> None:
         """Close all idle connections."""
         with self._lock:
-            pools = list(self._idle.values())
+            conns = [conn for pool in self._idle.values() for _, conn in pool]
             self._idle.clear()
-        for pool in pools:
-            for _, conn in pool:
-                conn.close()
+            self._aged.clear()
+            self._idle_count = 0
+        for conn in conns:
+            conn.close()
 
     def drop(self, address: str) -> None:
         """Close the idle connections to an address; another one there was lost or is silent."""
         with self._lock:
             pool = self._idle.pop(address, [])
+            self._idle_count -= len(pool)
         for _, conn in pool:
             conn.close()
 
     def close_idle(self) -> None:
         """Close connections that have been idle too long to be used again."""
-        limit = time.monotonic() - self._max_idle_s
+        self._close_aged(time.monotonic() - self._max_idle_s)
+
+    def _close_aged(self, before: float) -> None:
+        """Close connections that are idle since before a time, or are more than are kept."""
         old: list[Connection] = []
         with self._lock:
-            for address, pool in list(self._idle.items()):
-                old += [conn for since, conn in pool if since < limit]
-                self._idle[address] = [item for item in pool if item[0] >= limit]
-                if not self._idle[address]:
-                    del self._idle[address]
+            while self._aged and (self._aged[0][0] < before or self._idle_count > self._max_idle):
+                since, address = self._aged.popleft()
+                pool = self._idle.get(address, [])
+                # The newest connections are taken first, so the oldest of an address is the first.
+                if pool and pool[0][0] <= since:
+                    old.append(pool.pop(0)[1])
+                    self._idle_count -= 1
+                if not pool:
+                    self._idle.pop(address, None)
         for conn in old:
             conn.close()
 
@@ -147,6 +168,7 @@
             with self._lock:
                 pool = self._idle.get(address)
                 entry = pool.pop() if pool else None
+                self._idle_count -= entry is not None
             if entry is None:
                 return _connect(address, connect_timeout_s)
             since, conn = entry
@@ -155,8 +177,13 @@
             conn.close()
 
     def _give_back(self, address: str, conn: Connection) -> None:
+        now = time.monotonic()
         with self._lock:
-            self._idle[address].append((time.monotonic(), conn))
+            self._idle[address].append((now, conn))
+            self._aged.append((now, address))
+            self._idle_count += 1
+        if self._idle_count > self._max_idle:
+            self._close_aged(now - self._max_idle_s)
 
 
 def _connect(address: str, timeout_s: float) -> Connection:
