Close callers' connections while a frontend has no leader

Ruled out: a leader of the zone's own, for now.

Change: HttpServer asks before each answer whether it keeps the connection; a frontend does only while it is ready. A caller that comes back meets an instance that can serve it.

Figures: the test 'connection is given up while the server keeps none' failed before.

--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -75,19 +75,26 @@
     channel = _open_channel(cfg)
     client = LeaderClient(channel=channel, timer=timer, contacts=cfg.contacts)
     frontend = Frontend(client=client, zone=cfg.zone, section=board.section("frontend"))
-    servers = [
-        _serve(frontend.handle, cfg.listen.callers, CALLER_THREADS, "callers", 1),
-        _serve(frontend.ready, cfg.listen.readiness, 1, "readiness"),
-    ]
+    callers = HttpServer(
+        app=application(frontend.handle),
+        address=Address.parse(cfg.listen.callers),
+        threads=CALLER_THREADS,
+        name="callers",
+        lookahead=1,
+        # A caller that keeps its connection to an instance without a leader never finds another.
+        keeps_connections=lambda: frontend.is_ready,
+    )
+    callers.start()
+    _serve(frontend.ready, cfg.listen.readiness, 1, "readiness")
     _serve_metrics(cfg, board, FRONTEND_COUNTERS)
     get_logger().info("started", role="frontend", zone=cfg.zone, seeds=",".join(cfg.seeds))
     stop.wait()
     get_logger().info("stopping", role="frontend")
     frontend.leave()
-    servers[0].leave()
+    callers.leave()
     time.sleep(SERVE_SHARE * cfg.bounds.grace_s)
     frontend.close()
-    servers[0].drain(timeout_s=DRAIN_SHARE * cfg.bounds.grace_s)
+    callers.drain(timeout_s=DRAIN_SHARE * cfg.bounds.grace_s)
 
 
 def run_core(cfg: PlatformSettings) -> None:
@@ -181,14 +188,12 @@
     address: str,
     threads: int,
     name: str,
-    lookahead: int = 0,
 ) -> HttpServer:
     server = HttpServer(
         app=application(handler),
         address=Address.parse(address),
         threads=threads,
         name=name,
-        lookahead=lookahead,
     )
     server.start()
     return server
--- a/kumquatlift/transport/server.py
+++ b/kumquatlift/transport/server.py
@@ -1,6 +1,7 @@
 """An HTTP server that can drain: it finishes every request before it closes."""
 
 import time
+from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
@@ -26,13 +27,14 @@
 
 
 class _Task(WSGITask):  # type: ignore[misc]
-    """Asks the client to use another connection once the server is leaving.
+    """Asks the client for another connection when the server does not keep this one.
 
     An application may not set the header itself, since it belongs to the connection.
     """
 
     def execute(self) -> None:
-        if self.channel.server.is_leaving:
+        server = self.channel.server
+        if server.is_leaving or not server.keeps_connections():
             self.request.headers["CONNECTION"] = "close"
         super().execute()
 
@@ -51,10 +53,19 @@
         name: Prefix of thread names.
         lookahead: Requests read ahead on a connection while one is served, which is how a client
             that has left is noticed; 0 looks for none.
+        keeps_connections: Tells whether connections stay open after an answer; behind a balancer
+            that chooses an instance for each connection, a caller gets to another one only then.
     """
 
     def __init__(
-        self, *, app: WsgiApp, address: Address, threads: int, name: str, lookahead: int = 0
+        self,
+        *,
+        app: WsgiApp,
+        address: Address,
+        threads: int,
+        name: str,
+        lookahead: int = 0,
+        keeps_connections: Callable[[], bool] = lambda: True,
     ) -> None:
         self._server: Any = waitress.create_server(
             app,
@@ -70,6 +81,7 @@
         )
         self._server.channel_class = _Channel
         self._server.is_leaving = False
+        self._server.keeps_connections = keeps_connections
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix=f"http-{name}")
         self._running: Future[None] | None = None
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -87,6 +87,40 @@
             assert server_threads() - before <= 2
 
 
+class TestConnections:
+    """Guards against callers who stay with an instance that can serve none of them.
+
+    In a day with a zone cut off, half of the zone's requests went on to its frontends, which had no
+    leader, although new connections went to the other zones.
+    """
+
+    def test_connection_is_given_up_while_the_server_keeps_none(self) -> None:
+        keeps = True
+        server = HttpServer(
+            app=application(lambda _req: ApiResponse.from_json(200, {})),
+            address=Address("127.0.0.1", 0),
+            threads=2,
+            name="test",
+            keeps_connections=lambda: keeps,
+        )
+        server.start()
+        conn = http.client.HTTPConnection("127.0.0.1", server.address.port, timeout=WAIT_S)
+
+        def connection_after_request() -> str | None:
+            conn.request("GET", "/")
+            answer = conn.getresponse()
+            answer.read()
+            return answer.headers.get("Connection")
+
+        assert connection_after_request() is None
+        keeps = False
+        assert connection_after_request() == "close"
+        keeps = True
+        assert connection_after_request() is None
+        conn.close()
+        server.close()
+
+
 class TestGrowingDispatcher:
     """Guards against requests that are lost with a thread that could not be started."""
 
