Keep no connection when a server holds more than half of those it may

Now each of 1,000 upstreams sends its heartbeats to any instance and keeps a connection to each that it ever called: 1,876 connections on the middle core. waitress takes 1,000 from callers and leaves the others in the queue, the operator's among them.

Ruled out: a higher limit alone, which the number of upstreams passes again; and the bound of the pool, since the busiest core holds 2,685 of 4,096 descriptors now.

Change: a server with more than 500 connections asks for each to be closed after its answer.

The test 'connections are given up while there are too many' failed before.

--- a/kumquatlift/transport/server.py
+++ b/kumquatlift/transport/server.py
@@ -15,6 +15,8 @@
 from kumquatlift.transport.wsgi import WsgiApp
 
 MAX_CONNECTIONS = 1000
+# With more connections than this each is closed after its answer, so that others find one.
+MAX_KEPT_CONNECTIONS = 500
 BACKLOG = 1024
 # A client that sends nothing for this long in the middle of a request loses its connection.
 IDLE_TIMEOUT_S = 30
@@ -34,7 +36,8 @@
 
     def execute(self) -> None:
         server = self.channel.server
-        if server.is_leaving or not server.keeps_connections():
+        is_crowded = len(server.active_channels) > MAX_KEPT_CONNECTIONS
+        if server.is_leaving or is_crowded or not server.keeps_connections():
             self.request.headers["CONNECTION"] = "close"
         super().execute()
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,6 +10,7 @@
 import pytest
 
 from kumquatlift.settings import Address
+from kumquatlift.transport import server as server_module
 from kumquatlift.transport._dispatcher import GrowingDispatcher
 from kumquatlift.transport.server import HttpServer
 from kumquatlift.transport.wsgi import ApiRequest, ApiResponse, application
@@ -120,6 +121,37 @@
         conn.close()
         server.close()
 
+    def test_connections_are_given_up_while_there_are_too_many(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a server whose connections are all held by callers that come rarely.
+
+        In a sweep with 1,000 upstreams these held all connections of every instance, and the
+        operator got none to read the configuration.
+        """
+        monkeypatch.setattr(server_module, "MAX_KEPT_CONNECTIONS", 2)
+        server = HttpServer(
+            app=application(lambda _req: ApiResponse.from_json(200, {})),
+            address=Address("127.0.0.1", 0),
+            threads=2,
+            name="test",
+        )
+        server.start()
+        conns = [
+            http.client.HTTPConnection("127.0.0.1", server.address.port, timeout=WAIT_S)
+            for _ in range(3)
+        ]
+        found = []
+        for conn in conns:
+            conn.request("GET", "/")
+            answer = conn.getresponse()
+            answer.read()
+            found.append(answer.headers.get("Connection"))
+        assert found == [None, None, "close"]
+        for conn in conns:
+            conn.close()
+        server.close()
+
 
 class TestGrowingDispatcher:
     """Guards against requests that are lost with a thread that could not be started."""
