--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -6,10 +6,7 @@
 import structlog
 
 from kumquatlift.clock import ManualClock
-from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.scheduling.admission import NO_RUNNER_GRACE_S
-from kumquatlift.scheduling.open_demands import MIN_REFUSAL_S, OpenDemand
 from kumquatlift.scheduling.scheduler import AttemptOutcome
 from kumquatlift.scheduling.service_slots import (
     OWNER_LEASE_S,
@@ -20,11 +17,10 @@
 from kumquatlift.scheduling.slot_messages import SlotGrants
 from kumquatlift.scheduling.slot_source import GrantedSlot
 from kumquatlift.transport.channel import Topic
-from tests.fakes import FakeNetwork, member
+from tests.fakes import FakeNetwork
 from tests.slot_world import (
     FailingListener,
     Listener,
-    Process,
     announcement,
     demand,
     pair,
@@ -214,49 +210,6 @@
             process.client.flush()
             assert not listener.slots
 
-    def test_demand_moves_from_a_zone_without_runners_to_one_that_has_some(self) -> None:
-        clock, network = ManualClock(), FakeNetwork()
-        north, south = member("a", "z"), member("b", "y")
-        with_runner = Process(north, [south], network, clock)
-        without = Process(south, [north], network, clock)
-        with_runner.owner.announce(announcement(token_of(with_runner, clock)))
-        listener = Listener()
-        without.client.request("s", demand("w", 2), listener)
-        without.client.flush()
-        assert not listener.slots
-        for _ in range(2):
-            clock.advance(REBALANCE_INTERVAL_S)
-            without.client.rebalance()
-            without.client.flush()
-        assert len(listener.slots) == 2
-        assert {slot.place for slot in listener.slots} == {("s", "z")}
-
-    def test_demand_moves_away_from_an_owner_whose_grants_do_not_arrive(self) -> None:
-        clock, network = ManualClock(), FakeNetwork()
-        members = [member("a", "z"), member("b", "y")]
-        near, far = (
-            Process(me, [other for other in members if other != me], network, clock)
-            for me in members
-        )
-        listener = Listener()
-        far.owner.announce(announcement(token_of(far, clock))._replace(zone="y"))
-        near.client.request("s", demand("first", 1), listener)
-        near.client.flush()
-        near.client.send_state()
-        near.client.flush()
-        network.lost = lambda sender, receiver: sender == "b"
-        near.client.request("s", demand("second", 2), listener)
-        near.client.flush()
-        granted = len(listener.slots)
-        near.owner.announce(announcement(token_of(near, clock)))
-        for _ in range(8):
-            clock.advance(REBALANCE_INTERVAL_S)
-            near.owner.announce(announcement(token_of(near, clock)))
-            near.client.rebalance()
-            near.client.flush()
-        assert len(listener.slots) >= granted + 2
-        assert {slot.place for slot in listener.slots[-2:]} == {("s", "z")}
-
     def test_listener_that_fails_keeps_no_grant_from_the_others(self) -> None:
         """Guards against a job that waits until its deadline for a slot that it was granted."""
         clock = ManualClock()
@@ -291,42 +244,6 @@
         assert (line["demand"], line["waited_s"]) == ("long", 1.5)
         assert line["zones"] == "z:open=6,free=0,queued=6,slots=4,heard;unplaced=0"
 
-    def test_zone_that_refused_is_asked_again_when_it_has_slots(self) -> None:
-        """Guards against requests that wait for a zone without slots beside one with free slots.
-
-        Found by a loop of the scenario of the frozen owner: two zones refused a job while their
-        queues were long, its requests went to a zone without runners, and stayed there until the
-        deadline.
-        """
-        clock, network = ManualClock(), FakeNetwork()
-        north, south = member("a", "z"), member("b", "y")
-        refusing = Process(north, [south], network, clock)
-        lonely = Process(south, [north], network, clock)
-        early, listener = Listener(), Listener()
-        refusing.owner.announce(announcement(token_of(refusing, clock)))
-        clock.advance(NO_RUNNER_GRACE_S)
-        refusing.owner.announce(announcement(token_of(refusing, clock)))
-        lonely.client.request("s", demand("early", 1), early)
-        for _ in range(2):
-            clock.advance(REBALANCE_INTERVAL_S)
-            lonely.client.rebalance()
-            lonely.client.flush()
-        assert early.slots
-        # The load that is known is old: the runner has gone, and its owner refuses. The owner of
-        # the other zone is new and still waits for runners.
-        clock.advance(OWNER_LEASE_S)
-        lonely.client.request("s", demand("w", 2), listener)
-        lonely.client.flush()
-        assert not listener.slots
-        for _ in range(10):
-            clock.advance(REBALANCE_INTERVAL_S)
-            refusing.owner.announce(announcement(token_of(refusing, clock)))
-            lonely.client.send_state()
-            lonely.client.rebalance()
-            lonely.client.flush()
-        assert {slot.place for slot in listener.slots} == {("s", "z")}
-        assert len(listener.slots) == 2
-
     def test_silent_requester_does_not_make_a_runner_look_slow(self) -> None:
         """Guards against jobs that are refused since a frozen process holds all slots."""
         clock, network = ManualClock(), FakeNetwork()
@@ -349,87 +266,6 @@
         assert slowness_after(REQUESTER_SILENT_S - REBALANCE_INTERVAL_S) > 1.0
         assert slowness_after(2 * REBALANCE_INTERVAL_S) == 1.0
 
-    def test_refusal_holds_for_a_share_of_the_time_that_is_left(self) -> None:
-        """Guards against a Retry-After beyond the deadline that leaves a zone out for good.
-
-        Found by the scenario of the frozen owner: a zone refused with "14.92 s are expected and
-        6.83 s are left" while it had the queue of all zones; 2 s later other zones took it over.
-        """
-        waiting = demand("w", 9)._replace(deadline_s=10.0)
-        entry = OpenDemand(service="s", demand=waiting, listener=Listener(), asked_at=0.0)
-        entry.note_refusal("y", Failure(ResultCode.OVERLOADED, "the queue is long", 8096), 3.2)
-        assert entry.is_refused("y", 4.8)
-        assert not entry.is_refused("y", 5.0)
-        entry.note_refusal("y", Failure(ResultCode.OVERLOADED, "the queue is long", 8096), 9.5)
-        assert entry.is_refused("y", 9.5 + MIN_REFUSAL_S - 0.1)
-        entry.note_refusal("z", Failure(ResultCode.NEVER_FITS, "larger than any runner", 0), 3.2)
-        assert entry.is_refused("z", 9.9)
-
-    def test_demand_near_its_deadline_goes_before_later_ones_of_another_zone(self) -> None:
-        """Guards against a job that misses its deadline while later jobs run in another zone.
-
-        Found by the scenario of the frozen owner: the rest of the first jobs waited for two
-        slots, while four slots of another zone took requests of the second jobs.
-        """
-        clock, network = ManualClock(), FakeNetwork()
-        near, far = member("a", "z"), member("b", "y")
-        process, other = Process(near, [far], network, clock), Process(far, [near], network, clock)
-
-        def announce() -> None:
-            for each in (process, other):
-                ann = announcement(token_of(each, clock))
-                zone = each.members.me.zone
-                each.owner.announce(ann._replace(runner=f"r-{zone}", zone=zone))
-
-        def take_turns() -> None:
-            announce()
-            for each in (process, other):
-                each.client.send_state()
-                each.client.rebalance()
-                each.client.flush()
-
-        announce()
-        for each in (process, other):
-            learned = Listener()
-            each.client.request("s", demand(f"learn-{each.members.me.name}", 1), learned)
-            each.client.flush()
-            each.client.finish(learned.slots[0], AttemptOutcome.OK, 0.1)
-            each.client.flush()
-        early, late, others = Listener(), Listener(), Listener()
-        process.client.request("s", demand("others", 4), others)
-        other.client.request("s", demand("late", 30)._replace(expected_s=100.0), late)
-        for _ in range(2):
-            take_turns()
-        process.client.request("s", demand("early", 8)._replace(deadline_s=10.0), early)
-        for _ in range(int(6.0 / REBALANCE_INTERVAL_S)):
-            clock.advance(REBALANCE_INTERVAL_S)
-            take_turns()
-        assert not early.slots
-        for slot in late.slots[:4]:
-            other.client.finish(slot, AttemptOutcome.OK, 0.1)
-        other.client.flush()
-        assert {slot.place for slot in early.slots} == {("s", "y")}
-
-    def test_refused_demand_is_not_sent_to_the_same_zone_again_at_once(self) -> None:
-        """Guards against a storm of demands and refusals between two processes.
-
-        Found by a run of the scenarios: hundreds of refusals of one demand within 5 ms, since the
-        own zone was the last resort also after it had refused.
-        """
-        clock, network = ManualClock(), FakeNetwork()
-        near, far = member("a", "z"), member("b", "y")
-        process, other = Process(near, [far], network, clock), Process(far, [near], network, clock)
-        other.owner.announce(announcement("someone-9.0"))
-        process.client.request("s", demand("first", 1), Listener())
-        process.client.flush()
-        clock.advance(NO_RUNNER_GRACE_S)
-        with structlog.testing.capture_logs() as lines:
-            process.client.request("s", demand("second", 1), Listener())
-            for _ in range(20):
-                process.client.flush()
-        zones = [line["zone"] for line in lines if line["event"] == "demand_refused"]
-        assert len(zones) == len(set(zones))
-
     def test_slots_of_a_vanished_demand_are_given_back(self) -> None:
         clock = ManualClock()
         process, _ = pair(FakeNetwork(), clock)
