Take signals without a lock, and check that a graceful stop cuts no request

The handler set a threading.Event in the main thread, which may hold the Event's lock just then, when it begins to wait; it then waits for itself.

Ruled out: a drain that takes too long; the stop never began. The handler of SIGHUP also logged.

Change: handlers put into a SimpleQueue, which takes no lock; whoever waits takes them from there. The same for the entry process. The soak tells connections that were cut from those never made, and a cut is allowed after a kill, or in the last 0.2 s for what was not read. Mutant 'cuts answers'.

--- a/kumquatlift/entry.py
+++ b/kumquatlift/entry.py
@@ -3,7 +3,9 @@
 import signal
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from queue import SimpleQueue
 
 from kumquatlift.administration.operators import Operators
 from kumquatlift.blackboard import Blackboard
@@ -136,7 +138,7 @@
         self._drain()
 
     def stop(self) -> None:
-        """Begin an orderly stop; may be called from a signal handler."""
+        """Begin an orderly stop; any thread but a signal handler's may call this."""
         self._stopping.set()
 
     def _make_slots(self, token: str) -> None:
@@ -280,12 +282,25 @@
     except OSError as exc:
         get_logger().error("start_failed", reason=str(exc))
         return 1
+    # A handler runs in the main thread, which may hold the lock that ``stop`` takes; putting into
+    # this queue takes none.
+    signals: SimpleQueue[int] = SimpleQueue()
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: process.stop())
-    process.run()
+        signal.signal(number, lambda received, _frame: signals.put(received))
+    with ThreadPoolExecutor(max_workers=1, thread_name_prefix="stop") as executor:
+        executor.submit(_stop_on_signal, process, signals)
+        try:
+            process.run()
+        finally:
+            signals.put(0)
     return 0
 
 
+def _stop_on_signal(process: EntryProcess, signals: "SimpleQueue[int]") -> None:
+    signals.get()
+    process.stop()
+
+
 def _read_first_document(settings: Settings) -> Document | str | None:
     """Return the first document, None when the settings name none, or why it cannot be used."""
     if not settings.first_document:
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from queue import Empty, SimpleQueue
 
 from kumquatlift.authority import Authority, LeaderClient, Limits, authority_handler
 from kumquatlift.blackboard import Blackboard
@@ -43,28 +44,37 @@
 
 
 class Stop:
-    """Waits for SIGTERM and reports changes of the settings file by SIGHUP."""
+    """Waits for SIGTERM and reports changes of the settings file by SIGHUP.
+
+    The handlers only put into a queue, which takes no lock: they run in the main thread, which may
+    hold the lock of an ``Event`` that it begins to wait for.
+    """
 
     def __init__(self) -> None:
-        self._event = threading.Event()
-        signal.signal(signal.SIGTERM, self._on_term)
-        signal.signal(signal.SIGHUP, self._on_hup)
+        self._signals: SimpleQueue[int] = SimpleQueue()
+        self._is_stopped = False
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(number, lambda received, _frame: self._signals.put(received))
 
     def wait(self) -> None:
         """Return after SIGTERM."""
-        while not self._event.wait():
-            pass
+        while not self._is_stopped:
+            self._take(self._signals.get())
 
     def gives_up(self, seconds: float) -> bool:
         """Wait for a number of seconds; return whether SIGTERM came meanwhile."""
-        return self._event.wait(seconds)
-
-    def _on_term(self, _signal: int, _frame: object) -> None:
-        self._event.set()
-
-    def _on_hup(self, _signal: int, _frame: object) -> None:
-        # All settings concern addresses and bounds, which a process keeps for its life.
-        get_logger().info("settings_file_changed", applied=False)
+        deadline = time.monotonic() + seconds
+        with contextlib.suppress(Empty):
+            while not self._is_stopped:
+                self._take(self._signals.get(timeout=max(0.0, deadline - time.monotonic())))
+        return self._is_stopped
+
+    def _take(self, number: int) -> None:
+        if number == signal.SIGTERM:
+            self._is_stopped = True
+        else:
+            # All settings concern addresses and bounds, which a process keeps for its life.
+            get_logger().info("settings_file_changed", applied=False)
 
 
 def run_frontend(cfg: PlatformSettings) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -67,6 +67,7 @@
         [
             ("acknowledges before the log", ("core killed",), "after an end that was acknowledged"),
             ("answers with an error", ("proxies pass",), "was answered with 500"),
+            ("cuts answers", ("frontend stopped",), "was cut after"),
             ("doubles the room", ("proxies pass",), "exceeds the capacity"),
             ("drops cancels", ("proxies pass",), "was cancelled and its tasks went on"),
             ("elects late", ("all cores killed",), "no job was accepted within"),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -57,6 +57,17 @@
     _set(_frontend.Frontend, "_submit", submit_or_fail)
 
 
+def _cut_answers() -> None:
+    """End at once on SIGTERM, as if nothing were in progress."""
+    wait = _programs.Stop.wait
+
+    def wait_and_cut(stop: Any) -> None:
+        wait(stop)
+        os._exit(0)
+
+    _set(_programs.Stop, "wait", wait_and_cut)
+
+
 def _double_the_room() -> None:
     """Count twice the room that an upstream has."""
     _change_heartbeats(lambda state: state._replace(cpu_milli=2 * state.cpu_milli))
@@ -167,6 +178,7 @@
 MUTANTS: dict[str, Callable[[], None]] = {
     "acknowledges before the log": _acknowledge_before_the_log,
     "answers with an error": _answer_with_an_error,
+    "cuts answers": _cut_answers,
     "doubles the room": _double_the_room,
     "drops cancels": _drop_cancels,
     "elects late": _elect_late,
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -17,7 +17,15 @@
 from pathlib import Path
 
 from tools.soak_faults import KINDS, SoakFaults
-from tools.users_platform import CONFIG, Cluster, try_call, wait_until
+from tools.users_platform import (
+    CONFIG,
+    CUT,
+    NO_ANSWER,
+    Cluster,
+    Program,
+    try_call,
+    wait_until,
+)
 
 PORT = 18720
 NETWORK = "127.0.9"
@@ -36,6 +44,8 @@
 RECOVERY_S = 12.0
 MAX_MEMORY_MB = 296
 MAX_OPEN_FILES = 4096
+# A request that reaches a process in its last moment may never be read.
+UNREAD_S = 0.2
 # Jobs that are cancelled run longer than the time in which they must stop.
 CANCELLED_SHARE = 0.1
 CANCELLED_RUN_MS = 6000
@@ -144,10 +154,13 @@
             statuses = []
             for _ in range(3):
                 front = rng.randrange(FRONTENDS)
+                sent_at = time.monotonic()
                 status = self._cluster.submit(
                     number, tasks=tasks, run_ms=run_ms, is_kept=is_kept, frontend=front
                 )
                 statuses.append(status)
+                if status == CUT:
+                    self._check_cut(self._cluster.frontends[front], number, sent_at)
                 if status in (200, 503, 429):
                     break
                 time.sleep(1.3)
@@ -164,7 +177,7 @@
             self.checked["answers"] += 1
             if statuses[-1] != 200:
                 time.sleep(REFUSED_PAUSE_S)
-            for status in set(statuses) - {0, 200, 429, 503, 504}:
+            for status in set(statuses) - {CUT, NO_ANSWER, 200, 429, 503, 504}:
                 self._violate(f"job {number:016x} was answered with {status}")
 
     def _operate(self) -> None:
@@ -190,6 +203,19 @@
         with self._lock:
             self.violations.append(text)
 
+    def _check_cut(self, frontend: Program, number: int, sent_at: float) -> None:
+        """Judge a connection that ended without an answer; only a kill may cut what was read."""
+        now = time.monotonic()
+        self.checked["connections that were cut"] += 1
+        # The kill or the end may be noted a moment after the caller has seen it.
+        time.sleep(UNREAD_S)
+        is_killed = frontend.killed_at >= sent_at
+        is_unread = frontend.ended_at >= sent_at and now - sent_at < UNREAD_S
+        if not is_killed and not is_unread:
+            self._violate(
+                f"job {number:016x} was cut after {now - sent_at:.1f} s by {frontend.host}"
+            )
+
     def _check_end(self) -> None:
         try:
             left_s = max(0.0, self._healed_at + RECOVERY_S - time.monotonic())
--- a/tools/users_platform/__init__.py
+++ b/tools/users_platform/__init__.py
@@ -5,14 +5,16 @@
 """
 
 from tools.users_platform._cluster import CONFIG, Cluster, wait_until
-from tools.users_platform._http import call, try_call
+from tools.users_platform._http import CUT, NO_ANSWER, call, try_call
 from tools.users_platform._journal import Journal
 from tools.users_platform._program import Program
 from tools.users_platform._upstream import DRAIN_S, StandInUpstream
 
 __all__ = [
     "CONFIG",
+    "CUT",
     "DRAIN_S",
+    "NO_ANSWER",
     "Cluster",
     "Journal",
     "Program",
--- a/tools/users_platform/_cluster.py
+++ b/tools/users_platform/_cluster.py
@@ -147,7 +147,7 @@
         is_kept: bool = True,
         frontend: int = 0,
     ) -> int:
-        """Submit a job and return the status; 0 when no answer came."""
+        """Submit a job and return the status, see ``try_call``."""
         spec = json.dumps({"ms": run_ms, "cpu": 6800})
         step = {"count": tasks, "cpu": 6800, "requestedMemoryMb": 64, "estimatedMs": run_ms}
         body = {"spec": spec, "steps": [step], "bestEffort": not is_kept}
@@ -156,7 +156,7 @@
         return status
 
     def cancel(self, number: int, frontend: int = 0) -> int:
-        """Cancel a job and return the status; 0 when no answer came."""
+        """Cancel a job and return the status, see ``try_call``."""
         return try_call(self.frontends[frontend].callers, "DELETE", f"/q/{number:016x}")[0]
 
     def state(self, number: int) -> str:
--- a/tools/users_platform/_http.py
+++ b/tools/users_platform/_http.py
@@ -4,6 +4,11 @@
 from http.client import HTTPConnection, HTTPException
 from typing import Any
 
+# In place of a status: no connection or no answer in time, and a connection that ended after the
+# request was sent.
+NO_ANSWER = 0
+CUT = -1
+
 
 def call(
     address: str,
@@ -27,8 +32,10 @@
 
 
 def try_call(*args: Any, **options: Any) -> tuple[int, Any]:
-    """Call and return status 0 when no whole answer came."""
+    """Call and return ``NO_ANSWER`` or ``CUT`` as the status when no whole answer came."""
     try:
         return call(*args, **options)
-    except (OSError, HTTPException, ValueError):
-        return 0, None
+    except (ConnectionResetError, BrokenPipeError, HTTPException):
+        return CUT, None
+    except (OSError, ValueError):
+        return NO_ANSWER, None
--- a/tools/users_platform/_program.py
+++ b/tools/users_platform/_program.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 
@@ -42,6 +43,9 @@
         self._mutant = mutant
         self._log_start = 0
         self._process: subprocess.Popen[bytes] | None = None
+        # Monotonic times of the last kill and of the last end of any kind.
+        self.killed_at = 0.0
+        self.ended_at = 0.0
         folder.mkdir(parents=True, exist_ok=True)
         self.set_faults()
         self.start()
@@ -131,12 +135,15 @@
 
     def kill(self) -> None:
         """Kill the process and wait for its end."""
+        self.killed_at = time.monotonic()
         self.signal(signal.SIGKILL)
         self.wait()
 
     def wait(self, timeout_s: float = 10.0) -> int | None:
         """Wait for the end of the process and return its exit code."""
-        return None if self._process is None else self._process.wait(timeout_s)
+        code = None if self._process is None else self._process.wait(timeout_s)
+        self.ended_at = time.monotonic()
+        return code
 
     @property
     def is_started(self) -> bool:
