--- a/kumquatlift/authority/_admission.py
+++ b/kumquatlift/authority/_admission.py
@@ -17,6 +17,10 @@
 LATE_SHARE_TARGET = 0.08
 CAUTION_GAIN = 8.0
 MAX_CAUTION = 0.8
+# Caution asks for no more than this many times the expected wait: an estimate of a few milliseconds
+# may be wrong by much and still leave time. Of 5, 10, 20 and 40 in tools/experiment.py, 10 serves
+# as much in a burst as no bound at all, and more while upstreams are silent.
+CAUTION_WAITS = 10.0
 # Weight of the newest ended job in that share; about the last thirty count.
 LATE_WEIGHT = 0.03
 # Returning callers are spread over this share of the wait, so that they do not come back together.
@@ -93,15 +97,14 @@
         ask: The job.
         load: The load of its service.
         spread: A number from 0 to 1 that differs from caller to caller.
-        caution: Share of its objective that the job must have in hand if it has to wait.
+        caution: Share of its objective that the job must have in hand if it has to wait long.
     """
     if load.slots <= 0:
         return Verdict(False, ask.late_ms, retry_after(ask.late_ms, spread))
     wait_ms = load.backlog_ms / (load.slots * load.speed)
     finish_ms = wait_ms + ask.chain_ms / load.speed
     limit_ms = ask.objective_ms + TAKE_SHARE * (ask.late_ms - ask.objective_ms)
-    if wait_ms > 0:
-        limit_ms -= caution * ask.objective_ms
+    limit_ms -= caution * min(ask.objective_ms, CAUTION_WAITS * wait_ms)
     if finish_ms <= limit_ms:
         return Verdict(True, wait_ms)
     excess_ms = finish_ms - ask.objective_ms
