Refuse at once what a new leader cannot start in time

Callers could have been told at once.

Change: once the first looks have had 0.15 s, the rest of the wait counts as waiting time of a new job; what cannot be in time is refused, with the rest of the wait as Retry-After. Long jobs are taken.

The test 'short jobs are refused at once and long ones wait' failed before.

--- a/kumquatlift/authority/_admission.py
+++ b/kumquatlift/authority/_admission.py
@@ -36,11 +36,13 @@
         speed: Mean speed of the usable upstreams.
         backlog_ms: Run time at speed 1 of all tasks that wait before the new job, and of what is
             left of those that run.
+        hold_ms: Time for which a new leader starts nothing.
     """
 
     slots: float
     speed: float
     backlog_ms: float
+    hold_ms: float = 0.0
 
 
 class LateShare:
@@ -101,10 +103,11 @@
     """
     if load.slots <= 0:
         return Verdict(False, ask.late_ms, retry_after(ask.late_ms, spread))
-    wait_ms = load.backlog_ms / (load.slots * load.speed)
+    queue_ms = load.backlog_ms / (load.slots * load.speed)
+    wait_ms = load.hold_ms + queue_ms
     finish_ms = wait_ms + ask.chain_ms / load.speed
     limit_ms = ask.objective_ms + TAKE_SHARE * (ask.late_ms - ask.objective_ms)
-    limit_ms -= caution * min(ask.objective_ms, CAUTION_WAITS * wait_ms)
+    limit_ms -= caution * min(ask.objective_ms, CAUTION_WAITS * queue_ms)
     if finish_ms <= limit_ms:
         return Verdict(True, wait_ms)
     excess_ms = finish_ms - ask.objective_ms
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -32,6 +32,8 @@
 # For errors of the estimate of an upstream's clock, which are about a round trip between zones, and
 # for clocks of instances that differ by 2% over the half second of an election.
 RECOVERY_MARGIN_S = 0.1
+# The looks of a new leader are answered within about 10 ms, and lost ones are repeated twice.
+FIRST_LOOKS_S = 0.15
 # Fencing tokens of one leader: lives of one upstream that it can tell apart.
 LIVES_PER_TERM = 1 << 16
 # Callers whose answer was lost ask again within a few seconds; until then the end of a job that is
@@ -105,6 +107,7 @@
         longest_lease_s = limits.lease_s / (1 - MAX_CLOCK_SLOWNESS)
         self._recovers_until = clock.now() + longest_lease_s + RECOVERY_MARGIN_S - former_quiet_s
         self._is_recovering = True
+        self._began_at = clock.now()
         self._forgot_at = clock.now()
         # Jobs that are not in the log; those that have ended stay for callers that ask again.
         self.unkept: dict[str, Job] = {}
@@ -181,9 +184,19 @@
         work = sum(step.tasks * ms for step, ms in zip(spec.steps, expected, strict=True))
         cpu = max((step.cpu_milli for step in spec.steps), default=0)
         load = self._meter.load(queue.service, cpu, now + (objective_ms - chain) / 1000)
+        load = load._replace(hold_ms=1000 * self._hold_s(now))
         ask = Ask(work, chain, objective_ms, LATE_FACTOR * objective_ms)
         return judge(ask, load, random.random(), self.runs.late_share.caution)
 
+    def _hold_s(self, now: float) -> float:
+        """Return how long this leader will probably start nothing yet.
+
+        Most recoveries end with the first looks; one that does not waits for leases.
+        """
+        if not self._is_recovering or now - self._began_at < FIRST_LOOKS_S:
+            return 0.0
+        return max(0.0, self._recovers_until - now)
+
     def _expected(self, queue: str, spec: JobSpec) -> tuple[float, ...]:
         return tuple(self.estimates.expected_ms(queue, step.estimate_ms) for step in spec.steps)
 
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -171,6 +171,51 @@
         assert len(times) == 10
 
 
+class TestRecovery:
+    """What a new leader takes while it waits for the leases of the one before."""
+
+    def test_short_jobs_are_refused_at_once_and_long_ones_wait(self) -> None:
+        """Guards against callers that are told after their objective what was known before.
+
+        Load: a change of leader while an upstream cannot be heard, so that nothing starts for 1 s.
+        """
+        world = FleetModel()
+        for number in range(4):
+            world.add_upstream(f"u{number}")
+        world.run(0.2)
+        world.configure(Queue("q", "h", "/q/", "s", 0, 3, 1.6, 60))
+        world.upstreams["u0"].is_reachable = False
+        world.change_leader(gap_s=0.1)
+        world.run(0.4)
+        spec = JobSpec("text", (Step(1, 6800, 64, 0, 60),), answers_at_end=True)
+        short = world.submit(f"{1:016x}", spec, work_ms=60)
+        long = world.submit(
+            f"{2:016x}", spec._replace(steps=(Step(1, 6800, 64, 0, 3000),)), work_ms=3000
+        )
+        world.run(0.02)
+        refusal = short.result(timeout=0)
+        assert refusal.code is ResultCode.OVERLOADED
+        # The rest of the longest lease, and half as much again for callers that return together.
+        assert 500 < refusal.fields["retry_after_ms"] < 1500
+        assert not long.done()
+        world.run(6.0)
+        assert long.result(timeout=0).fields["state"] == "completed"
+
+    def test_jobs_are_taken_while_the_first_looks_are_open(self) -> None:
+        """Guards against refusals in the moment after an election, when most recoveries end."""
+        world = FleetModel()
+        for number in range(4):
+            world.add_upstream(f"u{number}")
+        world.run(0.2)
+        world.configure(Queue("q", "h", "/q/", "s", 0, 3, 1.6, 60))
+        world.change_leader(gap_s=0.1)
+        world.run(0.15)
+        spec = JobSpec("text", (Step(1, 6800, 64, 0, 60),), answers_at_end=True)
+        reply = world.submit(f"{1:016x}", spec, work_ms=60)
+        world.run(0.2)
+        assert reply.result(timeout=0).code is ResultCode.ACCEPTED
+
+
 class TestCaution:
     """Caution grows while jobs that were taken end late."""
 
