Answer callers whose jobs still run before a frontend ends

Its frontend got SIGTERM 2.9 s before the request, drained until 5.4 s and ended 1 ms before the job was complete; the caller saw a connection that ended.

Ruled out: a longer drain; the grace of 6 s ends soon after, and a job may take longer than any grace.

Change: requests that still wait at the end of the drain are answered with 504 and the advice to ask again; the job goes on, and the same id finds it at another frontend.

Also in this commit, without which the finding does not show: in the soak callers keep their connections, proxies stand before the cores for other instances and before the frontends, with faults of links between instances and of callers' connections; jobs of two steps and jobs that fail, the checks for the order of steps and for attempts, and the mutants 'starts all steps' and 'ignores attempts', both caught.

--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -42,6 +42,7 @@
         self._submit_ms = section.histogram("submit_ms", "time to answer a submit")
         self._is_leaving = False
         self._is_closing = False
+        self._is_giving_up = False
 
     def leave(self) -> None:
         """Report as not ready."""
@@ -51,6 +52,10 @@
         """Refuse new requests at once, so that those in progress can end."""
         self._is_closing = True
 
+    def give_up(self) -> None:
+        """Answer requests that still wait with an unknown outcome, as this process ends now."""
+        self._is_giving_up = True
+
     @property
     def is_ready(self) -> bool:
         """Whether the platform should send new connections here."""
@@ -99,7 +104,7 @@
                 timeout_s=timeout_s,
                 patience_s=patience_s,
                 attempt_s=timeout_s,
-                is_abandoned=req.is_client_gone,
+                is_abandoned=lambda: self._is_giving_up or req.is_client_gone(),
             )
             if isinstance(reply, Failure) and req.is_client_gone():
                 self._withdraw(job_id)
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -37,6 +37,9 @@
 # new connections elsewhere (two checks, one a second) and what was read is answered.
 SERVE_SHARE = 0.55
 DRAIN_SHARE = 0.35
+# Requests whose jobs still run then are answered with an unknown outcome, within three of the
+# periods in which they look whether somebody waits. This and both shares stay below the grace.
+GIVE_UP_S = 0.3
 # A leader that stops serves on until a follower has taken over, which takes two round trips.
 HAND_OVER_S = 0.5
 # The journal is replaced by a snapshot at this share of the disk; two of them fit beside snapshots.
@@ -105,7 +108,10 @@
     callers.leave()
     time.sleep(SERVE_SHARE * cfg.bounds.grace_s)
     frontend.close()
-    callers.drain(timeout_s=DRAIN_SHARE * cfg.bounds.grace_s)
+    if not callers.drain(timeout_s=DRAIN_SHARE * cfg.bounds.grace_s):
+        get_logger().warning("requests_given_up", reason="their jobs still run")
+        frontend.give_up()
+        callers.drain(timeout_s=GIVE_UP_S)
 
 
 def run_core(cfg: PlatformSettings) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,6 +38,26 @@
         journal.acknowledge("a.0.0.1", ended_at)
         assert journal.repeated == ["a.0.0.1"]
 
+    def test_a_step_that_starts_before_the_one_it_needs_is_seen(self) -> None:
+        journal = Journal()
+        journal.start("a.0.0.0", "u1", step_tasks=2)
+        journal.start("a.0.0.1", "u1", step_tasks=2)
+        journal.end("a.0.0.0", "u1", "done")
+        journal.end("a.0.0.1", "u1", "lapsed")
+        journal.start("a.0.1.0", "u1", step_tasks=2)
+        assert journal.violations == ["a.0.1.0 starts before a.0.0.1 is done"]
+
+    def test_a_start_after_too_many_failures_is_seen(self) -> None:
+        journal = Journal()
+        for _ in range(2):
+            journal.start("a.0.0.0", "u1")
+            journal.end("a.0.0.0", "u1", "failed")
+            journal.acknowledge_failure("a.0.0.0", time.monotonic())
+        assert journal.started_after_failures(2) == []
+        journal.start("a.0.0.0", "u1")
+        assert journal.started_after_failures(2) == ["a.0.0.0"]
+        assert journal.started_after_failures(3) == []
+
     @pytest.mark.parametrize("state", ["queued", "running", "cancelled", ""])
     def test_a_job_without_a_cancel_must_be_completed_or_failed(self, state: str) -> None:
         assert not is_end(state, is_cancel_sent=False)
@@ -74,6 +94,7 @@
             ("ends by itself", ("proxies pass",), "has ended by itself"),
             ("ends leases early", ("upstream not heard", "proxies pass"), "while it runs on"),
             ("ends without order", ("frontend stopped",), "did not end in order"),
+            ("ignores attempts", ("proxies pass",), "attempts that failed"),
             ("leaks memory", ("proxies pass",), "MB"),
             (
                 "loses what was synced",
@@ -83,6 +104,7 @@
             ("places on draining", ("upstream drained",), "which drains"),
             ("reads an old configuration", ("proxies pass",), "was accepted"),
             ("refuses what runs", ("proxies pass",), "was refused and has run"),
+            ("starts all steps", ("proxies pass",), "starts before"),
         ],
     )
     def test_a_mutant_is_caught(
--- a/tools/fault_proxy.py
+++ b/tools/fault_proxy.py
@@ -21,6 +21,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
@@ -90,6 +91,8 @@
         self._stopped = threading.Event()
         self._counts = {"bytes": 0, "datagrams": 0, "lost": 0}
         self._clients: dict[Client, socket.socket] = {}
+        # Monotonic time at which a client was last closed because the target took no connection.
+        self.unreached_at = 0.0
         self._tcp = socket.create_server(listen)
         self.address = Address(*self._tcp.getsockname())
         self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -184,6 +187,7 @@
             source = client.getpeername()[0]
             target = socket.create_connection(self._target, timeout=1.0)
         except OSError:
+            self.unreached_at = time.monotonic()
             client.close()
             return
         pair = Pair(client, target, source)
--- a/tools/faulty_program.py
+++ b/tools/faulty_program.py
@@ -24,8 +24,9 @@
     """What is wrong at present.
 
     Args:
-        path: JSON file with ``disk`` ("slow", "full", "refuses" or "torn"), ``clock_offset_s`` and
-            ``mutant``; a missing one or a missing field stands for no fault.
+        path: JSON file with ``disk`` ("slow", "full", "refuses" or "torn"), ``clock_offset_s``,
+            ``mutant`` and ``peer_port``, the port of the proxies before other instances; a missing
+            one or a missing field stands for no fault.
     """
 
     def __init__(self, *, path: Path) -> None:
@@ -121,10 +122,14 @@
     # Before any import of the product, since defaults of parameters keep the function.
     time.time = lambda: steady_time_of_day() + faults.get("clock_offset_s", 0.0)
     from kumquatlift.platform import _programs
+    from kumquatlift.settings import Address
     from kumquatlift.store import _journal
     from tools.mutants import MUTANTS
 
     vars(_journal)["os"] = UnsyncedFiles(faults=faults)
+    peer_port = faults.get("peer_port", 0)
+    if peer_port:
+        vars(_programs)["locate"] = lambda peer: Address(Address.parse(peer).host, peer_port)
     mutant = faults.get("mutant", "")
     if mutant:
         MUTANTS[mutant]()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from kumquatlift.authority import Reply, _ends, _fleet, _requests
+from kumquatlift.authority import Reply, _ends, _fleet, _requests, _work
 from kumquatlift.codes import ResultCode
 from kumquatlift.platform import _control, _frontend, _programs
 from kumquatlift.store import _journal, _raft
@@ -23,6 +23,7 @@
 LATE_WRITE_S = 0.4
 LATE_ELECTION_S = 30.0
 LEAK_BYTES = 400_000_000
+MANY_ATTEMPTS = 50
 # Long enough for the first formation, so that the soak begins.
 LIFE_S = 6.0
 
@@ -122,6 +123,16 @@
     _set(_programs, "leaked", b"x" * LEAK_BYTES)
 
 
+def _ignore_attempts() -> None:
+    """Start a task again however often it has failed."""
+    init = _work.Job.__init__
+
+    def init_patient(job: Any, **options: Any) -> None:
+        init(job, **{**options, "max_attempts": MANY_ATTEMPTS})
+
+    _set(_work.Job, "__init__", init_patient)
+
+
 def _lose_what_was_synced() -> None:
     """Say that records are durable, and write them a little later."""
     append = _journal.Journal.append
@@ -166,6 +177,11 @@
     _set(_frontend.Frontend, "_submit", submit_or_lie)
 
 
+def _start_all_steps() -> None:
+    """Start the tasks of all steps at once."""
+    _set(_work.Job, "is_step_ready", lambda job, occurrence, number: True)
+
+
 def _change_heartbeats(change: Callable[[Any], Any]) -> None:
     read: Callable[[str, bytes], Any] = vars(_control)["read_heartbeat"]
     _set(_control, "read_heartbeat", lambda upstream_id, body: change(read(upstream_id, body)))
@@ -185,9 +201,11 @@
     "ends by itself": _end_by_itself,
     "ends leases early": _end_leases_early,
     "ends without order": _end_without_order,
+    "ignores attempts": _ignore_attempts,
     "leaks memory": _leak_memory,
     "loses what was synced": _lose_what_was_synced,
     "places on draining": _place_on_draining,
     "reads an old configuration": _read_an_old_configuration,
     "refuses what runs": _refuse_what_runs,
+    "starts all steps": _start_all_steps,
 }
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,7 +22,7 @@
     CUT,
     NO_ANSWER,
     Cluster,
-    Program,
+    KeptConnections,
     try_call,
     wait_until,
 )
@@ -46,6 +46,10 @@
 MAX_OPEN_FILES = 4096
 # A request that reaches a process in its last moment may never be read.
 UNREAD_S = 0.2
+# Attempts of a task by the configuration of the cluster.
+ATTEMPTS = 3
+FAILING_SHARE = 0.05
+STEPS_SHARE = 0.2
 # Jobs that are cancelled run longer than the time in which they must stop.
 CANCELLED_SHARE = 0.1
 CANCELLED_RUN_MS = 6000
@@ -86,6 +90,7 @@
             upstreams=UPSTREAMS,
             network=network,
             mutant=mutant,
+            has_proxies=True,
         )
         self._is_over = threading.Event()
         self._lock = threading.Lock()
@@ -139,6 +144,7 @@
 
     def _call(self, index: int) -> None:
         rng = random.Random(index)
+        conns = KeptConnections()
         while not self._is_over.is_set():
             with self._lock:
                 self._number += 1
@@ -151,16 +157,25 @@
             if is_cancelled:
                 # One task, since long jobs of several leave no room for the others.
                 tasks, run_ms = 1, CANCELLED_RUN_MS
+            fails = not is_cancelled and rng.random() < FAILING_SHARE
+            steps = 2 if not is_cancelled and rng.random() < STEPS_SHARE else 1
             statuses = []
             for _ in range(3):
                 front = rng.randrange(FRONTENDS)
                 sent_at = time.monotonic()
                 status = self._cluster.submit(
-                    number, tasks=tasks, run_ms=run_ms, is_kept=is_kept, frontend=front
+                    number,
+                    tasks=tasks,
+                    run_ms=run_ms,
+                    is_kept=is_kept,
+                    steps=steps,
+                    fails=fails,
+                    frontend=front,
+                    conns=conns,
                 )
                 statuses.append(status)
                 if status == CUT:
-                    self._check_cut(self._cluster.frontends[front], number, sent_at)
+                    self._check_cut(front, number, sent_at)
                 if status in (200, 503, 429):
                     break
                 time.sleep(1.3)
@@ -179,6 +194,7 @@
                 time.sleep(REFUSED_PAUSE_S)
             for status in set(statuses) - {CUT, NO_ANSWER, 200, 429, 503, 504}:
                 self._violate(f"job {number:016x} was answered with {status}")
+        conns.close()
 
     def _operate(self) -> None:
         version = 3
@@ -203,13 +219,19 @@
         with self._lock:
             self.violations.append(text)
 
-    def _check_cut(self, frontend: Program, number: int, sent_at: float) -> None:
-        """Judge a connection that ended without an answer; only a kill may cut what was read."""
+    def _check_cut(self, front: int, number: int, sent_at: float) -> None:
+        """Judge a connection that ended without an answer.
+
+        Only a kill or a reset on the way may cut what was read.
+        """
         now = time.monotonic()
+        frontend = self._cluster.frontends[front]
+        if self._cluster.caller_proxies[front].unreached_at >= sent_at:
+            return
         self.checked["connections that were cut"] += 1
         # The kill or the end may be noted a moment after the caller has seen it.
         time.sleep(UNREAD_S)
-        is_killed = frontend.killed_at >= sent_at
+        is_killed = max(frontend.killed_at, frontend.reset_at) >= sent_at
         is_unread = frontend.ended_at >= sent_at and now - sent_at < UNREAD_S
         if not is_killed and not is_unread:
             self._violate(
@@ -247,8 +269,14 @@
         self.violations += self._cluster.journal.violations
         for task in self._cluster.journal.repeated:
             # A job that need not be stored may run again from the start when it is sent again.
-            if int(task.split(".")[0], 16) not in self._not_kept:
+            if self._is_kept(task):
                 self._violate(f"{task} starts after an end that was acknowledged")
+        for task in self._cluster.journal.started_after_failures(ATTEMPTS):
+            if self._is_kept(task):
+                self._violate(f"{task} starts after {ATTEMPTS} attempts that failed")
+
+    def _is_kept(self, task: str) -> bool:
+        return int(task.split(".")[0], 16) not in self._not_kept
 
     def _check_processes(self) -> None:
         for program in (*self._cluster.cores, *self._cluster.frontends):
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -17,6 +17,8 @@
 WIPE_GAP_S = 6.0
 # Heartbeats come twice a second; a change of leader delays their acknowledgement.
 DRAIN_TIMEOUT_S = 3.0
+# Longer than the time after which a leader is lost and another one is elected.
+LINK_FAULT_S = 2.0
 # The largest step of the time of day, either way.
 CLOCK_STEP_S = 5.0
 
@@ -48,6 +50,7 @@
         self._rng = random.Random(seed)
         # A text, since a number and its negative give the same sequence.
         self._outer_rng = random.Random(f"outer {seed}")
+        self._link_rng = random.Random(f"link {seed}")
         self._seconds = seconds
         self._only = only
         self._violate = violate
@@ -56,18 +59,21 @@
         self.counts: Counter[str] = Counter()
 
     def run(self) -> None:
-        """Inject faults until the time is over; those of programs overlap with the others."""
-        with ThreadPoolExecutor(2, thread_name_prefix="fault") as executor:
-            futs = [
-                executor.submit(self._inject, self._rng, PROGRAM_FAULTS),
-                executor.submit(self._inject, self._outer_rng, OUTER_FAULTS),
-            ]
+        """Inject faults until the time is over; each of the three groups goes its own way."""
+        groups = (
+            (self._rng, PROGRAM_FAULTS),
+            (self._outer_rng, OUTER_FAULTS),
+            (self._link_rng, LINK_FAULTS),
+        )
+        with ThreadPoolExecutor(len(groups), thread_name_prefix="fault") as executor:
+            futs = [executor.submit(self._inject, *group) for group in groups]
         for fut in futs:
             fut.result()
 
     def heal(self) -> None:
         """Let all connections pass."""
-        for proxy in self._cluster.proxies:
+        cluster = self._cluster
+        for proxy in (*cluster.proxies, *cluster.peer_proxies, *cluster.caller_proxies):
             proxy.command("pass")
 
     def _inject(self, rng: random.Random, kinds: dict[str, Callable[["SoakFaults"], None]]) -> None:
@@ -167,6 +173,23 @@
     def _proxy(self, command: str) -> None:
         self._outer_rng.choice(self._cluster.proxies).command(command)
 
+    def _disturb_link(self, command: str) -> None:
+        """Disturb what other instances send to a core, or what one of them sends."""
+        target = self._link_rng.randrange(len(self._cluster.cores))
+        proxy = self._cluster.peer_proxies[target]
+        others = [core.host for core in self._cluster.cores if core.host != proxy.address.host]
+        source = self._link_rng.choice(["", *(f" from {host}" for host in others)])
+        proxy.command(command + source)
+        time.sleep(self._link_rng.uniform(0.1, LINK_FAULT_S))
+        proxy.command("pass" + source)
+
+    def _reset_callers(self) -> None:
+        number = self._link_rng.randrange(len(self._cluster.frontends))
+        # Before the reset, so that a caller that sees it finds the time.
+        self._cluster.frontends[number].reset_at = time.monotonic()
+        self._cluster.caller_proxies[number].command("reset")
+        self._cluster.frontends[number].reset_at = time.monotonic()
+
 
 # Faults of programs; one comes after the other.
 PROGRAM_FAULTS: dict[str, Callable[[SoakFaults], None]] = {
@@ -194,4 +217,13 @@
     "upstream delayed": lambda faults: faults._proxy("delay 60"),
     "proxies pass": lambda faults: faults._proxy("pass"),
 }
-KINDS = (*PROGRAM_FAULTS, *OUTER_FAULTS)
+# Faults of connections between instances and with callers.
+LINK_FAULTS: dict[str, Callable[[SoakFaults], None]] = {
+    "peers cut off": lambda faults: faults._disturb_link("cut"),
+    "peers cut one way": lambda faults: faults._disturb_link("cut up"),
+    "peers delayed": lambda faults: faults._disturb_link("delay 40"),
+    "peers' connections reset": lambda faults: faults._disturb_link("reset"),
+    "peers' connections silent": lambda faults: faults._disturb_link("freeze"),
+    "callers' connections reset": SoakFaults._reset_callers,
+}
+KINDS = (*PROGRAM_FAULTS, *OUTER_FAULTS, *LINK_FAULTS)
--- a/tools/users_platform/__init__.py
+++ b/tools/users_platform/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from tools.users_platform._cluster import CONFIG, Cluster, wait_until
-from tools.users_platform._http import CUT, NO_ANSWER, call, try_call
+from tools.users_platform._http import CUT, NO_ANSWER, KeptConnections, call, try_call
 from tools.users_platform._journal import Journal
 from tools.users_platform._program import Program
 from tools.users_platform._upstream import DRAIN_S, StandInUpstream
@@ -17,6 +17,7 @@
     "NO_ANSWER",
     "Cluster",
     "Journal",
+    "KeptConnections",
     "Program",
     "StandInUpstream",
     "call",
--- a/tools/users_platform/_cluster.py
+++ b/tools/users_platform/_cluster.py
@@ -8,7 +8,7 @@
 
 from kumquatlift.settings import Address
 from tools.fault_proxy import FaultProxy
-from tools.users_platform._http import try_call
+from tools.users_platform._http import KeptConnections, try_call
 from tools.users_platform._journal import Journal
 from tools.users_platform._program import Program
 from tools.users_platform._upstream import StandInUpstream
@@ -54,6 +54,7 @@
         upstreams: Number of upstreams.
         network: First three numbers of the loopback addresses.
         mutant: Name of a deliberate break of all programs.
+        has_proxies: Whether proxies stand before the cores' peers and before the frontends too.
     """
 
     def __init__(
@@ -65,7 +66,9 @@
         upstreams: int = 4,
         network: str = "127.0.7",
         mutant: str = "",
+        has_proxies: bool = False,
     ) -> None:
+        self._has_proxies = has_proxies
         self._port = port
         self._network = network
         self._mutant = mutant
@@ -73,7 +76,10 @@
         self.journal = Journal()
         self.cores: list[Program] = []
         self.frontends: list[Program] = []
+        # Proxies before upstreams, before the cores for other instances, and before frontends.
         self.proxies: list[FaultProxy] = []
+        self.peer_proxies: list[FaultProxy] = []
+        self.caller_proxies: list[FaultProxy] = []
         self.upstreams: list[StandInUpstream] = []
         try:
             self._start(folder, frontends, upstreams)
@@ -84,14 +90,23 @@
 
     def _start(self, folder: Path, frontends: int, upstreams: int) -> None:
         for number in range(CORES):
-            self.cores.append(self._program("core", f"{self._network}.{number + 1}", folder))
+            core = self._program("core", f"{self._network}.{number + 1}", folder)
+            self.cores.append(core)
+            if self._has_proxies:
+                self.peer_proxies.append(_proxy(core.peers, core.proxy_for_peers))
         for number in range(frontends):
-            host = f"{self._network}.{10 + number}"
-            self.frontends.append(self._program("frontend", host, folder))
+            frontend = self._program("frontend", f"{self._network}.{10 + number}", folder)
+            self.frontends.append(frontend)
+            if self._has_proxies:
+                self.caller_proxies.append(_proxy(frontend.callers, frontend.proxy_for_callers))
         for number in range(upstreams):
-            self.proxies.append(self._proxy(number))
+            host = self._upstream_host(number)
+            self.proxies.append(_proxy(f"{host}:{self._port}", f"{host}:{self._port + 1}"))
             self.upstreams.append(self.new_upstream(number, f"i-{number}"))
 
+    def _upstream_host(self, number: int) -> str:
+        return f"{self._network}.{20 + number}"
+
     def _program(self, role: str, host: str, folder: Path) -> Program:
         return Program(
             role=role,
@@ -100,19 +115,12 @@
             port=self._port,
             folder=folder / host,
             mutant=self._mutant,
-        )
-
-    def _proxy(self, number: int) -> FaultProxy:
-        host = f"{self._network}.{20 + number}"
-        return FaultProxy(
-            target=Address(host, self._port),
-            listen=Address(host, self._port + 1),
-            control=Address(host, self._port + 2),
+            has_proxies=self._has_proxies,
         )
 
     def new_upstream(self, number: int, upstream_id: str) -> StandInUpstream:
         """Start an upstream at the address of a number."""
-        host = f"{self._network}.{20 + number}"
+        host = self._upstream_host(number)
         return StandInUpstream(
             upstream_id=upstream_id,
             address=f"{host}:{self._port}",
@@ -145,19 +153,35 @@
         tasks: int = 2,
         run_ms: int = 50,
         is_kept: bool = True,
+        steps: int = 1,
+        fails: bool = False,
         frontend: int = 0,
+        conns: KeptConnections | None = None,
     ) -> int:
-        """Submit a job and return the status, see ``try_call``."""
-        spec = json.dumps({"ms": run_ms, "cpu": 6800})
+        """Submit a job and return the status, see ``try_call``.
+
+        Args:
+            number: Identity.
+            tasks: Tasks of each step.
+            run_ms: Run time of a task.
+            is_kept: Whether it is answered at once and stored.
+            steps: Number of steps, each of which needs the one before.
+            fails: Whether every run of its tasks fails.
+            frontend: Number of the frontend.
+            conns: Connections to use again; a new one when left out.
+        """
+        spec = json.dumps({"ms": run_ms, "cpu": 6800, "tasks": tasks, "fails": fails})
         step = {"count": tasks, "cpu": 6800, "requestedMemoryMb": 64, "estimatedMs": run_ms}
-        body = {"spec": spec, "steps": [step], "bestEffort": not is_kept}
-        callers = self.frontends[frontend].callers
-        status, _ = try_call(callers, "POST", f"/q/{number:016x}", body, timeout_s=12.0)
+        rows = [{**step, "dependsOn": [number - 1] if number else []} for number in range(steps)]
+        body = {"spec": spec, "steps": rows, "bestEffort": not is_kept}
+        conns = conns or KeptConnections()
+        address = self.frontends[frontend].public
+        status, _ = conns.try_call(address, "POST", f"/q/{number:016x}", body, timeout_s=12.0)
         return status
 
     def cancel(self, number: int, frontend: int = 0) -> int:
         """Cancel a job and return the status, see ``try_call``."""
-        return try_call(self.frontends[frontend].callers, "DELETE", f"/q/{number:016x}")[0]
+        return try_call(self.frontends[frontend].public, "DELETE", f"/q/{number:016x}")[0]
 
     def state(self, number: int) -> str:
         """Return the state of a job; empty when it is not known."""
@@ -173,5 +197,12 @@
             upstream.close()
         for program in (*self.cores, *self.frontends):
             program.kill()
-        for proxy in self.proxies:
+        for proxy in (*self.proxies, *self.peer_proxies, *self.caller_proxies):
             proxy.close()
+
+
+def _proxy(target: str, listen: str) -> FaultProxy:
+    address = Address.parse(listen)
+    return FaultProxy(
+        target=Address.parse(target), listen=address, control=Address(address.host, 0)
+    )
--- a/tools/users_platform/_http.py
+++ b/tools/users_platform/_http.py
@@ -1,6 +1,7 @@
 """Calls to our programs."""
 
 import json
+import select
 from http.client import HTTPConnection, HTTPException
 from typing import Any
 
@@ -22,15 +23,21 @@
     """Send one request on a connection of its own and return status and JSON body."""
     conn = HTTPConnection(address, timeout=timeout_s)
     try:
-        data = None if body is None else json.dumps(body)
-        conn.request(method, path, data, {"Host": host, "Content-Type": "application/json"})
-        res = conn.getresponse()
-        text = res.read()
-        return res.status, json.loads(text) if text else None
+        return _exchange(conn, method, path, body, host)
     finally:
         conn.close()
 
 
+def _exchange(
+    conn: HTTPConnection, method: str, path: str, body: Any, host: str
+) -> tuple[int, Any]:
+    data = None if body is None else json.dumps(body)
+    conn.request(method, path, data, {"Host": host, "Content-Type": "application/json"})
+    res = conn.getresponse()
+    text = res.read()
+    return res.status, json.loads(text) if text else None
+
+
 def try_call(*args: Any, **options: Any) -> tuple[int, Any]:
     """Call and return ``NO_ANSWER`` or ``CUT`` as the status when no whole answer came."""
     try:
@@ -39,3 +46,43 @@
         return CUT, None
     except (OSError, ValueError):
         return NO_ANSWER, None
+
+
+class KeptConnections:
+    """Connections of one caller, each used again until its server closes it or it fails."""
+
+    def __init__(self) -> None:
+        self._conns: dict[str, HTTPConnection] = {}
+
+    def try_call(
+        self, address: str, method: str, path: str, body: Any = None, *, timeout_s: float = 2.0
+    ) -> tuple[int, Any]:
+        """Call as the function of that name does."""
+        conn = self._conns.pop(address, None)
+        if conn is None or _is_ended(conn):
+            conn = HTTPConnection(address, timeout=timeout_s)
+        conn.timeout = timeout_s
+        if conn.sock is not None:
+            conn.sock.settimeout(timeout_s)
+        try:
+            answer = _exchange(conn, method, path, body, "h.example")
+        except (ConnectionResetError, BrokenPipeError, HTTPException):
+            conn.close()
+            return CUT, None
+        except (OSError, ValueError):
+            conn.close()
+            return NO_ANSWER, None
+        self._conns[address] = conn
+        return answer
+
+    def close(self) -> None:
+        """Close all connections."""
+        for conn in self._conns.values():
+            conn.close()
+
+
+def _is_ended(conn: HTTPConnection) -> bool:
+    """Tell whether the server has ended an idle connection."""
+    if conn.sock is None:
+        return False
+    return bool(select.select([conn.sock], [], [], 0.0)[0])
--- a/tools/users_platform/_program.py
+++ b/tools/users_platform/_program.py
@@ -21,6 +21,7 @@
         port: First of the ports that it uses.
         is_first_formation: Whether the whole system starts for the first time.
         mutant: Name of a deliberate break.
+        has_proxies: Whether its peers and callers reach processes through proxies, see ``Cluster``.
     """
 
     def __init__(
@@ -33,6 +34,7 @@
         port: int,
         is_first_formation: bool = True,
         mutant: str = "",
+        has_proxies: bool = False,
     ) -> None:
         self.role = role
         self.host = host
@@ -41,11 +43,14 @@
         self._seeds = seeds
         self._is_first_formation = is_first_formation
         self._mutant = mutant
+        self._has_proxies = has_proxies
         self._log_start = 0
         self._process: subprocess.Popen[bytes] | None = None
         # Monotonic times of the last kill and of the last end of any kind.
         self.killed_at = 0.0
         self.ended_at = 0.0
+        # Monotonic time of the last reset of its callers' connections by a proxy.
+        self.reset_at = 0.0
         folder.mkdir(parents=True, exist_ok=True)
         self.set_faults()
         self.start()
@@ -57,9 +62,29 @@
 
     @property
     def callers(self) -> str:
-        """Address for callers of a frontend."""
+        """Address where a frontend listens for callers."""
         return f"{self.host}:{self._port + 2}"
 
+    @property
+    def public(self) -> str:
+        """Address that callers of a frontend use."""
+        return self.proxy_for_callers if self._has_proxies else self.callers
+
+    @property
+    def peers(self) -> str:
+        """Address where it listens for other instances."""
+        return f"{self.host}:{self._port}"
+
+    @property
+    def proxy_for_peers(self) -> str:
+        """Address at which other instances reach it through a proxy."""
+        return f"{self.host}:{self._port + 5}"
+
+    @property
+    def proxy_for_callers(self) -> str:
+        """Address at which callers reach it through a proxy."""
+        return f"{self.host}:{self._port + 6}"
+
     @property
     def metrics(self) -> str:
         """Address of the metrics."""
@@ -93,7 +118,12 @@
 
     def set_faults(self, *, disk: str = "", clock_offset_s: float = 0.0) -> None:
         """Set what is wrong with the disk and the time of day; see ``tools.faulty_program``."""
-        fields = {"disk": disk, "clock_offset_s": clock_offset_s, "mutant": self._mutant}
+        fields = {
+            "disk": disk,
+            "clock_offset_s": clock_offset_s,
+            "mutant": self._mutant,
+            "peer_port": self._port + 5 if self._has_proxies else 0,
+        }
         new = self._folder / "faults.new"
         new.write_text(json.dumps(fields))
         new.replace(self._folder / "faults.json")
--- a/tools/users_platform/_upstream.py
+++ b/tools/users_platform/_upstream.py
@@ -54,6 +54,8 @@
         self._until_ms = 0
         self._lapsed_at = time.monotonic()
         self._runs: dict[str, tuple[int, float]] = {}
+        # What a running task asks for: room, run time and how it ends.
+        self._work_of: dict[str, dict[str, Any]] = {}
         self._barred: dict[str, int] = {}
         self._ends: list[list[Any]] = []
         self._ended_at: dict[int, float] = {}
@@ -135,10 +137,12 @@
                     if self._until_ms < self._clock_ms():
                         self._end(task, run, "lapsed")
                     elif ends_at <= now:
-                        self._end(task, run, "done")
+                        is_failed = self._work_of[task].get("fails", False)
+                        self._end(task, run, "failed" if is_failed else "done")
 
     def _end(self, task: str, run: int, how: str) -> None:
         del self._runs[task]
+        del self._work_of[task]
         self._barred[task] = max(run, self._barred.get(task, 0))
         self._number += 1
         self._ends.append([self._number, task, run, how, ""])
@@ -176,27 +180,24 @@
         if drained_s > DRAIN_S:
             self._journal.fail(f"{task} starts on {self.upstream_id}, which drains")
         work = json.loads(fields["spec"])
-        used = sum(json.loads(spec)["cpu"] for spec in self._specs.values())
+        used = sum(each["cpu"] for each in self._work_of.values())
         if used + work["cpu"] > self._cpu_milli:
             self._journal.fail(f"{task} exceeds the capacity of {self.upstream_id}")
-        self._journal.start(task, self.upstream_id)
-        self._specs[task] = fields["spec"]
+        self._journal.start(task, self.upstream_id, step_tasks=work.get("tasks", 0))
+        self._work_of[task] = work
         self._runs[task] = (run, time.monotonic() + work["ms"] / 1000 / self._speed)
         return 200, {}
 
-    @property
-    def _specs(self) -> dict[str, str]:
-        known: dict[str, str] = self.__dict__.setdefault("_known_specs", {})
-        for task in [task for task in known if task not in self._runs]:
-            del known[task]
-        return known
-
     def _look(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         self._extend(fields.get("untilMs", 0))
         acked = fields.get("ackedThrough", 0)
         for number, task, _, how, _ in self._ends:
-            if number <= acked and how == "done" and self._ended_at[number] > self._lapsed_at:
+            if number > acked or self._ended_at[number] <= self._lapsed_at:
+                continue
+            if how == "done":
                 self._journal.acknowledge(task, self._ended_at[number])
+            elif how == "failed":
+                self._journal.acknowledge_failure(task, self._ended_at[number])
         self._ends = [row for row in self._ends if row[0] > acked]
         if not self._ends and fields.get("waitMs"):
             self._changed.wait(fields["waitMs"] / 1000)
