Count the time that orders take in the admission

Jobs of eight short tasks, with 96 ms in hand, are taken and late.

Change: the mean time from a start until its answer is handled counts twice in the expected finish of a job, once for its starts and once for the news of its ends. What cannot be in time then is refused at once, which also gives the leader's processor back to the jobs that can.

The tests 'short jobs are refused while orders take their slack' and 'the time of orders is measured' failed before.

--- a/kumquatlift/authority/_admission.py
+++ b/kumquatlift/authority/_admission.py
@@ -37,12 +37,14 @@
         backlog_ms: Run time at speed 1 of all tasks that wait before the new job, and of what is
             left of those that run.
         hold_ms: Time for which a new leader starts nothing.
+        order_ms: Time that orders and news of ends take now, for one run.
     """
 
     slots: float
     speed: float
     backlog_ms: float
     hold_ms: float = 0.0
+    order_ms: float = 0.0
 
 
 class LateShare:
@@ -105,7 +107,7 @@
         return Verdict(False, ask.late_ms, retry_after(ask.late_ms, spread))
     queue_ms = load.backlog_ms / (load.slots * load.speed)
     wait_ms = load.hold_ms + queue_ms
-    finish_ms = wait_ms + ask.chain_ms / load.speed
+    finish_ms = wait_ms + load.order_ms + ask.chain_ms / load.speed
     limit_ms = ask.objective_ms + TAKE_SHARE * (ask.late_ms - ask.objective_ms)
     limit_ms -= caution * min(ask.objective_ms, CAUTION_WAITS * queue_ms)
     if finish_ms <= limit_ms:
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -184,7 +184,11 @@
         work = sum(step.tasks * ms for step, ms in zip(spec.steps, expected, strict=True))
         cpu = max((step.cpu_milli for step in spec.steps), default=0)
         load = self._meter.load(queue.service, cpu, now + (objective_ms - chain) / 1000)
-        load = load._replace(hold_ms=1000 * self._hold_s(now))
+        load = load._replace(
+            hold_ms=1000 * self._hold_s(now),
+            # A start and the news of its end take about the same way.
+            order_ms=2 * self.runs.orders.answer_ms,
+        )
         ask = Ask(work, chain, objective_ms, LATE_FACTOR * objective_ms)
         return judge(ask, load, random.random(), self.runs.late_share.caution)
 
--- a/kumquatlift/authority/_run_orders.py
+++ b/kumquatlift/authority/_run_orders.py
@@ -24,6 +24,8 @@
 # An order without an answer is sent again after this pause.
 RESEND_S = 0.005
 SILENT_RESEND_S = 0.1
+# Weight of the newest answer in their mean time; about the last fifty count.
+ANSWER_WEIGHT = 0.02
 # An upstream that could not read a start is left alone for a while.
 MALFORMED_REST_S = 1.0
 
@@ -69,6 +71,8 @@
         self._on_all_lost = on_all_lost
         self._section = section
         self.on_change: Callable[[Upstream], None] = lambda upstream: None
+        # Mean time from an order until its answer is handled, in milliseconds.
+        self.answer_ms = 0.0
 
     def start(self, upstream: Upstream, run: Run) -> None:
         """Send the start of a run, and repeat it until it is known whether it was carried out."""
@@ -95,6 +99,7 @@
         if not self._is_current(upstream, run) or run.state is not RunState.STARTING:
             return
         if answer.result is OrderResult.OK:
+            self.answer_ms += ANSWER_WEIGHT * ((now - sent_at) * 1000 - self.answer_ms)
             run.state = RunState.RUNNING
             run.confirmed_at = now
             run.percent_at = now
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -24,6 +24,7 @@
     run_ms,
 )
 from kumquatlift.codes import ResultCode
+from tools import fleet_model
 from tools.experiment import PATTERNS, Pattern, replay
 from tools.fleet_model import FleetModel
 
@@ -216,6 +217,36 @@
         assert reply.result(timeout=0).code is ResultCode.ACCEPTED
 
 
+class TestSlowOrders:
+    """Admission while the leader's processor is full."""
+
+    def test_short_jobs_are_refused_while_orders_take_their_slack(self) -> None:
+        """Guards against jobs that are taken although orders alone make them late.
+
+        Load: a burst on 176 upstreams that fills the leader's processor; from the decision to the
+        start of a task it takes 60 ms in place of 4 ms, and upstreams are free.
+        """
+        short, long = Ask(480.0, 60.0, 156.0, 468.0), Ask(3600.0, 900.0, 1500.0, 4500.0)
+        usual, full = Load(352, 1.0, 0.0, order_ms=8.0), Load(352, 1.0, 0.0, order_ms=120.0)
+        assert judge(short, usual, 0.5).is_taken
+        assert not judge(short, full, 0.5).is_taken
+        assert judge(long, full, 0.5).is_taken
+
+    def test_the_time_of_orders_is_measured(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(fleet_model, "DELAY_S", 0.01)
+        world = FleetModel()
+        world.add_upstream("u0")
+        world.run(0.2)
+        world.configure(Queue("q", "h", "/q/", "s", 0, 3, 1.6, 60))
+        for number in range(150):
+            spec = JobSpec("text", (Step(1, 6800, 64, 0, 5),))
+            world.submit(f"{number:016x}", spec, work_ms=5)
+            world.run(0.05)
+        leader = world.authority._leader
+        assert leader is not None
+        assert 15 < leader.runs.orders.answer_ms < 25
+
+
 class TestCaution:
     """Caution grows while jobs that were taken end late."""
 
