Mend three faults of the leader's recovery, found by random schedules against leases

A new leader read the failed end of a task's last run; the task waited at once, before the end of recovery, which then let it wait a second time. A new leader read the end of the last run, which had lapsed, and then an older one that was done where the lease was over. An order for a lost life was carried out by the next one, which has no fencing token yet, and had ended when the leader first read the lists; the leader freed the task since it was not among the running ones.

Change: tasks of jobs that recovery holds do not wait before its end; an end older than a known run holds nothing; an end that waits for its commit keeps its task from starting like a run does.

--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -143,7 +143,9 @@
         """Keep a task from starting while the end of a run of an earlier leader is not durable."""
         task = end.task
         is_done = task in progress.job.done or task in progress.running
-        if is_done or end.run <= progress.job.ended_run.get(task, 0):
+        # The log ignores the end of a run once a later one has ended.
+        is_stale = end.run < progress.runs.get(task, 0)
+        if is_done or is_stale or end.run <= progress.job.ended_run.get(task, 0):
             return
         progress.note_run(task, end.run)
         if end.how in (EndHow.DONE, EndHow.FAILED):
@@ -266,7 +268,12 @@
         self._wait_again(progress, run.task, upstream.state.upstream_id, reason)
 
     def free_former(self, upstream: Upstream, listed: set[TaskKey]) -> None:
-        """Free the runs of the former life that did not reach the present one."""
+        """Free the runs of the former life that did not reach the present one.
+
+        Args:
+            upstream: The present life.
+            listed: Tasks that run on it, or whose end on it waits for its commit.
+        """
         former, upstream.former = upstream.former, {}
         for task, run in former.items():
             if task not in listed:
@@ -296,6 +303,9 @@
             return
         get_logger().info("task_waits_again", task=str(task), upstream=upstream_id, reason=reason)
         progress.avoid[task] = progress.avoid.get(task, frozenset()) | {upstream_id}
+        if task.job in self.held_jobs:
+            # An upstream that has not been heard may run it; the end of recovery releases it.
+            return
         progress.add_waiting(task, is_first=True)
         self.needs_placing = True
 
--- a/kumquatlift/authority/_watch.py
+++ b/kumquatlift/authority/_watch.py
@@ -4,7 +4,7 @@
 from functools import partial
 from typing import NamedTuple
 
-from kumquatlift.authority._commands import TaskEnd, TaskKey
+from kumquatlift.authority._commands import EndHow, TaskEnd, TaskKey
 from kumquatlift.authority._fleet import Room, Run, RunState, Upstream, ref_of, size_of
 from kumquatlift.authority._orders import LookAnswer, LookOrder, OrderResult, UpstreamGateway
 from kumquatlift.authority._progress import Progress
@@ -202,7 +202,9 @@
         if clock_ms >= upstream.lists_clock_ms:
             upstream.lists_clock_ms = clock_ms
             self._compare(upstream, answer, sent.at, now)
-        self._runs.free_former(upstream, {row.task for row in answer.running})
+        # An order for the former life that began on this one may have ended here already.
+        settled = {end.task for _, end in answer.ends if end.how in (EndHow.DONE, EndHow.FAILED)}
+        self._runs.free_former(upstream, settled.union(row.task for row in answer.running))
         if not upstream.is_known:
             upstream.is_known = True
             self._runs.needs_placing = True
--- a/tests/test_authority_handover.py
+++ b/tests/test_authority_handover.py
@@ -1,8 +1,10 @@
 """Jobs when the leader changes, and jobs that their leader alone knows."""
 
+from typing import Any
+
 import pytest
 
-from kumquatlift.authority import JobSpec, Operation, Request, Step
+from kumquatlift.authority import EndHow, JobSpec, Operation, Request, Step, TaskEnd, TaskKey
 from kumquatlift.codes import ResultCode
 from tests.authority_world import QUEUE, answered_at_end, job, make
 from tools.fleet_model import FleetModel
@@ -62,6 +64,51 @@
         assert world.violations == []
         assert world.state_of("a" * 16) == "completed"
 
+    def test_a_task_that_failed_before_waits_for_the_end_of_recovery_and_starts_once(self) -> None:
+        """Guards against a second start while an upstream that may run the task is not heard.
+
+        Found by tools/fuzz_leases, seed 119: the failed end let the task wait at once, and the end
+        of recovery let it wait again, so that it started twice in one moment.
+        """
+        world = make(upstreams=3)
+        for upstream in world.upstreams.values():
+            upstream.fail_share = 1.0
+        world.submit("a" * 16, job(2), work_ms=300)
+        world.run(0.2)
+        idle = next(each for each in world.upstreams.values() if not each.runs)
+        idle.is_reachable = False
+        world.change_leader(gap_s=0.3)
+        world.run(0.5)
+        for upstream in world.upstreams.values():
+            upstream.fail_share = 0.0
+        assert world.starts == 2
+        world.run(2.0)
+        assert world.starts == 4
+        assert world.violations == []
+        assert world.state_of("a" * 16) == "completed"
+
+    def test_an_end_of_an_older_run_does_not_hold_the_task(self) -> None:
+        """Guards against a job that never ends.
+
+        Found by tools/fuzz_leases, seed 221: a new leader read the end of the last run, which had
+        lapsed, and then an older one, which was done on an upstream whose lease was over. The log
+        ignores the older one, and the task was held until its commit.
+        """
+        world = make(upstreams=3)
+        world.submit("a" * 16, job(1), work_ms=5000)
+        world.run(0.2)
+        for upstream in world.upstreams.values():
+            upstream.is_reachable = False
+        world.change_leader(gap_s=0.3)
+        world.run(0.4)
+        leader = world.authority._leader
+        assert leader is not None
+        task = TaskKey("a" * 16, 0, 0, 0)
+        first, second, _ = leader.fleet.values()
+        leader.runs.end(first, TaskEnd(task, 1001, EndHow.LAPSED))
+        leader.runs.end(second, TaskEnd(task, 2, EndHow.DONE))
+        assert task not in leader.progress["a" * 16].running
+
     def test_tasks_of_a_lost_upstream_wait_for_the_longest_lease(self) -> None:
         world = make(upstreams=2)
         world.submit("a" * 16, job(2), work_ms=3000)
@@ -110,15 +157,37 @@
         world.run(0.12)
         assert world.starts == 1
 
+    def test_an_end_on_a_life_that_the_order_was_not_meant_for_counts(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a second run of a task that is done.
+
+        Found by tools/fuzz_leases, seed 415: a start was carried out by the next life of its
+        upstream, which has no fencing token yet, and had ended before the leader read its lists.
+        """
+        world = make(upstreams=1)
+        orders: list[tuple[Any, ...]] = []
+        monkeypatch.setattr(world, "start", lambda *order: orders.append(order))
+        monkeypatch.setattr(world, "look", lambda *_look: None)
+        world.submit("a" * 16, job(1), work_ms=30)
+        world.run(0.03)
+        world.forget_upstream("u0")
+        world.add_upstream("u0")
+        world.run(0.02)
+        monkeypatch.undo()
+        world.start(*orders[0])
+        world.run(1.0)
+        assert world.starts == 1
+        assert world.violations == []
+        assert world.state_of("a" * 16) == "completed"
+
     def test_a_life_that_began_again_repeats_its_tasks(self) -> None:
         world = make(upstreams=2)
         world.submit("a" * 16, job(2), work_ms=1000)
         world.run(0.2)
         for name, upstream in list(world.upstreams.items()):
             if upstream.runs:
-                world.upstreams.pop(name)
-                for task in upstream.runs:
-                    world._running[task].discard(name)
+                world.forget_upstream(name)
                 world.add_upstream(name)
         world.run(4.0)
         assert world.state_of("a" * 16) == "completed"
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -98,6 +98,8 @@
         self.loop = EventLoop(clock=self.clock)
         self.unanswered_share = unanswered_share
         self.upstreams: dict[str, ModelUpstream] = {}
+        # Ports by upstream; another life has the same address.
+        self._ports: dict[str, int] = {}
         self.violations: list[str] = []
         self.starts = 0
         self._due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
@@ -144,7 +146,7 @@
         state = UpstreamState(
             name,
             int(self.clock.now() * 1000),
-            f"10.0.0.1:{len(self.upstreams) + 1}",
+            f"10.0.0.1:{self._ports.setdefault(name, len(self._ports) + 1)}",
             service,
             "z",
             cpu_milli,
@@ -158,6 +160,12 @@
         self.announce(state)
         return upstream
 
+    def forget_upstream(self, name: str) -> None:
+        """End an upstream with all that it runs, without a word to the leader."""
+        upstream = self.upstreams.pop(name)
+        for task in upstream.runs:
+            self._running[task].discard(name)
+
     def announce(self, state: UpstreamState) -> "Future[Reply]":
         """Send what an upstream says of itself."""
         return self.ask(Request(Operation.ANNOUNCE, {"upstream": list(state)}))
@@ -247,6 +255,9 @@
             if upstream is None:
                 return
             answer = call(upstream)
+            if ref.born_ms != upstream.state.born_ms:
+                # Another life under the same identity carries it out and says when it was born.
+                answer = OrderAnswer(OrderResult.BORN_AGAIN)
             if upstream.is_heard:
                 self.later(DELAY_S, self.loop.post, once, answer)
 
@@ -274,6 +285,8 @@
 
         def answer_from(upstream: ModelUpstream) -> Callable[[LookAnswer], None]:
             def answer(lists: LookAnswer) -> None:
+                if ref.born_ms != upstream.state.born_ms:
+                    lists = LookAnswer(OrderResult.BORN_AGAIN)
                 if upstream.is_heard and upstream.is_reachable:
                     self.later(DELAY_S, self.loop.post, once, lists)
 
