Let the time of orders fade while none is answered

Jobs are refused while the mean time of orders takes their slack, and only answers to starts change that mean. With short jobs alone one slow moment would refuse them for ever.

Ruled out: taking one job in so many as a trial, which is late on purpose.

Change: without an answer for half a second the mean fades within about as long again.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -106,6 +106,7 @@
             former_quiet_s=former_quiet_s,
         )
         self._forgot_at = clock.now()
+        self._ticked_at = clock.now()
         # Jobs that are not in the log; those that have ended stay for callers that ask again.
         self.unkept: dict[str, Job] = {}
         self._on_closed = on_closed
@@ -341,6 +342,8 @@
         """Do what time brings."""
         now = self._clock.now()
         self._watch.tick()
+        self.runs.orders.fade_answers(now - self._ticked_at)
+        self._ticked_at = now
         if self._recovery.is_open:
             is_known = bool(self.fleet) and all(each.is_known for each in self.fleet.values())
             if self._recovery.is_over(now, is_fleet_known=is_known):
--- a/kumquatlift/authority/_run_orders.py
+++ b/kumquatlift/authority/_run_orders.py
@@ -26,6 +26,9 @@
 SILENT_RESEND_S = 0.1
 # Weight of the newest answer in their mean time; about the last fifty count.
 ANSWER_WEIGHT = 0.02
+# Without an answer for this long, in which a busy leader gets hundreds, the mean fades in about as
+# long again.
+ANSWER_FADE_S = 0.5
 # An upstream that could not read a start is left alone for a while.
 MALFORMED_REST_S = 1.0
 
@@ -73,6 +76,19 @@
         self.on_change: Callable[[Upstream], None] = lambda upstream: None
         # Mean time from an order until its answer is handled, in milliseconds.
         self.answer_ms = 0.0
+        self._answered_at = clock.now()
+
+    def fade_answers(self, seconds: float) -> None:
+        """Let their mean time fade while none comes.
+
+        Jobs are refused while orders are slow; without jobs nothing else would tell that they are
+        fast again.
+
+        Args:
+            seconds: Time since the last call.
+        """
+        if self._clock.now() - self._answered_at > ANSWER_FADE_S:
+            self.answer_ms *= max(0.0, 1 - seconds / ANSWER_FADE_S)
 
     def start(self, upstream: Upstream, run: Run) -> None:
         """Send the start of a run, and repeat it until it is known whether it was carried out."""
@@ -100,6 +116,7 @@
             return
         if answer.result is OrderResult.OK:
             self.answer_ms += ANSWER_WEIGHT * ((now - sent_at) * 1000 - self.answer_ms)
+            self._answered_at = now
             run.state = RunState.RUNNING
             run.confirmed_at = now
             run.percent_at = now
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -232,6 +232,26 @@
         assert not judge(short, full, 0.5).is_taken
         assert judge(long, full, 0.5).is_taken
 
+    def test_refusals_do_not_last_by_themselves(self) -> None:
+        """Guards against a system of short jobs alone that refuses all of them for ever.
+
+        Without a start there is no answer either, which could tell that orders are fast again.
+        """
+        world = FleetModel()
+        world.add_upstream("u0")
+        world.run(0.2)
+        world.configure(Queue("q", "h", "/q/", "s", 0, 3, 1.6, 60))
+        leader = world.authority._leader
+        assert leader is not None
+        leader.runs.orders.answer_ms = 500.0
+        spec = JobSpec("text", (Step(1, 6800, 64, 0, 60),), answers_at_end=True)
+        first = world.submit(f"{1:016x}", spec, work_ms=60)
+        world.run(3.0)
+        second = world.submit(f"{2:016x}", spec, work_ms=60)
+        world.run(0.2)
+        assert first.result(timeout=0).code is ResultCode.OVERLOADED
+        assert second.result(timeout=0).code is ResultCode.ACCEPTED
+
     def test_the_time_of_orders_is_measured(self, monkeypatch: pytest.MonkeyPatch) -> None:
         monkeypatch.setattr(fleet_model, "DELAY_S", 0.01)
         world = FleetModel()
