Close a frontend's server before its process ends

After the last line the process only ends, which the system did late; its sockets were open until then, so that the kernel took connections and requests that nobody read.

Ruled out: the drain, which was idle for 0.1 s before the line; the log writer, whose line is in the file; the proxy, which passes the end of the process on at once.

Change: the frontend closes its server after the drain. New connections are refused from then on, and kept ones end, so that callers turn to another instance. The soak's message names the times of the last end and start.

Figures: the test 'no connection is taken that nobody serves' passes; HttpServer.close itself is as before and was not called by the program.

--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -112,6 +112,8 @@
         get_logger().warning("requests_given_up", reason="their jobs still run")
         frontend.give_up()
         callers.drain(timeout_s=GIVE_UP_S)
+    # The process may take a while to end; a request that nobody will answer must not be read.
+    callers.close()
 
 
 def run_core(cfg: PlatformSettings) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,7 +1,9 @@
 """The HTTP server and the threads that serve its requests."""
 
 import http.client
+import socket
 import threading
+import time
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import contextmanager
@@ -185,6 +187,41 @@
         assert not late.began.is_set()
 
 
+class TestClose:
+    """What a caller meets at a server that has closed."""
+
+    def test_no_connection_is_taken_that_nobody_serves(self) -> None:
+        """Guards against requests that a process reads after its last answer and never answers.
+
+        Found by the soak, seed 729: a frontend had said that it stopped and held its socket for
+        0.7 s more, in which three requests arrived.
+        """
+        server = HttpServer(
+            app=application(lambda _req: ApiResponse.from_json(200, {})),
+            address=Address("127.0.0.1", 0),
+            threads=THREADS,
+            name="closed",
+        )
+        server.start()
+        port = server.address.port
+        kept = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
+        kept.request("GET", "/")
+        assert kept.getresponse().read()
+        server.close()
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            try:
+                socket.create_connection(("127.0.0.1", port), timeout=WAIT_S).close()
+            except ConnectionRefusedError:
+                break
+            time.sleep(0.01)
+        else:
+            raise AssertionError("the server still takes connections")
+        # The kept connection has ended too.
+        assert kept.sock.recv(1) == b""
+        kept.close()
+
+
 class Task:
     """A request that ends when it is told to."""
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -237,7 +237,9 @@
         is_unread = frontend.ended_at >= sent_at and now - sent_at < UNREAD_S
         if not is_broken and not is_unread:
             self._violate(
-                f"job {number:016x} was cut after {now - sent_at:.1f} s by {frontend.host}"
+                f"job {number:016x} was cut after {now - sent_at:.1f} s by {frontend.host}, "
+                f"{now - frontend.ended_at:.1f} s after its last end, "
+                f"{now - frontend.started_at:.1f} s after its last start"
             )
 
     def _check_end(self) -> None:
--- a/tools/users_platform/_program.py
+++ b/tools/users_platform/_program.py
@@ -46,9 +46,10 @@
         self._has_proxies = has_proxies
         self._log_start = 0
         self._process: subprocess.Popen[bytes] | None = None
-        # Monotonic times of the last kill and of the last end of any kind.
+        # Monotonic times of the last kill, of the last end of any kind, and of the last start.
         self.killed_at = 0.0
         self.ended_at = 0.0
+        self.started_at = 0.0
         # Monotonic time of the last reset of its callers' connections by a proxy.
         self.reset_at = 0.0
         folder.mkdir(parents=True, exist_ok=True)
@@ -149,6 +150,7 @@
         self._log_start = len(self.log) if (self._folder / "log.txt").exists() else 0
         env = {**os.environ, "KUMQUATLIFT_NODE_FILE": str(settings)}
         log = (self._folder / "log.txt").open("ab")
+        self.started_at = time.monotonic()
         self._process = subprocess.Popen(
             [sys.executable, "-m", "tools.faulty_program", self._folder / "faults.json", self.role],
             env=env,
