--- a/kumquatlift/log.py
+++ b/kumquatlift/log.py
@@ -13,6 +13,7 @@
 MAX_WAITING_LINES = 5000
 # Waiting lines are written together this often, since each write is a system call.
 WRITE_EVERY_S = 0.1
+FINISH_POLL_S = 0.01
 
 
 class LineWriter:
@@ -29,6 +30,7 @@
         self._stream = stream
         self._lines: deque[str] = deque()
         self._dropped = 0
+        self._is_writing = False
         self._thread = threading.Thread(target=self._run, name="log", daemon=True)
         self._thread.start()
 
@@ -42,8 +44,20 @@
     def flush(self) -> None:
         """Do nothing; lines are written by the thread."""
 
-    def drain(self) -> None:
-        """Write what waits now, before the process ends."""
+    def finish(self, *, timeout_s: float) -> bool:
+        """Wait until the lines are written, before the process ends.
+
+        Returns:
+            Whether they were in time; a stream that takes none must not keep the process.
+        """
+        deadline = time.monotonic() + timeout_s
+        while self._lines or self._is_writing:
+            if time.monotonic() > deadline:
+                return False
+            time.sleep(FINISH_POLL_S)
+        return True
+
+    def _write_waiting(self) -> None:
         parts: list[str] = []
         while self._lines:
             parts.append(self._lines.popleft())
@@ -57,11 +71,13 @@
     def _run(self) -> None:
         while True:
             time.sleep(WRITE_EVERY_S)
+            self._is_writing = True
             try:
-                self.drain()
+                self._write_waiting()
             except (OSError, ValueError):
                 # Nobody reads the stream any more, so there is nowhere to report it.
                 self._lines.clear()
+            self._is_writing = False
 
 
 def configure_logs(*, process: str, level: str = "info", file: Any = None) -> None:
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -45,6 +45,8 @@
 # The journal is replaced by a snapshot at this share of the disk; two of them fit beside snapshots.
 JOURNAL_SHARE = 0.2
 EXIT_SETTINGS = 2
+# The last lines are written within this time, two periods of the writer, or are given up.
+LAST_LINES_S = 0.2
 
 
 class Stop:
@@ -244,7 +246,6 @@
     except (JournalError, OSError) as exc:
         get_logger().error("start_failed", error=repr(exc))
         code = 1
-    with contextlib.suppress(OSError, ValueError):
-        writer.drain()
+    writer.finish(timeout_s=LAST_LINES_S)
     # The servers' loops offer no stop from outside; everything they served has been answered.
     os._exit(code)
