--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -32,7 +32,7 @@
     def test_a_stream_that_takes_nothing_does_not_keep_the_process(self) -> None:
         """Guards against a process that cannot end while nobody reads its log.
 
-        Looked for after the soak, seed 719: a core had written its last line and was there 10 s later.
+        Suspected in the soak, seed 719: a core had written its last line and was there 10 s on.
         """
         stream = StuckStream()
         writer = LineWriter(stream=stream)
