Log the state that each submission was told, and which submission it was

A submission that was answered with success left no line on the frontend, one for a known job left none at all, and nothing told two submissions of a job apart.

Each submission now has a random identity, 'attempt', which the frontend and the leader log: submit_answered (frontend, one line a submission with state and duration), job_submitted_again (leader), job_cancelled also for jobs that are not in the log. No decision changes.

--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -134,6 +134,13 @@
         job_id = fields["job"]
         known = self._leader.find_job(job_id)
         if known is not None:
+            get_logger().info(
+                "job_submitted_again",
+                job=job_id,
+                attempt=fields.get("attempt", ""),
+                state=known.state,
+                callers=len(self._job_waiters.get(job_id, ())),
+            )
             self._answer_known(known, answer)
             return
         queue = self._find_queue(fields, answer)
@@ -183,6 +190,7 @@
         get_logger().info(
             "job_accepted",
             job=job_id,
+            attempt=fields.get("attempt", ""),
             queue=queue.name,
             index=index,
             wait_ms=round(decision.wait_ms),
@@ -213,14 +221,14 @@
         if job is not None and not job.is_open:
             answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
             return
+        get_logger().info("job_cancelled", job=fields["job"])
+        self._section.count("cancels")
         if job is not None and not job.is_logged:
             job.close(JobState.CANCELLED, self._state.wall_ms())
             self._leader.on_cancelled(job)
             answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
             return
         fields = {"job": fields["job"], "at_ms": self._state.wall_ms()}
-        get_logger().info("job_cancelled", job=fields["job"])
-        self._section.count("cancels")
         self._commit(Command(CommandKind.CANCEL, fields), answer)
 
     def _pending(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -1,5 +1,6 @@
 """HTTP service for callers: submits, queries and cancels jobs, and counts the pending ones."""
 
+import secrets
 import time
 
 from kumquatlift.authority import LeaderClient, Operation, Reply, Request
@@ -20,6 +21,8 @@
 RESULT_TIMEOUT_S = 10.0
 # Timeout for cancelling a job whose caller has disconnected; nobody waits for the answer.
 CANCEL_TIMEOUT_S = 0.3
+# Length of the random identity of a submission, in bytes.
+ATTEMPT_ID_BYTES = 6
 # Retry hint while there is no leader; elections take about a second.
 NO_LEADER_RETRY_MS = 1000
 
@@ -93,7 +96,15 @@
             get_logger().info("job_malformed", job=job_id, reason=str(exc))
             self._section.count("jobs_malformed")
             return ApiResponse.from_json(400, {"reason": str(exc)})
-        fields = {"job": job_id, "spec": spec.to_plain(), "zone": self._zone, **route}
+        # Identifies this submission among others of the same job, here and on the leader.
+        attempt = secrets.token_hex(ATTEMPT_ID_BYTES)
+        fields = {
+            "job": job_id,
+            "attempt": attempt,
+            "spec": spec.to_plain(),
+            "zone": self._zone,
+            **route,
+        }
         started_at = time.monotonic()
         request = Request(Operation.SUBMIT, fields)
         leader_wait_s = LEADER_WAIT_SHARE * max(step.estimate_ms for step in spec.steps) / 1000
@@ -107,7 +118,7 @@
                 is_abandoned=lambda: self._abandons_requests or req.is_client_disconnected(),
             )
             if isinstance(reply, Failure) and req.is_client_disconnected():
-                self._cancel_abandoned(job_id)
+                self._cancel_abandoned(job_id, attempt)
         else:
             reply = self._client.call(
                 request, timeout_s=CALL_TIMEOUT_S, leader_wait_s=leader_wait_s
@@ -115,22 +126,30 @@
         self._section.count("submits")
         self._submit_ms.record((time.monotonic() - started_at) * 1000)
         if isinstance(reply, Failure) or reply.code is not ResultCode.ACCEPTED:
-            return self._refuse_submit(job_id, reply)
-        if spec.answers_at_end:
-            return ApiResponse.from_json(200, {"state": reply.fields.get("state")})
-        return ApiResponse.from_json(200, {})
+            return self._refuse_submit(job_id, attempt, reply)
+        answer = {"state": reply.fields.get("state")} if spec.answers_at_end else {}
+        get_logger().info(
+            "submit_answered",
+            job=job_id,
+            attempt=attempt,
+            state=answer.get("state", "accepted"),
+            after_ms=round((time.monotonic() - started_at) * 1000),
+            leader=self._client.leader,
+        )
+        return ApiResponse.from_json(200, answer)
 
-    def _cancel_abandoned(self, job_id: str) -> None:
+    def _cancel_abandoned(self, job_id: str, attempt: str) -> None:
         """Cancel a job whose caller has disconnected; its result can't be fetched later."""
-        get_logger().info("caller_left", job=job_id)
+        get_logger().info("caller_left", job=job_id, attempt=attempt)
         self._section.count("callers_left")
         self._client.call(Request(Operation.CANCEL, {"job": job_id}), timeout_s=CANCEL_TIMEOUT_S)
 
-    def _refuse_submit(self, job_id: str, reply: Reply | Failure) -> ApiResponse:
+    def _refuse_submit(self, job_id: str, attempt: str, reply: Reply | Failure) -> ApiResponse:
         reason = reply.reason if isinstance(reply, Failure) else reply.fields.get("reason", "")
         get_logger().info(
             "submit_not_accepted",
             job=job_id,
+            attempt=attempt,
             code=reply.code.label,
             reason=reason,
             leader=self._client.leader,
