Count an orphaned run that is being stopped as running when its job is submitted again

What callers could see: a task of a job that is answered at its end ran on two upstreams at a time.

Cause: a second after a change of leader, the runs of jobs that nobody has submitted again are stopped. If the caller comes while a stop is on its way, the new leader adopted only runs in the state RUNNING and dropped the others from its table of orphans, so that the task was queued and started elsewhere beside a run that still held its lease.

The run is adopted in whatever state it is in; its listed end, or the end of the lease, queues the task again.

--- a/kumquatlift/authority/_orphans.py
+++ b/kumquatlift/authority/_orphans.py
@@ -1,7 +1,7 @@
 """Runs and ends of jobs that a new leader does not know, until their callers submit them again."""
 
 from kumquatlift.authority._commands import EndReason, TaskEnd, TaskKey
-from kumquatlift.authority._fleet import RunState, Upstream, size_of
+from kumquatlift.authority._fleet import Upstream, size_of
 from kumquatlift.authority._progress import Progress
 from kumquatlift.authority._state import State
 from kumquatlift.clock import Clock
@@ -57,14 +57,18 @@
             self._ends[end.task] = (end, self._clock.now())
 
     def adopt(self, progress: Progress) -> None:
-        """Assign stored runs and ends to the job they belong to, which has become known."""
+        """Assign stored runs and ends to the job they belong to, which has become known.
+
+        Runs that are being stopped count as running until their end is listed, so that their tasks
+        do not start elsewhere before.
+        """
         job = progress.job
         for task in [task for task in self._ends if task.job == job.job_id]:
             job.end_task(self._ends.pop(task)[0], self._state.wall_ms())
         for task in [task for task in self._runs if task.job == job.job_id]:
             upstream = self._runs.pop(task)
             run = upstream.runs.get(task)
-            if run is not None and run.state is RunState.RUNNING:
+            if run is not None:
                 run.expected_ms = progress.expected_ms[task.step]
                 upstream.resize(run, size_of(job.spec.steps[task.step]))
                 progress.running[task] = upstream.state.upstream_id
--- a/tests/test_authority_handover.py
+++ b/tests/test_authority_handover.py
@@ -290,6 +290,24 @@
         world.run(1.0)
         assert world.violations == []
 
+    @pytest.mark.parametrize("returns_after_s", [1.0, 1.1, 1.2, 1.3, 1.5])
+    def test_a_task_does_not_start_while_the_stop_of_its_orphan_is_not_confirmed(
+        self, returns_after_s: float
+    ) -> None:
+        """Guards against two runs at a time if no answer to the stop order has arrived yet."""
+        world = make(upstreams=4)
+        world.submit("a" * 16, answered_at_end(2), work_ms=9000)
+        world.run(0.2)
+        world.change_leader(gap_s=0.2)
+        world.run(0.2 + returns_after_s)
+        for upstream in world.upstreams.values():
+            upstream.can_reply = not upstream.runs
+            upstream.is_reachable = not upstream.runs
+        world.run(0.15)
+        world.submit("a" * 16, answered_at_end(2), work_ms=9000)
+        world.run(3.0)
+        assert world.violations == []
+
     def test_a_waiting_job_that_would_end_too_late_is_refused_at_once(self) -> None:
         world = make(upstreams=1)
         replies = [
