End a submission, not its job, when a caller's connection breaks

What callers saw: a submission was answered 200 with the state 'cancelled', which the answer may not hold. The caller had not cancelled anything: its own earlier connection had broken, or that of another submission of the job through another frontend, also up to 10 s before.

Cause: the frontend cancelled the job when a connection broke, the leader told every waiting submission the job's state, whatever it was, and kept the cancelled job for submissions to come. The class of fault: an event of one connection was taken for a decision about the job, and states of the leader's bookkeeping left the process unchecked.

Change: - Frontends withdraw their submission (Operation.WITHDRAW) instead of cancelling the job. The leader keeps the submissions of each job by identity (Attempts); a withdrawal that overtakes its submission is remembered. - A job that no submission waits for is forgotten. Waiting tasks start no more. Starts without an answer are stopped, since they are repeated for known jobs only. - A job with orphaned runs is not refused: the refusal would say that it has not run. - Submissions are answered with completed or failed; a cancelled job has failed. The frontend checks every state that leaves it, in one place, and answers 504 for any other. The answer to the cancellation of a stored job says its state now; it held none before.

--- a/kumquatlift/authority/__init__.py
+++ b/kumquatlift/authority/__init__.py
@@ -17,9 +17,11 @@
     UpstreamRef,
 )
 from kumquatlift.authority._serving import Queue, ServingConfig
-from kumquatlift.authority._work import JobSpec, Step
+from kumquatlift.authority._work import CALLER_STATES, RESULT_STATES, JobSpec, Step
 
 __all__ = [
+    "CALLER_STATES",
+    "RESULT_STATES",
     "Authority",
     "EndReason",
     "JobSpec",
--- a/kumquatlift/authority/_api.py
+++ b/kumquatlift/authority/_api.py
@@ -13,6 +13,8 @@
     SUBMIT = "submit"
     STATUS = "status"
     CANCEL = "cancel"
+    WITHDRAW = "withdraw"
+    """The caller of a submission has left; the job goes on if another submission waits for it."""
     PENDING = "pending"
     REPLACE_CONFIG = "replace-config"
     READ_CONFIG = "read-config"
--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from kumquatlift.authority._api import Operation, Reply, Request
+from kumquatlift.authority._attempts import Attempts
 from kumquatlift.authority._commands import Command, CommandKind
 from kumquatlift.authority._leader import Leader, Limits
 from kumquatlift.authority._orders import UpstreamGateway
@@ -188,6 +189,7 @@
             term=term,
             state=self.state,
             propose=self._propose,
+            attempts=Attempts(clock=self._clock),
             section=self._section,
         )
         self._leader.begin()
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -35,6 +35,8 @@
 # Time for which the end of a job that isn't in the log is kept. A caller whose answer was lost
 # submits the job again within a few seconds.
 UNLOGGED_RETENTION_S = 10.0
+# Time for a new connection and the submission itself, on top of ``Limits.resubmit_s``.
+RESUBMIT_MARGIN_S = 0.5
 
 
 class Limits(NamedTuple):
@@ -44,11 +46,14 @@
         lease_s: Longest lease that an upstream accepts, in seconds.
         remote_factor: Run time of a task on another rack than its data, relative to the same rack.
         retention_s: Time for which the state of an ended job is kept, in seconds.
+        resubmit_s: Time after which a caller whose connection broke submits its job again, in
+            seconds.
     """
 
     lease_s: float = 1.0
     remote_factor: float = 2.0
     retention_s: float = 150.0
+    resubmit_s: float = 1.3
 
 
 class Leader:
@@ -239,6 +244,16 @@
         if progress is not None:
             self.runs.close(progress)
 
+    def abandon(self, job: Job) -> None:
+        """Forget an open job that is not in the log and that nobody waits for any more.
+
+        Its runs go on until its caller has had time to submit it again.
+        """
+        del self.unlogged[job.job_id]
+        progress = self.progress.get(job.job_id)
+        if progress is not None:
+            self.runs.abandon(progress, keep_s=self._limits.resubmit_s + RESUBMIT_MARGIN_S)
+
     def pending(self, queue: str) -> int:
         """Return the number of open jobs of a queue without a started task."""
         return sum(
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -146,7 +146,7 @@
         for upstream in list(self._fleet.values()):
             for run in list(upstream.runs.values()):
                 if run.task in self._runs.orphans:
-                    self._stop_if_orphaned(upstream, run, now)
+                    self._stop_if_orphaned(upstream, run)
                 else:
                     self._stop_if_stalled(upstream, run, now)
 
@@ -303,7 +303,7 @@
         upstream.add(run)
         if job is None:
             # The job may be one that a lost leader did not log; its caller may submit it again.
-            self._runs.orphans.add(task, upstream)
+            self._runs.orphans.add(task, upstream, keep_s=ORPHAN_GRACE_S)
             return
         progress = self._progress.get(task.job)
         holder = progress.running.get(task) if progress is not None else None
@@ -321,8 +321,8 @@
         if task in progress.waiting:
             progress.remove_waiting(task)
 
-    def _stop_if_orphaned(self, upstream: Upstream, run: Run, now: float) -> None:
-        if now - run.decided_at > ORPHAN_GRACE_S:
+    def _stop_if_orphaned(self, upstream: Upstream, run: Run) -> None:
+        if self._runs.orphans.is_expired(run.task):
             self._runs.orders.stop(upstream, run, "unknown_job")
 
     def _stop_if_stalled(self, upstream: Upstream, run: Run, now: float) -> None:
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -1,15 +1,17 @@
 """Handles requests about jobs, configuration and upstreams on the leader."""
 
+import itertools
 from collections.abc import Callable
 from typing import Any
 
 from kumquatlift.authority._admission import MIN_RETRY_MS
 from kumquatlift.authority._api import Operation, Reply, Request
+from kumquatlift.authority._attempts import Attempts, ReplyCallback
 from kumquatlift.authority._commands import Command, CommandKind, UpstreamState
 from kumquatlift.authority._leader import Leader
 from kumquatlift.authority._serving import Queue
 from kumquatlift.authority._state import Applied, State, job_of
-from kumquatlift.authority._work import Job, JobSpec, JobState
+from kumquatlift.authority._work import RESULT_STATES, Job, JobSpec, JobState
 from kumquatlift.blackboard import Section
 from kumquatlift.codes import ResultCode
 from kumquatlift.log import get_logger
@@ -17,7 +19,6 @@
 # No job is accepted while the leader holds this many, so that memory stays bounded.
 MAX_JOBS = 60_000
 
-ReplyCallback = Callable[[Reply], None]
 _DONE = Reply(ResultCode.ACCEPTED)
 
 
@@ -30,6 +31,7 @@
         state: Replicated state.
         propose: Appends a command to the log and returns its index, or None if this instance does
             not lead.
+        attempts: Submissions that wait for the end of their job.
         section: Section of the blackboard.
     """
 
@@ -40,6 +42,7 @@
         term: int,
         state: State,
         propose: Callable[[Command], int | None],
+        attempts: Attempts,
         section: Section,
     ) -> None:
         self._leader = leader
@@ -49,8 +52,7 @@
         self._section = section
         # Callers that wait for the commit of a log entry, by the index of the entry.
         self._waiters: dict[int, list[ReplyCallback]] = {}
-        # Callers that wait for the end of a job, by its identity.
-        self._job_waiters: dict[str, list[ReplyCallback]] = {}
+        self._attempts = attempts
         # Log indexes of the submitted jobs that are not committed yet, by job.
         self._open_submits: dict[str, int] = {}
 
@@ -72,6 +74,8 @@
                 self._status(fields, answer)
             case Operation.CANCEL:
                 self._cancel(fields, answer)
+            case Operation.WITHDRAW:
+                self._withdraw(fields, answer)
             case Operation.PENDING:
                 self._pending(fields, answer)
             case Operation.REPLACE_CONFIG:
@@ -91,25 +95,20 @@
         if applied.job is not None:
             self._open_submits.pop(applied.job.job_id, None)
         for waiter in self._waiters.pop(applied.position, ()):
-            waiter(_DONE)
+            waiter(_commit_reply(applied))
 
     def on_closed(self, job: Job) -> None:
         """Answer the callers that wait for the end of a job."""
-        reply = Reply(ResultCode.ACCEPTED, {"state": job.state})
-        if job.state == JobState.REFUSED:
-            reply = Reply(ResultCode.OVERLOADED, {"retry_after_ms": MIN_RETRY_MS})
-        for waiter in self._job_waiters.pop(job.job_id, ()):
-            waiter(reply)
+        for answer in self._attempts.pop(job.job_id):
+            answer(_result_reply(job))
 
     def fail_waiting(self) -> None:
         """Tell all waiting callers that the result is unknown because the leader has changed."""
         waiters, self._waiters = self._waiters, {}
-        job_waiters, self._job_waiters = self._job_waiters, {}
         self._open_submits.clear()
         unknown = Reply(ResultCode.CLAIM_UNKNOWN, {"reason": "leadership changed"})
-        for group in (*waiters.values(), *job_waiters.values()):
-            for waiter in group:
-                waiter(unknown)
+        for waiter in (*itertools.chain(*waiters.values()), *self._attempts.pop_all()):
+            waiter(unknown)
 
     def _commit(self, command: Command, answer: ReplyCallback) -> int | None:
         """Propose a command and answer when it is committed; return its index, if it has one."""
@@ -131,17 +130,20 @@
         return queue
 
     def _submit(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
-        job_id = fields["job"]
+        job_id, attempt = fields["job"], fields.get("attempt", "")
+        if self._attempts.is_withdrawn(attempt):
+            answer(Reply(ResultCode.CANCELLED_BEFORE_START))
+            return
         known = self._leader.find_job(job_id)
         if known is not None:
             get_logger().info(
                 "job_submitted_again",
                 job=job_id,
-                attempt=fields.get("attempt", ""),
+                attempt=attempt,
                 state=known.state,
-                callers=len(self._job_waiters.get(job_id, ())),
+                callers=self._attempts.count(job_id),
             )
-            self._answer_known(known, answer)
+            self._answer_known(known, fields, answer)
             return
         queue = self._find_queue(fields, answer)
         if queue is None:
@@ -152,13 +154,14 @@
             return
         spec = JobSpec.from_plain(fields["spec"])
         decision = self._leader.decide_admission(queue, spec)
-        if (
-            not decision.is_accepted
-            or len(self._state.jobs) + len(self._leader.unlogged) >= MAX_JOBS
-        ):
+        is_full = len(self._state.jobs) + len(self._leader.unlogged) >= MAX_JOBS
+        is_refused = is_full or not decision.is_accepted
+        # A refusal says that the job has not run, which is not true of a job with orphaned runs.
+        if is_refused and not self._leader.runs.orphans.has_run(job_id):
             get_logger().info(
                 "job_refused",
                 job=job_id,
+                attempt=attempt,
                 queue=queue.name,
                 wait_ms=round(decision.wait_ms),
                 retry_after_ms=decision.retry_after_ms,
@@ -181,7 +184,7 @@
         )
         index = None
         if spec.answers_at_end:
-            self._job_waiters.setdefault(job_id, []).append(answer)
+            self._attempts.add(job_id, attempt, answer)
             self._leader.add_job(job_of(command, self._term, is_logged=False))
         else:
             index = self._commit(command, answer)
@@ -190,7 +193,7 @@
         get_logger().info(
             "job_accepted",
             job=job_id,
-            attempt=fields.get("attempt", ""),
+            attempt=attempt,
             queue=queue.name,
             index=index,
             wait_ms=round(decision.wait_ms),
@@ -199,11 +202,18 @@
         )
         self._section.count("jobs_accepted")
 
-    def _answer_known(self, job: Job, answer: ReplyCallback) -> None:
-        if job.spec.answers_at_end and job.is_open:
-            self._job_waiters.setdefault(job.job_id, []).append(answer)
+    def _answer_known(self, job: Job, fields: dict[str, Any], answer: ReplyCallback) -> None:
+        """Answer a submission of a known job as it asks for, at once or at the end of the job."""
+        if not JobSpec.from_plain(fields["spec"]).answers_at_end:
+            if job.is_logged:
+                answer(_DONE)
+            else:
+                reason = "the id belongs to a job that is not stored"
+                answer(Reply(ResultCode.MALFORMED, {"reason": reason}))
+        elif job.is_open:
+            self._attempts.add(job.job_id, fields.get("attempt", ""), answer)
         else:
-            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
+            answer(_result_reply(job))
 
     def _status(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
         job = self._leader.find_job(fields["job"])
@@ -231,6 +241,15 @@
         fields = {"job": fields["job"], "at_ms": self._state.wall_ms()}
         self._commit(Command(CommandKind.CANCEL, fields), answer)
 
+    def _withdraw(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
+        """Remove a submission whose caller has left; abandon its job if no other one waits."""
+        job = self._leader.find_job(fields["job"])
+        is_last = self._attempts.withdraw(fields["job"], fields["attempt"])
+        if is_last and job is not None and job.is_open and not job.is_logged:
+            self._section.count("jobs_abandoned")
+            self._leader.abandon(job)
+        answer(_DONE)
+
     def _pending(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
         queue = self._find_queue(fields, answer)
         if queue is not None:
@@ -280,3 +299,21 @@
         departure = {"upstream": known.upstream_id, "born_ms": known.started_at_ms}
         get_logger().info("upstream_leaves", upstream=known.upstream_id)
         self._commit(Command(CommandKind.UPSTREAM_LEFT, departure), answer)
+
+
+def _commit_reply(applied: Applied) -> Reply:
+    """Return the reply to a request whose command was committed."""
+    if applied.command.kind is not CommandKind.CANCEL:
+        return _DONE
+    if applied.job is None:
+        return Reply(ResultCode.NOT_FOUND)
+    return Reply(ResultCode.ACCEPTED, {"state": applied.job.state})
+
+
+def _result_reply(job: Job) -> Reply:
+    """Return the reply to a submission of a job that has ended."""
+    if job.state == JobState.REFUSED:
+        return Reply(ResultCode.OVERLOADED, {"retry_after_ms": MIN_RETRY_MS})
+    # A submission is answered with one of two states, so a cancelled job has failed.
+    state = job.state if job.state in RESULT_STATES else JobState.FAILED
+    return Reply(ResultCode.ACCEPTED, {"state": state})
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -6,7 +6,7 @@
 from kumquatlift.authority._admission import LateShare
 from kumquatlift.authority._commands import EndReason, TaskEnd, TaskKey
 from kumquatlift.authority._estimates import Estimates
-from kumquatlift.authority._fleet import Run, Upstream, size_of
+from kumquatlift.authority._fleet import Run, RunState, Upstream, size_of
 from kumquatlift.authority._orders import UpstreamGateway
 from kumquatlift.authority._orphans import Orphans
 from kumquatlift.authority._progress import Progress
@@ -260,6 +260,29 @@
         if job.state == JobState.COMPLETED and now <= progress.objective_at:
             self._section.count("jobs_in_time")
 
+    def abandon(self, progress: Progress, *, keep_s: float) -> None:
+        """Forget an open job that nobody waits for; its runs become orphans.
+
+        Args:
+            progress: The job.
+            keep_s: Time for which its runs go on, in seconds.
+        """
+        self._progress.pop(progress.job.job_id, None)
+        self.orphans.abandon(progress, self._fleet, keep_s=keep_s)
+        for task, upstream_id in progress.running.items():
+            upstream = self._fleet.get(upstream_id)
+            run = upstream.runs.get(task) if upstream else None
+            if upstream is not None and run is not None and run.state is RunState.STARTING:
+                # Start orders without an answer are repeated for known jobs only.
+                self.orders.stop(upstream, run, "abandoned")
+        get_logger().info(
+            "job_abandoned",
+            job=progress.job.job_id,
+            running=len(progress.running),
+            waiting=len(progress.waiting),
+            done=len(progress.job.done),
+        )
+
     def requeue(self, upstream: Upstream, run: Run, reason: str) -> None:
         """Remove a run that certainly is not running, and queue its task again."""
         upstream.remove(run.task)
--- a/kumquatlift/authority/_work.py
+++ b/kumquatlift/authority/_work.py
@@ -84,7 +84,16 @@
     FAILED = "failed"
     CANCELLED = "cancelled"
     REFUSED = "refused"
-    """Abandoned before any task started; only for jobs that are not in the log."""
+    """Abandoned before any task started; only for jobs that are not in the log. No caller is told
+    this state."""
+
+
+CALLER_STATES = frozenset(
+    (JobState.QUEUED, JobState.RUNNING, JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+)
+"""States that the answer to a query or a cancellation may hold."""
+RESULT_STATES = frozenset((JobState.COMPLETED, JobState.FAILED))
+"""States that the answer to a submission may hold, if it is answered when the job ends."""
 
 
 class Job:
--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -3,7 +3,14 @@
 import secrets
 import time
 
-from kumquatlift.authority import LeaderClient, Operation, Reply, Request
+from kumquatlift.authority import (
+    CALLER_STATES,
+    RESULT_STATES,
+    LeaderClient,
+    Operation,
+    Reply,
+    Request,
+)
 from kumquatlift.blackboard import Section
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
@@ -19,8 +26,8 @@
 LEADER_WAIT_SHARE = 0.4
 # Longest wait for the result of a job that is answered when it ends. Callers may set a shorter one.
 RESULT_TIMEOUT_S = 10.0
-# Timeout for cancelling a job whose caller has disconnected; nobody waits for the answer.
-CANCEL_TIMEOUT_S = 0.3
+# Timeout for withdrawing a submission whose caller has disconnected; nobody waits for the answer.
+WITHDRAW_TIMEOUT_S = 0.3
 # Length of the random identity of a submission, in bytes.
 ATTEMPT_ID_BYTES = 6
 # Retry hint while there is no leader; elections take about a second.
@@ -118,7 +125,7 @@
                 is_abandoned=lambda: self._abandons_requests or req.is_client_disconnected(),
             )
             if isinstance(reply, Failure) and req.is_client_disconnected():
-                self._cancel_abandoned(job_id, attempt)
+                self._withdraw(job_id, attempt)
         else:
             reply = self._client.call(
                 request, timeout_s=CALL_TIMEOUT_S, leader_wait_s=leader_wait_s
@@ -127,22 +134,35 @@
         self._submit_ms.record((time.monotonic() - started_at) * 1000)
         if isinstance(reply, Failure) or reply.code is not ResultCode.ACCEPTED:
             return self._refuse_submit(job_id, attempt, reply)
-        answer = {"state": reply.fields.get("state")} if spec.answers_at_end else {}
+        res = ApiResponse.from_json(200, {})
+        if spec.answers_at_end:
+            res = self._state_response(job_id, reply, RESULT_STATES)
         get_logger().info(
             "submit_answered",
             job=job_id,
             attempt=attempt,
-            state=answer.get("state", "accepted"),
+            status=res.status,
+            state=reply.fields.get("state", "") if spec.answers_at_end else "accepted",
             after_ms=round((time.monotonic() - started_at) * 1000),
             leader=self._client.leader,
         )
-        return ApiResponse.from_json(200, answer)
+        return res
 
-    def _cancel_abandoned(self, job_id: str, attempt: str) -> None:
-        """Cancel a job whose caller has disconnected; its result can't be fetched later."""
+    def _withdraw(self, job_id: str, attempt: str) -> None:
+        """Tell the leader that the caller of a submission has disconnected."""
         get_logger().info("caller_left", job=job_id, attempt=attempt)
         self._section.count("callers_left")
-        self._client.call(Request(Operation.CANCEL, {"job": job_id}), timeout_s=CANCEL_TIMEOUT_S)
+        request = Request(Operation.WITHDRAW, {"job": job_id, "attempt": attempt})
+        self._client.call(request, timeout_s=WITHDRAW_TIMEOUT_S)
+
+    def _state_response(self, job_id: str, reply: Reply, allowed: frozenset[str]) -> ApiResponse:
+        """Return the response with the state in a reply; an unknown outcome if it isn't allowed."""
+        state = reply.fields.get("state")
+        if isinstance(state, str) and state in allowed:
+            return ApiResponse.from_json(200, {"state": state})
+        get_logger().error("state_not_allowed", job=job_id, state=repr(state)[:40])
+        self._section.count("states_not_allowed")
+        return _UNKNOWN
 
     def _refuse_submit(self, job_id: str, attempt: str, reply: Reply | Failure) -> ApiResponse:
         reason = reply.reason if isinstance(reply, Failure) else reply.fields.get("reason", "")
@@ -181,7 +201,7 @@
 
     def _state_answer(self, job_id: str, reply: Reply | Failure) -> ApiResponse:
         if isinstance(reply, Reply) and reply.code is ResultCode.ACCEPTED:
-            return ApiResponse.from_json(200, reply.fields)
+            return self._state_response(job_id, reply, CALLER_STATES)
         if isinstance(reply, Reply) and reply.code is ResultCode.NOT_FOUND:
             return ApiResponse.from_json(410, {"reason": "no such job"})
         get_logger().info("job_not_answered", job=job_id, code=reply.code.label)
@@ -191,7 +211,7 @@
     def _pending(self, route: dict[str, str]) -> ApiResponse:
         reply = self._client.call(Request(Operation.PENDING, route), timeout_s=CALL_TIMEOUT_S)
         if isinstance(reply, Reply) and reply.code is ResultCode.ACCEPTED:
-            return ApiResponse.from_json(200, reply.fields)
+            return ApiResponse.from_json(200, {"pending": reply.fields["pending"]})
         if isinstance(reply, Reply) and reply.code is ResultCode.UNKNOWN_SERVICE:
             return ApiResponse.from_json(404, {"reason": "there is no such queue"})
         return _refused(NO_LEADER_RETRY_MS, "the count is not known here at present")
--- a/kumquatlift/platform/_settings.py
+++ b/kumquatlift/platform/_settings.py
@@ -46,6 +46,8 @@
         grace_s: Time from SIGTERM to SIGKILL, in seconds.
         state_kept_s: Time for which callers may query a job after its end, in seconds.
         remote_factor: Factor by which a task takes longer on another rack than that of its data.
+        resubmit_ms: Time after which a caller submits a job again whose connection broke, in
+            milliseconds.
     """
 
     tolerated_machines: int = 1
@@ -53,6 +55,7 @@
     grace_s: float = 6.0
     state_kept_s: float = 120.0
     remote_factor: float = 2.0
+    resubmit_ms: int = 1300
 
 
 class PlatformSettings(NamedTuple):
--- a/tests/test_authority_handover.py
+++ b/tests/test_authority_handover.py
@@ -318,7 +318,7 @@
         assert not replies[0].done()
         assert world.starts == 2
 
-    def test_a_job_whose_caller_has_left_is_stopped(self) -> None:
+    def test_a_job_that_its_caller_cancels_is_stopped(self) -> None:
         world = make()
         world.submit("a" * 16, answered_at_end(3), work_ms=5000)
         world.run(0.2)
