Remember that an abandoned job has started, so that its caller is not refused falsely

What a caller would see: it submits a job again whose earlier submission had started tasks, and gets 503 with 'the job has not run'.

Cause: whether an unknown job has run was concluded from its orphaned runs and successful ends alone; a job whose runs had failed left neither, and an adopted job whose runs were stopped could be refused as overdue.

The table of orphans keeps the run numbers of abandoned jobs that had started, for as long as ends are kept. A returning job counts as started, and its run numbers go on, so that an upstream does not take a new run for an old one. test_a_caller_that_returns_after_a_failed_run_is_not_refused fails before (503 in place of 200).

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -398,7 +398,7 @@
                 self.runs.close(progress)
 
     def _forget_unlogged(self, now: float) -> None:
-        self.runs.orphans.forget_ends(now - UNLOGGED_RETENTION_S)
+        self.runs.orphans.forget(now - UNLOGGED_RETENTION_S)
         before_ms = self._state.wall_ms() - int(UNLOGGED_RETENTION_S * 1000)
         old = [
             job.job_id
--- a/kumquatlift/authority/_orphans.py
+++ b/kumquatlift/authority/_orphans.py
@@ -43,6 +43,9 @@
         self._clock = clock
         self._runs: dict[TaskKey, OrphanRun] = {}
         self._ends: dict[TaskKey, tuple[TaskEnd, float]] = {}
+        # Highest run numbers of the tasks of abandoned jobs that had started, and when they were
+        # abandoned, by job.
+        self._abandoned: dict[str, tuple[dict[TaskKey, int], float]] = {}
 
     def __contains__(self, task: TaskKey) -> bool:
         return task in self._runs
@@ -69,9 +72,11 @@
             upstream = fleet.get(upstream_id)
             if upstream is not None:
                 self.add(task, upstream, keep_s=keep_s)
-        for task in progress.job.done:
-            run = progress.job.ended_run[task]
-            self.record_end(TaskEnd(task, run, EndReason.DONE))
+        job = progress.job
+        if job.is_started:
+            self._abandoned[job.job_id] = (progress.runs, self._clock.now())
+        for task in job.done:
+            self.record_end(TaskEnd(task, job.ended_run[task], EndReason.DONE))
 
     def is_expired(self, task: TaskKey) -> bool:
         """Return whether the run of a task is to be stopped, as its job is still unknown."""
@@ -79,8 +84,9 @@
         return run is not None and self._clock.now() > run.keep_until
 
     def has_run(self, job_id: str) -> bool:
-        """Return whether a run or an end of a job is known here."""
-        return any(task.job == job_id for task in (*self._runs, *self._ends))
+        """Return whether tasks of an unknown job are known to have started."""
+        is_abandoned = job_id in self._abandoned
+        return is_abandoned or any(task.job == job_id for task in (*self._runs, *self._ends))
 
     def remove(self, task: TaskKey, upstream: Upstream | None = None) -> bool:
         """Remove the run of a task.
@@ -109,6 +115,9 @@
         do not start elsewhere before.
         """
         job = progress.job
+        job.is_started = self.has_run(job.job_id)
+        for task, number in self._abandoned.pop(job.job_id, ({}, 0.0))[0].items():
+            progress.record_run(task, number)
         for task in [task for task in self._ends if task.job == job.job_id]:
             job.end_task(self._ends.pop(task)[0], self._state.wall_ms())
         for task in [task for task in self._runs if task.job == job.job_id]:
@@ -121,8 +130,9 @@
             if run is not None or task in upstream.previous_runs:
                 progress.running[task] = upstream.state.upstream_id
 
-    def forget_ends(self, before: float) -> None:
-        """Remove ends that were listed before a time."""
-        old = [task for task, (_, at) in self._ends.items() if at < before]
-        for task in old:
+    def forget(self, before: float) -> None:
+        """Remove ends that were listed, and jobs that were abandoned, before a time."""
+        for task in [task for task, (_, at) in self._ends.items() if at < before]:
             del self._ends[task]
+        for job_id in [job_id for job_id, (_, at) in self._abandoned.items() if at < before]:
+            del self._abandoned[job_id]
--- a/tests/users_platform/test_callers_of_a_job.py
+++ b/tests/users_platform/test_callers_of_a_job.py
@@ -211,6 +211,22 @@
         assert Caller(world=world).submit().status == 200
         assert world.violations == []
 
+    def test_a_caller_that_returns_after_a_failed_run_is_not_refused(self) -> None:
+        """Guards against a false refusal of a job of which no run is left."""
+        world = make(upstreams=1)
+        upstream = world.upstreams["u0"]
+        upstream.fail_share = 1.0
+        world._work[JOB] = (30.0, 6800)
+        Caller(world=world).submit(leaves_after_s=0.05)
+        upstream.fail_share = 0.0
+        world.run(0.1)
+        for number in range(20):
+            world.submit(f"{number:016x}", answered_at_end(2), work_ms=900)
+        world.run(0.1)
+        res = Caller(world=world).submit()
+        assert (res.status, state_of(res)) == (200, "completed")
+        assert world.violations == []
+
     def test_a_withdrawal_that_overtakes_its_submission_starts_nothing(
         self, world: FleetModel
     ) -> None:
