Keep orphaned runs by upstream and number, so that an older run's end does not drop a newer run

What callers could see after (not landed): a job that is submitted again hangs, or one of its tasks runs twice at a time; an upstream keeps less free capacity than it has for the rest of the term.

Cause: the table of orphans had one entry a task, and the end of any run of the task removed it, also one of an older run on an upstream that was reached again. With that entry gone nobody stopped the newer run, and a returning caller started another. Upstream.add replaced the record of a run and kept its resources reserved.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -193,7 +193,8 @@
         )
 
     def add(self, run: Run) -> None:
-        """Add a run and reserve its resources."""
+        """Add a run and reserve its resources; it replaces an earlier run of its task."""
+        self.remove(run.task)
         self.runs[run.task] = run
         self.free = self.free.minus(run.size)
 
--- a/kumquatlift/authority/_orphans.py
+++ b/kumquatlift/authority/_orphans.py
@@ -18,10 +18,12 @@
 
     Args:
         upstream: Upstream that it runs on.
+        number: Number of the run.
         keep_until: Time at which it is stopped if its job is still unknown.
     """
 
     upstream: Upstream
+    number: int
     keep_until: float
 
 
@@ -41,7 +43,9 @@
     def __init__(self, *, state: State, clock: Clock) -> None:
         self._state = state
         self._clock = clock
-        self._runs: dict[TaskKey, OrphanRun] = {}
+        # By task, then by the identity of the upstream: a start order that is carried out late can
+        # begin an older run beside the newest one.
+        self._runs: dict[TaskKey, dict[str, OrphanRun]] = {}
         self._ends: dict[TaskKey, tuple[TaskEnd, float]] = {}
         # Highest run numbers of the tasks of abandoned jobs that had started, and when they were
         # abandoned, by job.
@@ -50,17 +54,21 @@
     def __contains__(self, task: TaskKey) -> bool:
         return task in self._runs
 
-    def add(self, task: TaskKey, upstream: Upstream, *, keep_s: float) -> None:
+    def add(self, task: TaskKey, upstream: Upstream, number: int, *, keep_s: float) -> None:
         """Add a run of an unknown job.
 
         Args:
             task: Task of the run.
             upstream: Upstream that it runs on.
+            number: Number of the run.
             keep_s: Time after which it is stopped if its job is still unknown, in seconds.
         """
-        self._runs[task] = OrphanRun(upstream, self._clock.now() + keep_s)
+        run = OrphanRun(upstream, number, self._clock.now() + keep_s)
+        self._runs.setdefault(task, {})[upstream.state.upstream_id] = run
 
-    def abandon(self, progress: Progress, fleet: dict[str, Upstream], *, keep_s: float) -> None:
+    def add_abandoned(
+        self, progress: Progress, fleet: dict[str, Upstream], *, keep_s: float
+    ) -> None:
         """Keep the runs and ends of a job that nobody waits for any more.
 
         Args:
@@ -71,36 +79,39 @@
         for task, upstream_id in progress.running.items():
             upstream = fleet.get(upstream_id)
             if upstream is not None:
-                self.add(task, upstream, keep_s=keep_s)
+                self.add(task, upstream, progress.runs.get(task, 0), keep_s=keep_s)
         job = progress.job
         if job.is_started:
             self._abandoned[job.job_id] = (progress.runs, self._clock.now())
         for task in job.done:
             self.record_end(TaskEnd(task, job.ended_run[task], EndReason.DONE))
 
-    def is_expired(self, task: TaskKey) -> bool:
-        """Return whether the run of a task is to be stopped, as its job is still unknown."""
-        run = self._runs.get(task)
-        return run is not None and self._clock.now() > run.keep_until
+    def find(self, task: TaskKey, upstream: Upstream) -> OrphanRun | None:
+        """Return the run of a task on an upstream if its job is unknown, else None."""
+        return self._runs.get(task, {}).get(upstream.state.upstream_id)
 
-    def has_run(self, job_id: str) -> bool:
+    def has_started(self, job_id: str) -> bool:
         """Return whether tasks of an unknown job are known to have started."""
         is_abandoned = job_id in self._abandoned
         return is_abandoned or any(task.job == job_id for task in (*self._runs, *self._ends))
 
-    def remove(self, task: TaskKey, upstream: Upstream | None = None) -> bool:
-        """Remove the run of a task.
+    def remove(self, task: TaskKey, upstream: Upstream, number: int) -> bool:
+        """Remove a run that has ended.
 
         Args:
-            task: The task.
-            upstream: Remove the run only if it is on this upstream; None for any.
+            task: Its task.
+            upstream: Upstream on which it has ended.
+            number: Its number; a later run of the task there stays.
 
         Returns:
             Whether there was such a run.
         """
-        if task not in self._runs or upstream not in (None, self._runs[task].upstream):
+        run = self.find(task, upstream)
+        if run is None or run.number > number:
             return False
-        del self._runs[task]
+        del self._runs[task][upstream.state.upstream_id]
+        if not self._runs[task]:
+            del self._runs[task]
         return True
 
     def record_end(self, end: TaskEnd) -> None:
@@ -115,13 +126,15 @@
         do not start elsewhere before.
         """
         job = progress.job
-        job.is_started = self.has_run(job.job_id)
+        job.is_started = self.has_started(job.job_id)
         for task, number in self._abandoned.pop(job.job_id, ({}, 0.0))[0].items():
             progress.record_run(task, number)
         for task in [task for task in self._ends if task.job == job.job_id]:
             job.end_task(self._ends.pop(task)[0], self._state.wall_ms())
         for task in [task for task in self._runs if task.job == job.job_id]:
-            upstream = self._runs.pop(task).upstream
+            newest = max(self._runs[task].values(), key=lambda each: each.number)
+            upstream = newest.upstream
+            self.remove(task, upstream, newest.number)
             run = upstream.runs.get(task)
             if run is not None:
                 run.expected_ms = progress.expected_ms[task.step]
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -145,10 +145,11 @@
                 self._runs.requeue_previous_runs(upstream, set())
         for upstream in list(self._fleet.values()):
             for run in list(upstream.runs.values()):
-                if run.task in self._runs.orphans:
-                    self._stop_if_orphaned(upstream, run)
-                else:
+                orphan = self._runs.orphans.find(run.task, upstream)
+                if orphan is None:
                     self._stop_if_stalled(upstream, run, now)
+                elif now > orphan.keep_until:
+                    self._runs.orders.stop(upstream, run, "unknown_job")
 
     def hedge(self) -> None:
         """Send a second poll beside each open one whose answer may be lost."""
@@ -303,7 +304,7 @@
         upstream.add(run)
         if job is None:
             # The job may be one that a lost leader did not log; its caller may submit it again.
-            self._runs.orphans.add(task, upstream, keep_s=ORPHAN_GRACE_S)
+            self._runs.orphans.add(task, upstream, number, keep_s=ORPHAN_GRACE_S)
             return
         progress = self._progress.get(task.job)
         holder = progress.running.get(task) if progress is not None else None
@@ -321,10 +322,6 @@
         if task in progress.waiting:
             progress.remove_waiting(task)
 
-    def _stop_if_orphaned(self, upstream: Upstream, run: Run) -> None:
-        if self._runs.orphans.is_expired(run.task):
-            self._runs.orders.stop(upstream, run, "unknown_job")
-
     def _stop_if_stalled(self, upstream: Upstream, run: Run, now: float) -> None:
         if run.state is not RunState.RUNNING or not run.expected_ms:
             return
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -157,7 +157,7 @@
         is_full = len(self._state.jobs) + len(self._leader.unlogged) >= MAX_JOBS
         is_refused = is_full or not decision.is_accepted
         # A refusal says that the job has not run, which is not true of a job with orphaned runs.
-        if is_refused and not self._leader.runs.orphans.has_run(job_id):
+        if is_refused and not self._leader.runs.orphans.has_started(job_id):
             get_logger().info(
                 "job_refused",
                 job=job_id,
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -123,7 +123,8 @@
         """
         run = upstream.runs.get(end.task)
         progress = self._progress.get(end.task.job)
-        if self.orphans.remove(end.task) or self._find_job(end.task.job) is None:
+        is_orphan = self.orphans.remove(end.task, upstream, end.run)
+        if is_orphan or self._find_job(end.task.job) is None:
             self.orphans.record_end(end)
         if run is None:
             if progress is not None:
@@ -268,7 +269,7 @@
             keep_s: Time for which its runs go on, in seconds.
         """
         self._progress.pop(progress.job.job_id, None)
-        self.orphans.abandon(progress, self._fleet, keep_s=keep_s)
+        self.orphans.add_abandoned(progress, self._fleet, keep_s=keep_s)
         for task, upstream_id in progress.running.items():
             upstream = self._fleet.get(upstream_id)
             run = upstream.runs.get(task) if upstream else None
@@ -286,7 +287,7 @@
     def requeue(self, upstream: Upstream, run: Run, reason: str) -> None:
         """Remove a run that certainly is not running, and queue its task again."""
         upstream.remove(run.task)
-        self.orphans.remove(run.task, upstream)
+        self.orphans.remove(run.task, upstream, run.number)
         progress = self._progress.get(run.task.job)
         self.needs_placing = True
         if progress is None or progress.running.get(run.task) != upstream.state.upstream_id:
@@ -304,7 +305,7 @@
         previous_runs, upstream.previous_runs = upstream.previous_runs, {}
         for task, run in previous_runs.items():
             if task not in listed:
-                self.orphans.remove(task)
+                self.orphans.remove(task, upstream, run.number)
             progress = self._progress.get(task.job)
             if task in listed or progress is None:
                 continue
