Requeue the tasks of an upstream that restarts twice or leaves before it has listed its runs

Cause: when an upstream restarts, the runs of its previous incarnation wait in previous_runs until the present one has listed its runs. A further restart before that took over only the present one's own runs, and the removal of the upstream dropped the table.

Evidence: TestIncarnations fails in all four cases on (two restarts, restart and leave; stored job and one answered at its end) and passes now. A further incarnation takes over what its predecessor still waited for, and the removal of an upstream queues it: what ran there has ended with it.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -281,7 +281,8 @@
         if known is not None and known.state.started_at_ms == state.started_at_ms:
             known.update(state)
         else:
-            previous_runs = known.runs if known is not None else {}
+            # One that crashed before it listed its runs leaves those of its predecessors, too.
+            previous_runs = {**known.previous_runs, **known.runs} if known is not None else {}
             self._add_upstream(state, previous_runs)
         for other in list(self.fleet.values()):
             has_same_address = other.state.address == state.address
@@ -324,7 +325,9 @@
         self._remove(upstream_id)
 
     def _remove(self, upstream_id: str) -> None:
-        self.fleet.pop(upstream_id, None)
+        upstream = self.fleet.pop(upstream_id, None)
+        if upstream is not None:
+            self.runs.requeue_previous_runs(upstream, set())
         get_logger().info("upstream_removed", upstream=upstream_id)
 
     def _propose_removal(self, state: UpstreamState) -> None:
--- a/tests/test_orphans.py
+++ b/tests/test_orphans.py
@@ -1,4 +1,4 @@
-"""Tests jobs that their callers leave and submit again: orphaned runs, their ends and numbers."""
+"""Tests runs that the leader has lost track of: of jobs submitted again and upstreams restarted."""
 
 from concurrent.futures import Future
 
@@ -6,7 +6,7 @@
 
 from kumquatlift.authority import JobSpec, Operation, Reply, Request, Step
 from kumquatlift.codes import ResultCode
-from tests.authority_world import answered_at_end, make
+from tests.authority_world import answered_at_end, job, make
 from tools.fleet_model import FleetModel
 from tools.model_upstream import ModelUpstream
 
@@ -231,3 +231,50 @@
         only.is_reachable = False
         world.run(8.0)
         assert not (again.done() and again.result(timeout=0).code is ResultCode.OVERLOADED)
+
+
+class TestIncarnations:
+    """Tasks of an upstream that restarts, and restarts or leaves again, are not forgotten."""
+
+    @pytest.mark.parametrize("is_logged", [True, False])
+    def test_the_tasks_run_again_after_two_crashes_before_the_first_list(
+        self, is_logged: bool
+    ) -> None:
+        """Guards against a task that no list and no timer queues again, so that its job hangs."""
+        world = make(upstreams=2)
+        world._work[JOB] = (500.0, 6800)
+        reply = submit(world, "x", job(1) if is_logged else answered_at_end(1))
+        world.run(0.1)
+        (lost,) = running_on(world)
+        name = lost.state.upstream_id
+        world.kill_upstream(name)
+        world.add_upstream(name).is_reachable = False
+        world.run(0.3)
+        world.kill_upstream(name)
+        world.add_upstream(name)
+        world.run(9.0)
+        assert world.violations == []
+        if is_logged:
+            assert world.state_of(JOB) == "completed"
+        else:
+            assert reply.done()
+
+    @pytest.mark.parametrize("is_logged", [True, False])
+    def test_the_tasks_run_again_when_the_restarted_upstream_leaves(self, is_logged: bool) -> None:
+        """Guards against a hanging job when the upstream leaves before it has listed its runs."""
+        world = make(upstreams=2)
+        world._work[JOB] = (500.0, 6800)
+        reply = submit(world, "x", job(1) if is_logged else answered_at_end(1))
+        world.run(0.1)
+        (lost,) = running_on(world)
+        name = lost.state.upstream_id
+        world.kill_upstream(name)
+        world.add_upstream(name).is_reachable = False
+        world.run(0.3)
+        world.send_request(Request(Operation.LEAVE, {"upstream": name}))
+        world.run(9.0)
+        assert world.violations == []
+        if is_logged:
+            assert world.state_of(JOB) == "completed"
+        else:
+            assert reply.done()
