Send orders later that are due while the leader has no lease for a moment

What callers could see: a job that never ends, or a run of an abandoned job that is never stopped.

Cause: an order that was due while the lease was over returned without a new timer, so that the run stayed STARTING or STOPPING if this leader got its lease back before it stepped down (about one tick of the log). Found by the review.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -122,6 +122,8 @@
         ``flush`` creates a new leader once the log serves, that is, when this instance has applied
         the first entry of its own term.
         """
+        if self._leader is not None:
+            self._leader.close()
         self._leader = None
         requests, self._requests = self._requests, None
         if requests is not None:
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -178,6 +178,10 @@
             config=self._state.routing.cfg.version,
         )
 
+    def close(self) -> None:
+        """Send no more orders, as the term of this leader is over."""
+        self.runs.orders.close()
+
     # Jobs
 
     def decide_admission(self, queue: Queue, spec: JobSpec) -> AdmissionDecision:
--- a/kumquatlift/authority/_run_orders.py
+++ b/kumquatlift/authority/_run_orders.py
@@ -80,6 +80,7 @@
         # Moving average of the time from a start order until its answer is handled.
         self.answer_ms = 0.0
         self._answered_at = clock.now()
+        self._is_closed = False
 
     def fade_answers(self, seconds: float) -> None:
         """Decay the mean answer time while no answers arrive.
@@ -93,10 +94,21 @@
         if self._clock.now() - self._answered_at > ANSWER_FADE_S:
             self.answer_ms *= max(0.0, 1 - seconds / ANSWER_FADE_S)
 
+    def close(self) -> None:
+        """Repeat no more orders; another leader has taken over."""
+        self._is_closed = True
+
+    def _call_later(self, seconds: float, function: Callable[[], None]) -> None:
+        if not self._is_closed:
+            self._loop.call_after(seconds, function)
+
     def start(self, upstream: Upstream, run: Run) -> None:
         """Send the start order of a run, and repeat it until its outcome is known."""
         job = self._find_job(run.task.job)
-        if job is None or not self._may_order():
+        if job is None:
+            return
+        if not self._may_order():
+            self._call_later(UNREACHABLE_RESEND_S, partial(self._resend, upstream, run))
             return
         now = self._clock.now()
         order = StartOrder(
@@ -145,7 +157,7 @@
                 run.may_have_started = True
                 if result is OrderResult.BORN_AGAIN:
                     upstream.unreachable_since = upstream.unreachable_since or now
-                self._loop.call_after(RESEND_S, partial(self._resend, upstream, run))
+                self._call_later(RESEND_S, partial(self._resend, upstream, run))
             case OrderResult.STALE_RUN:
                 # The run has ended; the answer to the next poll lists its end.
                 run.state = RunState.RUNNING
@@ -154,7 +166,7 @@
             case OrderResult.OTHER_LIFE:
                 self._on_all_lost(upstream, "other_life")
             case OrderResult.NOT_SENT if run.may_have_started:
-                self._loop.call_after(RESEND_S, partial(self._resend, upstream, run))
+                self._call_later(RESEND_S, partial(self._resend, upstream, run))
             case _ if run.may_have_started:
                 # An earlier order for the run may still be carried out, so a stop bars its number.
                 run.state = RunState.STOPPING
@@ -181,7 +193,7 @@
             return
         if upstream.unreachable_since is not None:
             # Either it becomes reachable again, or its lease ends and the run is removed.
-            self._loop.call_after(UNREACHABLE_RESEND_S, partial(self._resend, upstream, run))
+            self._call_later(UNREACHABLE_RESEND_S, partial(self._resend, upstream, run))
         else:
             self.start(upstream, run)
 
@@ -208,6 +220,7 @@
 
     def _send_stop(self, upstream: Upstream, run: Run) -> None:
         if not self._may_order():
+            self._call_later(UNREACHABLE_RESEND_S, partial(self._stop_again, upstream, run))
             return
         order = StopOrder(run.task, run.number)
         self._gateway.stop(ref_of(upstream), order, partial(self._on_stopped, upstream, run))
@@ -223,7 +236,7 @@
         elif answer.result is OrderResult.OTHER_LIFE:
             self._on_all_lost(upstream, "other_life")
         else:
-            self._loop.call_after(RESEND_S * 5, partial(self._stop_again, upstream, run))
+            self._call_later(RESEND_S * 5, partial(self._stop_again, upstream, run))
 
     def _stop_again(self, upstream: Upstream, run: Run) -> None:
         if self._is_current(upstream, run):
--- a/tests/test_orphans.py
+++ b/tests/test_orphans.py
@@ -278,3 +278,40 @@
             assert world.state_of(JOB) == "completed"
         else:
             assert reply.done()
+
+
+class TestLease:
+    """Orders that are due while the leader has no lease are sent when it has one again."""
+
+    def test_a_start_that_is_due_without_a_lease_is_sent_later(self) -> None:
+        """Guards against a run whose start order is never sent."""
+        world = make(upstreams=1)
+        (only,) = world.upstreams.values()
+        only.is_reachable = False
+        world._work[JOB] = (300.0, 6800)
+        reply = submit(world, "x", answered_at_end(1))
+        world.run(0.09)
+        world.log.is_serving = False
+        only.is_reachable = True
+        world.run(0.4)
+        world.log.is_serving = True
+        world.run(8.0)
+        assert reply.done()
+
+    def test_a_stop_that_is_due_without_a_lease_is_sent_later(self) -> None:
+        """Guards against a run that nobody waits for and nobody stops."""
+        world = make(upstreams=1)
+        world._work[JOB] = (9000.0, 6800)
+        submit(world, "x", answered_at_end(1))
+        world.run(0.1)
+        (only,) = running_on(world)
+        withdraw(world, "x")
+        world.run(1.7)
+        only.is_reachable = False
+        world.run(0.17)
+        world.log.is_serving = False
+        only.can_reply = only.is_reachable = True
+        world.run(0.4)
+        world.log.is_serving = True
+        world.run(3.0)
+        assert not running_on(world)
