Let submissions expire that nobody waits for, and answer those that are withdrawn

What callers could see: upstreams busy with work for callers that are gone, and frontends with calls that stay open for up to 10 s.

Cause: a submission was counted as waiting until its job ended, also when its frontend had been killed or had answered 504, so that the withdrawal of the last caller was never the last. A withdrawn submission was not answered. At 10,000 remembered withdrawals the newest were dropped, which are those that can still overtake their submission.

Evidence: the three cases of TestWithdrawals fail before and pass now.

--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -1,6 +1,7 @@
 """Handles requests about jobs, configuration and upstreams on the leader."""
 
 import itertools
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -132,7 +133,7 @@
     def _submit(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
         job_id, attempt = fields["job"], fields.get("attempt", "")
         if self._attempts.is_withdrawn(attempt):
-            answer(Reply(ResultCode.CANCELLED_BEFORE_START))
+            answer(Reply(ResultCode.NOT_FOUND))
             return
         known = self._leader.find_job(job_id)
         if known is not None:
@@ -184,7 +185,7 @@
         )
         index = None
         if spec.answers_at_end:
-            self._attempts.add(job_id, attempt, answer)
+            self._attempts.add(job_id, attempt, answer, wait_s=_wait_s(fields))
             self._leader.add_job(job_of(command, self._term, is_logged=False))
         else:
             index = self._commit(command, answer)
@@ -211,7 +212,8 @@
                 reason = "the id belongs to a job that is not stored"
                 answer(Reply(ResultCode.MALFORMED, {"reason": reason}))
         elif job.is_open:
-            self._attempts.add(job.job_id, fields.get("attempt", ""), answer)
+            attempt = fields.get("attempt", "")
+            self._attempts.add(job.job_id, attempt, answer, wait_s=_wait_s(fields))
         else:
             answer(_result_reply(job))
 
@@ -301,6 +303,11 @@
         self._commit(Command(CommandKind.UPSTREAM_LEFT, departure), answer)
 
 
+def _wait_s(fields: dict[str, Any]) -> float:
+    """Return the time for which the sender of a submission waits, in seconds."""
+    return float(fields.get("wait_ms", math.inf)) / 1000
+
+
 def _commit_reply(applied: Applied) -> Reply:
     """Return the reply to a request whose command was committed."""
     if applied.command.kind is not CommandKind.CANCEL:
--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -2,6 +2,7 @@
 
 import secrets
 import time
+from typing import Any
 
 from kumquatlift.authority import (
     CALLER_STATES,
@@ -105,7 +106,7 @@
             return ApiResponse.from_json(400, {"reason": str(exc)})
         # Identifies this submission among others of the same job, here and on the leader.
         attempt = secrets.token_hex(ATTEMPT_ID_BYTES)
-        fields = {
+        fields: dict[str, Any] = {
             "job": job_id,
             "attempt": attempt,
             "spec": spec.to_plain(),
@@ -113,6 +114,8 @@
             **route,
         }
         started_at = time.monotonic()
+        if spec.answers_at_end:
+            fields["wait_ms"] = round(_answer_timeout_s(req) * 1000)
         request = Request(Operation.SUBMIT, fields)
         leader_wait_s = LEADER_WAIT_SHARE * max(step.estimate_ms for step in spec.steps) / 1000
         if spec.answers_at_end:
--- a/tests/test_orphans.py
+++ b/tests/test_orphans.py
@@ -5,6 +5,8 @@
 import pytest
 
 from kumquatlift.authority import JobSpec, Operation, Reply, Request, Step
+from kumquatlift.authority._attempts import MAX_WITHDRAWALS, Attempts
+from kumquatlift.clock import ManualClock
 from kumquatlift.codes import ResultCode
 from tests.authority_world import answered_at_end, job, make
 from tools.fleet_model import FleetModel
@@ -179,6 +181,40 @@
         assert sum(len(each.runs) for each in world.upstreams.values()) == 2
 
 
+class TestWithdrawals:
+    """Submissions that wait no more do not keep a job going."""
+
+    def test_a_withdrawn_submission_is_answered(self) -> None:
+        """Guards against calls that stay open in the frontend until their timeout."""
+        world = make()
+        world._work[JOB] = (9000.0, 6800)
+        reply = submit(world, "x", answered_at_end(1))
+        world.run(0.1)
+        withdraw(world, "x")
+        world.run(0.1)
+        assert reply.done()
+
+    def test_a_submission_that_timed_out_no_longer_counts(self) -> None:
+        """Guards against work for callers that are gone after a frontend was killed or said 504."""
+        world = make()
+        world._work[JOB] = (9000.0, 6800)
+        submit(world, "x", answered_at_end(1), wait_ms=400)
+        world.run(1.7)
+        submit(world, "y", answered_at_end(1), wait_ms=10_000)
+        world.run(0.1)
+        withdraw(world, "y")
+        world.run(4.0)
+        assert not running_on(world)
+
+    def test_the_newest_withdrawals_are_remembered(self) -> None:
+        """Guards against forgetting those that may still overtake their submission."""
+        attempts = Attempts(clock=ManualClock(start=0.0))
+        for number in range(MAX_WITHDRAWALS + 1):
+            attempts.withdraw("job", f"{number}")
+        assert not attempts.is_withdrawn("0")
+        assert attempts.is_withdrawn(f"{MAX_WITHDRAWALS}")
+
+
 class TestOtherSpec:
     """Another job under the identity of a known one does no harm."""
 
