Accept the confirmation of a cancellation without a state

The protocol asks for no state in this answer. Found by the review; test_a_cancellation_that_an_older_leader_confirms_succeeds fails before (504 in place of 200).

--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -200,6 +200,9 @@
         reply = self._client.call(
             Request(Operation.CANCEL, {"job": job_id}), timeout_s=CALL_TIMEOUT_S
         )
+        if isinstance(reply, Reply) and reply == Reply(ResultCode.ACCEPTED):
+            # Leaders of earlier versions confirm the cancellation of a stored job without a state.
+            return ApiResponse.from_json(200, {})
         return self._state_answer(job_id, reply)
 
     def _state_answer(self, job_id: str, reply: Reply | Failure) -> ApiResponse:
--- a/tests/users_platform/test_callers_of_a_job.py
+++ b/tests/users_platform/test_callers_of_a_job.py
@@ -158,6 +158,14 @@
         assert state_of(caller.request("DELETE")) == "cancelled"
         assert state_of(caller.request("GET")) == "cancelled"
 
+    def test_a_cancellation_that_an_older_leader_confirms_succeeds(
+        self, monkeypatch: pytest.MonkeyPatch, world: FleetModel
+    ) -> None:
+        """Guards against an unknown outcome during a rolling restart: its reply has no state."""
+        reply = Reply(ResultCode.ACCEPTED, {})
+        monkeypatch.setattr(WorldClient, "call", lambda *_args, **_options: reply)
+        assert Caller(world=world).request("DELETE").status == 200
+
 
 class TestAbandonedJob:
     """A job that nobody waits for starts nothing more, and its runs end."""
