Judge jobs by the usual speed while upstreams are idle

Cause: speeds are learned from runs. With a mean speed below about 0.45, jobs of 100 ms are expected to be late even without a wait and are refused; then nothing runs and the speed stays.

Evidence: test_jobs_are_accepted_again_when_upstreams_are_fast_again fails before (refused 22 s after the upstreams are fast again) and passes now. While nothing waits or runs, a speed below the usual one is not used; the first run corrects the estimate.

--- a/kumquatlift/authority/_admission.py
+++ b/kumquatlift/authority/_admission.py
@@ -27,6 +27,8 @@
 # The time to retry varies by up to this share, so that refused callers do not return together.
 RETRY_JITTER = 0.5
 MIN_RETRY_MS = 100
+# Speed of a usual upstream, to which estimates of run times refer.
+USUAL_SPEED = 1.0
 
 
 class Load(NamedTuple):
@@ -40,6 +42,7 @@
         recovery_ms: Time until a new leader may start tasks, in milliseconds; 0 after recovery.
         order_ms: Current latency of the start order and the completion report of one run, in
             milliseconds.
+        is_idle: Whether nothing waits and nothing runs on the usable upstreams.
     """
 
     slots: float
@@ -47,6 +50,7 @@
     backlog_ms: float
     recovery_ms: float = 0.0
     order_ms: float = 0.0
+    is_idle: bool = False
 
 
 class LateShare:
@@ -113,9 +117,12 @@
     """
     if load.slots <= 0:
         return AdmissionDecision(False, request.expiry_ms, retry_after(request.expiry_ms, jitter))
-    queue_ms = load.backlog_ms / (load.slots * load.speed)
+    # Idle upstreams count as usual ones: without runs, a low speed that was learned during a fault
+    # would be kept, and with it the refusals.
+    speed = max(load.speed, USUAL_SPEED) if load.is_idle else load.speed
+    queue_ms = load.backlog_ms / (load.slots * speed)
     wait_ms = load.recovery_ms + queue_ms
-    finish_ms = wait_ms + load.order_ms + request.critical_path_ms / load.speed
+    finish_ms = wait_ms + load.order_ms + request.critical_path_ms / speed
     limit_ms = request.objective_ms + ACCEPTED_LATENESS_SHARE * (
         request.expiry_ms - request.objective_ms
     )
--- a/kumquatlift/authority/_load.py
+++ b/kumquatlift/authority/_load.py
@@ -64,7 +64,8 @@
                 for upstream in usable
                 for run in upstream.runs.values()
             )
-        return Load(slots, speed, backlog_ms)
+        is_idle = not backlog_ms and not any(upstream.runs for upstream in usable)
+        return Load(slots, speed, backlog_ms, is_idle=is_idle)
 
     def fast_speed(self, service: str) -> float:
         """Return the least speed among the fastest fifth of the usable upstreams.
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -5,7 +5,7 @@
 from kumquatlift.authority import JobSpec, Step
 from kumquatlift.authority._admission import AdmissionRequest, Load, decide_admission
 from kumquatlift.codes import ResultCode
-from tests.authority_world import make
+from tests.authority_world import answered_at_end, make
 from tools import fleet_model
 
 
@@ -92,3 +92,26 @@
         leader = world.authority._leader
         assert leader is not None
         assert 15 < leader.runs.orders.answer_ms < 25
+
+
+class TestSlowUpstreams:
+    """Load: jobs after all upstreams were slow for a while."""
+
+    def test_jobs_are_accepted_again_when_upstreams_are_fast_again(self) -> None:
+        """Guards against refusals on an idle fleet: as nothing runs, no speed is learned."""
+        world = make(upstreams=3)
+        for each in world.upstreams.values():
+            each.speed = 0.25
+        for number in range(40):
+            world.submit(f"{number:016x}", answered_at_end(1), work_ms=100)
+            world.run(0.25)
+        for each in world.upstreams.values():
+            each.speed = 1.0
+        world.run(2.0)
+        replies = []
+        for number in range(100, 140):
+            replies.append(world.submit(f"{number:016x}", answered_at_end(1), work_ms=100))
+            world.run(0.5)
+        world.run(1.0)
+        codes = [reply.result(timeout=0).code for reply in replies]
+        assert codes[-1] is ResultCode.ACCEPTED
