--- a/kumquatlift/metrics.py
+++ b/kumquatlift/metrics.py
@@ -50,8 +50,12 @@
     Counter("kumquatlift.slots.messages", "requester", "messages_sent", "messages to slot owners"),
 )
 
+LOG_COUNTERS = (
+    Counter("kumquatlift.log.dropped", "log", "lines_dropped", "log lines that were not written"),
+)
 
 FRONTEND_COUNTERS = (
+    *LOG_COUNTERS,
     Counter("kumquatlift.submits", "frontend", "submits", "jobs that callers submitted"),
     Counter("kumquatlift.submits.malformed", "frontend", "jobs_malformed", "jobs that are no jobs"),
     Counter(
@@ -70,6 +74,7 @@
 )
 
 AUTHORITY_COUNTERS = (
+    *LOG_COUNTERS,
     Counter("kumquatlift.jobs.accepted", "authority", "jobs_accepted", "jobs taken"),
     Counter("kumquatlift.jobs.refused", "authority", "jobs_refused", "jobs that would be late"),
     Counter("kumquatlift.jobs.completed", "authority", "jobs_completed", "jobs completed"),
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -92,10 +92,9 @@
             get_logger().info("settings_file_changed", applied=False)
 
 
-def run_frontend(cfg: PlatformSettings) -> None:
+def run_frontend(cfg: PlatformSettings, board: Blackboard) -> None:
     """Serve callers until SIGTERM."""
     stop = StopSignal()
-    board = Blackboard()
     timer = Timer(clock=MonotonicClock())
     channel = _open_channel(cfg)
     client = LeaderClient(channel=channel, timer=timer, contacts=cfg.contacts)
@@ -127,13 +126,12 @@
     callers.close()
 
 
-def run_core(cfg: PlatformSettings) -> None:
+def run_core(cfg: PlatformSettings, board: Blackboard) -> None:
     """Keep a replica of the log and lead when elected, until SIGTERM."""
     stop = StopSignal()
     journal = open_journal(Path(cfg.data_folder), wait_for_stop=stop.wait_for_stop)
     if journal is None:
         return
-    board = Blackboard()
     clock = MonotonicClock()
     loop = EventLoop(clock=clock)
     timer = Timer(clock=clock)
@@ -233,7 +231,7 @@
     return server
 
 
-PROGRAMS: dict[str, Callable[[PlatformSettings], None]] = {
+PROGRAMS: dict[str, Callable[[PlatformSettings, Blackboard], None]] = {
     "core": run_core,
     "frontend": run_frontend,
 }
@@ -249,11 +247,12 @@
     except SettingsError as exc:
         print(f"settings: {exc}", file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
-    writer = LineWriter(stream=sys.stdout)
+    board = Blackboard()
+    writer = LineWriter(stream=sys.stdout, section=board.section("log"))
     configure_logs(process=cfg.name, file=writer)
     code = 0
     try:
-        PROGRAMS[sys.argv[1]](cfg)
+        PROGRAMS[sys.argv[1]](cfg, board)
         get_logger().info("stopped")
     except (JournalError, OSError) as exc:
         get_logger().error("start_failed", error=repr(exc))
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,20 +1,31 @@
 """Tests of the metrics scrape."""
 
+import pytest
+
 from kumquatlift.blackboard import Blackboard
-from kumquatlift.metrics import COUNTERS, Metrics
+from kumquatlift.metrics import (
+    AUTHORITY_COUNTERS,
+    COUNTERS,
+    FRONTEND_COUNTERS,
+    Counter,
+    Metrics,
+)
 
 
 class TestMetrics:
     """Guards against a metric that is exported but never changes."""
 
-    def test_scrape_shows_the_counters_of_the_blackboard(self) -> None:
+    @pytest.mark.parametrize("counters", [COUNTERS, FRONTEND_COUNTERS, AUTHORITY_COUNTERS])
+    def test_scrape_shows_the_counters_of_the_blackboard(
+        self, counters: tuple[Counter, ...]
+    ) -> None:
         board = Blackboard()
-        sections = {name: board.section(name) for name in {row.section for row in COUNTERS}}
-        metrics = Metrics(board=board)
-        for index, row in enumerate(COUNTERS):
+        sections = {name: board.section(name) for name in {row.section for row in counters}}
+        metrics = Metrics(board=board, counters=counters)
+        for index, row in enumerate(counters):
             sections[row.section].count(row.key, index + 1)
         lines = metrics.scrape().decode().splitlines()
-        for index, row in enumerate(COUNTERS):
+        for index, row in enumerate(counters):
             name = row.name.replace(".", "_") + "_total"
             values = [float(line.split()[-1]) for line in lines if line.startswith(name)]
             assert values == [index + 1]
