Check what callers are told in the schedules of the leases' fuzzer

Cause: callers of the fuzzer neither left nor submitted a job again while the first submission was open, and no reply was read but its code. So it could not find that one caller's disconnect decides the answer of another (docs/incidents/unreadable-job-state.md).

Change: submissions have identities; callers leave and return, before or after their departure is noticed; withdrawals overtake their submissions; some long jobs lose all callers. Checked are the state of each reply against the runs of the job, that every waiting submission is answered, and that nothing runs for nobody. Cancels and second submissions go to jobs with waiting callers half the time.

Evidence: tests/test_fuzz_leases.py has seven mutations for these checks, all detected: cancels at a disconnect, answers with the raw state, completes with the first task, withdraws all submissions of a job, never abandons, never stops orphans, forgets withdrawals.

--- a/tests/test_fuzz_leases.py
+++ b/tests/test_fuzz_leases.py
@@ -1,8 +1,12 @@
 """Random schedules of faults against leases, with a fixed seed, and mutations they must detect."""
 
+from typing import Any
+
 import pytest
 
-from kumquatlift.authority import _fleet, _recovery
+from kumquatlift.authority import Reply, _attempts, _fleet, _leader, _orphans, _recovery, _requests
+from kumquatlift.authority._work import Job, JobState
+from kumquatlift.codes import ResultCode
 from tools.fuzz_leases import run
 
 STEPS = 12_000
@@ -15,6 +19,8 @@
         counts = run(seed=1, steps=STEPS)
         assert counts["ended"] > 0
         assert counts["change of leader"] > 0
+        assert counts["told completed"] > 0
+        assert counts["told failed"] > 0
 
 
 class TestMutations:
@@ -41,3 +47,61 @@
         monkeypatch.setattr(_fleet.Upstream, "capacity", property(doubled))
         with pytest.raises(AssertionError, match="capacity"):
             run(seed=1, steps=STEPS)
+
+    def test_a_job_that_is_cancelled_at_a_disconnect_is_detected(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The fault of docs/incidents/unreadable-job-state.md, with a state that callers know."""
+        monkeypatch.setattr(_requests.Requests, "_withdraw", _requests.Requests._cancel)
+        with pytest.raises(AssertionError, match="told 'failed', and no task has failed too often"):
+            run(seed=1, steps=STEPS)
+
+    def test_a_state_that_is_no_result_is_detected(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(
+            _requests, "_result_reply", lambda job: Reply(ResultCode.ACCEPTED, {"state": job.state})
+        )
+        with pytest.raises(AssertionError, match="told 'cancelled', which is no result"):
+            run(seed=1, steps=STEPS)
+
+    def test_a_job_that_completes_with_its_first_task_is_detected(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def complete(job: Job, _members: Any, now_ms: int) -> None:
+            job.close(JobState.COMPLETED, now_ms)
+
+        monkeypatch.setattr(Job, "_complete", complete)
+        with pytest.raises(AssertionError, match="not all of its tasks are done"):
+            run(seed=1, steps=STEPS)
+
+    def test_a_withdrawal_of_all_submissions_of_a_job_is_detected(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        withdraw = _attempts.Attempts.withdraw
+
+        def withdraw_all(attempts: _attempts.Attempts, job_id: str, attempt: str) -> bool:
+            was_last = withdraw(attempts, job_id, attempt)
+            return bool(attempts.pop(job_id)) or was_last
+
+        monkeypatch.setattr(_attempts.Attempts, "withdraw", withdraw_all)
+        with pytest.raises(AssertionError, match="has no answer"):
+            run(seed=1, steps=STEPS)
+
+    def test_an_abandoned_job_that_runs_on_is_detected(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_leader.Leader, "abandon", lambda leader, job: None)
+        with pytest.raises(AssertionError, match="nobody waits for its job"):
+            run(seed=1, steps=STEPS)
+
+    def test_an_orphan_that_is_never_stopped_is_detected(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_orphans.Orphans, "is_expired", lambda orphans, task: False)
+        with pytest.raises(AssertionError, match="nobody waits for its job"):
+            run(seed=1, steps=STEPS)
+
+    def test_a_forgotten_withdrawal_is_detected(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a submission that arrives after its withdrawal and starts its job."""
+        monkeypatch.setattr(_attempts.Attempts, "is_withdrawn", lambda attempts, attempt: False)
+        with pytest.raises(AssertionError, match="nobody waits for its job"):
+            run(seed=1, steps=STEPS)
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import Future
 from typing import Any
@@ -107,12 +108,14 @@
         self.violations: list[str] = []
         self.starts = 0
         # Calls that are due later: time, number that keeps their order, function and arguments.
-        self._due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._due: list[tuple[float, int, Callable[..., object], tuple[Any, ...]]] = []
         self._sequence = itertools.count()
         # Run time of a task at speed 1, in milliseconds, and its processor demand, by job.
         self._work: dict[str, tuple[float, int]] = {}
         # Upstreams on which runs are in progress, by task.
         self._running: dict[TaskKey, set[str]] = {}
+        # Number of failed runs, by task.
+        self.failures: Counter[TaskKey] = Counter()
         # Upstreams and end times of successful runs, by task.
         self._done_runs: dict[TaskKey, list[tuple[ModelUpstream, float]]] = {}
         # Start times of all runs, by task.
@@ -179,12 +182,29 @@
         return self.send_request(Request(Operation.ANNOUNCE, {"upstream": list(state)}))
 
     def submit(
-        self, job: str, spec: JobSpec, *, work_ms: float, host: str = "h", path: str = "/q/"
+        self,
+        job: str,
+        spec: JobSpec,
+        *,
+        work_ms: float,
+        host: str = "h",
+        path: str = "/q/",
+        attempt: str = "",
     ) -> "Future[Reply]":
-        """Submit a job whose tasks run for ``work_ms`` at speed 1."""
+        """Submit a job whose tasks run for ``work_ms`` at speed 1.
+
+        Args:
+            job: Identity of the job.
+            spec: The job.
+            work_ms: Run time of a task at speed 1, in milliseconds.
+            host: Host that the caller names.
+            path: Path of the queue.
+            attempt: Identity of the submission, by which it can be withdrawn; empty for none.
+        """
         self._work[job] = (work_ms, spec.steps[0].cpu_milli)
         fields = {
             "job": job,
+            "attempt": attempt,
             "spec": spec.to_plain(),
             "zone": "z",
             "host": host,
@@ -216,7 +236,7 @@
 
     # Time
 
-    def later(self, seconds: float, function: Callable[..., None], *args: Any) -> None:
+    def later(self, seconds: float, function: Callable[..., object], *args: Any) -> None:
         """Call a function after a delay."""
         at = self.clock.now() + seconds
         heapq.heappush(self._due, (at, next(self._sequence), function, args))
@@ -338,6 +358,12 @@
         self._running.get(task, set()).discard(upstream.state.upstream_id)
         if reason is EndReason.DONE:
             self._done_runs.setdefault(task, []).append((upstream, self.clock.now()))
+        elif reason is EndReason.FAILED:
+            self.failures[task] += 1
+
+    def is_done(self, task: TaskKey) -> bool:
+        """Return whether a run of a task has ended with success."""
+        return task in self._done_runs
 
     def on_end_acked(self, upstream: ModelUpstream, end: TaskEnd) -> None:
         """Check that a task did not start again after it was done.
--- a/tools/fuzz_leases.py
+++ b/tools/fuzz_leases.py
@@ -3,9 +3,11 @@
 Each world runs the real leader on a manual clock with a few model upstreams, which follow the
 protocol and have drifting clocks of their own. Upstreams become unreachable, lose their answers,
 crash and restart, hang, and fail tasks; orders get no answer and are carried out seconds later;
-leaders change; callers submit again and cancel. At every step, no task may run twice at a time and
-no capacity may be exceeded; no task of a logged job may start after an end that was acknowledged.
-In the end, every logged job must have ended.
+leaders change; callers leave, submit again and cancel. At every step, no task may run twice at a
+time and no capacity may be exceeded; no task of a logged job may start after an end that was
+acknowledged. Each submission must be told how its job ended. In the end, every logged job must have
+ended, every submission whose caller waits must be answered, and jobs for which nobody waits must
+not run.
 
     python -m tools.fuzz_leases --steps 200000 --seed 1
 """
@@ -14,8 +16,18 @@
 from collections import Counter
 from concurrent.futures import Future
 from functools import partial
-
-from kumquatlift.authority import JobSpec, Operation, Queue, Reply, Request, Step
+from typing import NamedTuple
+
+from kumquatlift.authority import (
+    RESULT_STATES,
+    JobSpec,
+    Operation,
+    Queue,
+    Reply,
+    Request,
+    Step,
+    TaskKey,
+)
 from kumquatlift.codes import ResultCode
 from tools.fleet_model import FleetModel
 from tools.fuzz import main
@@ -29,6 +41,18 @@
 # Delay after which a frontend resends a request to the next leader.
 RESEND_S = 0.3
 MAX_FAULT_S = 2.5
+# Longest time after which a caller that has left submits its job again; jobs that nobody waits for
+# run on for 1.8 s.
+MAX_RETURN_S = 4.0
+# Longest time until a frontend notices that its caller has left.
+MAX_NOTICE_S = 0.5
+# Longest delay of a submission that its withdrawal has overtaken.
+MAX_OVERTAKEN_S = 0.5
+# Jobs that all callers leave run longer than ``SETTLE_S``, so that one that goes on is seen.
+ABANDONED_WORK_MS = 60_000.0
+MAX_STAY_S = 3.0
+# Share of their submissions that arrive after their withdrawal.
+OVERTAKEN_SHARE = 0.2
 # Time after the last fault for the latest delayed order, a lease, and the remaining jobs.
 SETTLE_S = 25.0
 QUEUE = Queue("q", "h", "/q/", "s", 0, 3, 1.6, 60)
@@ -43,10 +67,26 @@
     "change of leader": 2,
     "cancel": 2,
     "submit again": 2,
+    "caller leaves": 6,
+    "caller leaves and returns": 6,
+    "withdrawal comes first": 2,
+    "job is abandoned": 1,
     "orders unanswered": 2,
 }
 
 
+class Submission(NamedTuple):
+    """A submission of a job.
+
+    Args:
+        job: Identity of the job.
+        attempt: Identity of the submission.
+    """
+
+    job: str
+    attempt: str
+
+
 class Schedule:
     """One world and its random faults.
 
@@ -61,6 +101,13 @@
         self._specs: dict[str, tuple[JobSpec, float]] = {}
         # Jobs that were cancelled or refused; the final check leaves them out.
         self._exempt_jobs: set[str] = set()
+        self._cancelled_jobs: set[str] = set()
+        # Jobs that all their callers leave.
+        self._abandoned_jobs: set[str] = set()
+        # Submissions whose callers wait for the answer.
+        self._open: dict[Submission, None] = {}
+        self._submissions = 0
+        self._wrong_replies: list[str] = []
         # Speed, processor capacity and clock rate of each upstream, which its incarnations share.
         self._machines: dict[str, tuple[float, int, float]] = {}
         self._announced_at = 0.0
@@ -112,6 +159,7 @@
 
     def _check(self) -> None:
         broken = [text for text in self.world.violations if self._is_relevant(text)]
+        broken += self._wrong_replies
         assert not broken, broken[0]
 
     def _is_relevant(self, violation: str) -> bool:
@@ -128,22 +176,100 @@
         step = Step(self._rng.randrange(1, 6), 6800, 64, 0, declared_ms)
         steps = (step, step._replace(after=(0,))) if self._rng.random() < 0.2 else (step,)
         spec = JobSpec("x", steps, answers_at_end=self._rng.random() < 0.5)
+        self._submit(self._add_job(spec, work_ms))
+
+    def _add_job(self, spec: JobSpec, work_ms: float) -> str:
         job = f"{len(self._specs):016x}"
         self._specs[job] = (spec, work_ms)
         self.counts["jobs"] += 1
-        self._submit(job)
-
-    def _submit(self, job: str) -> None:
-        spec, work_ms = self._specs[job]
-        fut = self.world.submit(job, spec, work_ms=work_ms)
-        fut.add_done_callback(partial(self._on_reply, job))
-
-    def _on_reply(self, job: str, fut: "Future[Reply]") -> None:
-        if fut.result().code in (ResultCode.CLAIM_UNKNOWN, ResultCode.NOT_LEADER):
-            self.world.later(RESEND_S, self._submit, job)
-        elif fut.result().code is ResultCode.OVERLOADED:
+        return job
+
+    def _submit(self, job: str) -> Submission:
+        submission = self._new_submission(job)
+        self._send(submission)
+        return submission
+
+    def _new_submission(self, job: str) -> Submission:
+        self._submissions += 1
+        submission = Submission(job, f"attempt {self._submissions}")
+        self._open[submission] = None
+        return submission
+
+    def _send(self, submission: Submission) -> None:
+        if submission in self._open:
+            self._transmit(submission)
+
+    def _transmit(self, submission: Submission) -> None:
+        """Send a submission, also if its caller has left since."""
+        spec, work_ms = self._specs[submission.job]
+        fut = self.world.submit(submission.job, spec, work_ms=work_ms, attempt=submission.attempt)
+        fut.add_done_callback(partial(self._on_reply, submission))
+
+    def _on_reply(self, submission: Submission, fut: "Future[Reply]") -> None:
+        reply, job = fut.result(), submission.job
+        if reply.code in (ResultCode.CLAIM_UNKNOWN, ResultCode.NOT_LEADER):
+            self.world.later(RESEND_S, self._send, submission)
+            return
+        if reply.code is ResultCode.ACCEPTED and self._specs[job][0].answers_at_end:
+            self._check_result(job, reply.fields.get("state"))
+        elif reply.code is ResultCode.OVERLOADED:
             # The caller of a refused job would submit a new one.
             self._exempt_jobs.add(job)
+        elif reply.code is not ResultCode.ACCEPTED and submission in self._open:
+            self._wrong_replies.append(f"a submission of {job} is told {reply.code.label}")
+        self._open.pop(submission, None)
+
+    def _check_result(self, job: str, state: object) -> None:
+        """Check the state that a submission is told against the runs of its job."""
+        self.counts[f"told {state}"] += 1
+        tasks = [
+            TaskKey(job, 0, number, index)
+            for number, step in enumerate(self._specs[job][0].steps)
+            for index in range(step.tasks)
+        ]
+        has_failed = any(self.world.failures[task] >= QUEUE.max_attempts for task in tasks)
+        if state not in RESULT_STATES:
+            text = "which is no result"
+        elif state == "completed" and not all(self.world.is_done(task) for task in tasks):
+            text = "and not all of its tasks are done"
+        elif state == "failed" and not has_failed and job not in self._cancelled_jobs:
+            text = "and no task has failed too often"
+        else:
+            return
+        self._wrong_replies.append(f"a submission of {job} is told {state!r}, {text}")
+
+    def _withdraw(self, submission: Submission) -> None:
+        """Let the caller of a submission leave."""
+        self._open.pop(submission, None)
+        fields = {"job": submission.job, "attempt": submission.attempt}
+        self.world.send_request(Request(Operation.WITHDRAW, fields))
+
+    def _withdraw_first(self, job: str) -> None:
+        """Withdraw a submission that arrives later, unless its leader has been lost by then."""
+        if not self.world.log.is_serving:
+            return
+        submission = self._new_submission(job)
+        self._withdraw(submission)
+        delay_s = self._rng.uniform(0.0, MAX_OVERTAKEN_S)
+        self.world.later(delay_s, self._transmit_in_term, submission, self.world.log.term)
+
+    def _transmit_in_term(self, submission: Submission, term: int) -> None:
+        if self.world.log.term == term:
+            self._transmit(submission)
+
+    def _submit_to_leave(self) -> None:
+        """Submit a job up to three times, and let all of its callers leave."""
+        step = Step(self._rng.randrange(1, 3), 6800, 64, 0, int(ABANDONED_WORK_MS))
+        job = self._add_job(JobSpec("x", (step,), answers_at_end=True), ABANDONED_WORK_MS)
+        self._abandoned_jobs.add(job)
+        for _ in range(self._rng.randrange(1, 4)):
+            self.world.later(self._rng.uniform(0.0, MAX_STAY_S), self._submit_and_leave, job)
+
+    def _submit_and_leave(self, job: str) -> None:
+        if self._rng.random() < OVERTAKEN_SHARE:
+            self._withdraw_first(job)
+            return
+        self.world.later(self._rng.uniform(0.0, MAX_STAY_S), self._withdraw, self._submit(job))
 
     # Faults
 
@@ -170,14 +296,45 @@
                 if self.world.log.is_serving:
                     self.world.change_leader(gap_s=self._rng.uniform(0.2, 1.5))
             case "cancel" if self._specs:
-                job = self._rng.choice(list(self._specs))
+                job = self._random_job()
                 self._exempt_jobs.add(job)
+                self._cancelled_jobs.add(job)
                 self.world.send_request(Request(Operation.CANCEL, {"job": job}))
             case "submit again" if self._specs:
-                self._submit(self._rng.choice(list(self._specs)))
+                job = self._random_job()
+                if job not in self._abandoned_jobs:
+                    self._submit(job)
+            case "caller leaves" | "caller leaves and returns":
+                self._leave(returns=action == "caller leaves and returns")
+            case "withdrawal comes first" if self._unlogged_jobs():
+                self._withdraw_first(self._rng.choice(self._unlogged_jobs()))
+            case "job is abandoned":
+                self._submit_to_leave()
             case "orders unanswered":
                 self.world.unanswered_share = self._rng.choice(UNANSWERED_SHARES)
 
+    def _random_job(self) -> str:
+        """Return one of all jobs or, as often, one of those whose callers wait for an answer."""
+        open_jobs = [submission.job for submission in self._open]
+        choices = [list(self._specs), open_jobs or list(self._specs)]
+        return self._rng.choice(self._rng.choice(choices))
+
+    def _unlogged_jobs(self) -> list[str]:
+        return [job for job, (spec, _) in self._specs.items() if spec.answers_at_end]
+
+    def _leave(self, *, returns: bool) -> None:
+        """Let a caller leave; it may submit its job again, also before its departure is noticed."""
+        unlogged = set(self._unlogged_jobs()) - self._abandoned_jobs
+        waiting = [submission for submission in self._open if submission.job in unlogged]
+        if not waiting:
+            return
+        submission = self._rng.choice(waiting)
+        noticed_after_s = self._rng.choice([0.0, self._rng.uniform(0.0, MAX_NOTICE_S)])
+        self.world.later(noticed_after_s, self._withdraw, submission)
+        if returns:
+            delay_s = self._rng.choice([0.0, self._rng.uniform(0.0, MAX_RETURN_S)])
+            self.world.later(delay_s, self._submit, submission.job)
+
     def _heal_later(self, upstream: ModelUpstream) -> None:
         self.world.later(self._rng.uniform(0.05, MAX_FAULT_S), _heal, upstream)
 
@@ -202,6 +359,10 @@
             state = world.state_of(job)
             assert state in ("completed", "failed"), f"job {job} is {state or 'unknown'}"
             self.counts["ended"] += 1
+        unanswered = next(iter(self._open), None)
+        assert unanswered is None, f"a submission of {unanswered and unanswered.job} has no answer"
+        running = next((task for each in world.upstreams.values() for task in each.runs), None)
+        assert running is None, f"{running} runs, and nobody waits for its job"
 
 
 def _heal(upstream: ModelUpstream) -> None:
