Stop abandoned runs whose task had an earlier run on another upstream

Cause: the listed end of any run of a task removed the task's entry among the orphans. If an earlier run lapsed on an unreachable upstream, and that upstream was reached again after the last caller of the job had left, its orphaned run elsewhere had no entry and was never stopped. The end of an earlier run on the same upstream, and a new incarnation of another upstream, had the same effect.

Change: Orphans.remove takes the upstream, compared by identity so that incarnations count as one; the end of an earlier run than the one that is listed there leaves the entry.

Evidence: the new test in tests/test_authority_handover.py fails on the code before (last line: 'FAILED tests/test_authority_handover.py::TestUnloggedJobs:: test_the_end_of_an_earlier_run_does_not_keep_an_abandoned_run_going'), and passes now.

--- a/kumquatlift/authority/_orphans.py
+++ b/kumquatlift/authority/_orphans.py
@@ -82,17 +82,14 @@
         """Return whether a run or an end of a job is known here."""
         return any(task.job == job_id for task in (*self._runs, *self._ends))
 
-    def remove(self, task: TaskKey, upstream: Upstream | None = None) -> bool:
-        """Remove the run of a task.
-
-        Args:
-            task: The task.
-            upstream: Remove the run only if it is on this upstream; None for any.
+    def remove(self, task: TaskKey, upstream: Upstream) -> bool:
+        """Remove the run of a task from an upstream, or from an earlier incarnation of it.
 
         Returns:
             Whether there was such a run.
         """
-        if task not in self._runs or upstream not in (None, self._runs[task].upstream):
+        run = self._runs.get(task)
+        if run is None or run.upstream.state.upstream_id != upstream.state.upstream_id:
             return False
         del self._runs[task]
         return True
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -123,13 +123,16 @@
         """
         run = upstream.runs.get(end.task)
         progress = self._progress.get(end.task.job)
-        if self.orphans.remove(end.task) or self._find_job(end.task.job) is None:
+        # An earlier run of the task, there or elsewhere, may end later than its orphaned run.
+        is_newest = run is None or run.number <= end.run
+        is_orphan = is_newest and self.orphans.remove(end.task, upstream)
+        if is_orphan or self._find_job(end.task.job) is None:
             self.orphans.record_end(end)
         if run is None:
             if progress is not None:
                 self._wait_for_commit(upstream, end, progress)
             return
-        if run.number > end.run:
+        if not is_newest:
             return
         upstream.remove(end.task)
         self.needs_placing = True
@@ -304,7 +307,7 @@
         previous_runs, upstream.previous_runs = upstream.previous_runs, {}
         for task, run in previous_runs.items():
             if task not in listed:
-                self.orphans.remove(task)
+                self.orphans.remove(task, upstream)
             progress = self._progress.get(task.job)
             if task in listed or progress is None:
                 continue
--- a/tests/test_authority_handover.py
+++ b/tests/test_authority_handover.py
@@ -308,6 +308,25 @@
         world.run(3.0)
         assert world.violations == []
 
+    def test_the_end_of_an_earlier_run_does_not_keep_an_abandoned_run_going(self) -> None:
+        """Guards against a run that nobody waits for and that is never stopped.
+
+        The earlier run of its task lapsed on an upstream that lists this end only after the last
+        caller has left. Found by tools/fuzz_leases.py, seed 20007.
+        """
+        world = make(upstreams=2)
+        world.submit("a" * 16, answered_at_end(1), work_ms=9000, attempt="first")
+        world.run(0.2)
+        lost = next(upstream for upstream in world.upstreams.values() if upstream.runs)
+        lost.is_reachable = False
+        world.run(2.5)
+        assert world.starts == 2
+        world.send_request(Request(Operation.WITHDRAW, {"job": "a" * 16, "attempt": "first"}))
+        world.run(0.1)
+        lost.is_reachable = True
+        world.run(3.0)
+        assert not any(upstream.runs for upstream in world.upstreams.values())
+
     def test_a_waiting_job_that_would_end_too_late_is_refused_at_once(self) -> None:
         world = make(upstreams=1)
         replies = [
