Acknowledge no ends to a newer incarnation with numbers of the former one

Cause: an upstream that restarts under its identity carries out polls that were meant for its former incarnation. It numbers its ends from 1 again, so the acknowledged number in such a poll made it forget an end that no leader had read. The task, which was done, was started again. This happened between the restart and the commit of its announcement, also after an answer had shown that it had restarted.

Change: once an answer shows a newer incarnation, polls of the former one acknowledge nothing. What remains: a restart that no answer has shown yet, which the numbers cannot tell.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -139,6 +139,8 @@
         self.speed_samples = 0
         # Whether this leader knows all its runs, from the answer to a poll.
         self.is_known = False
+        # Whether a newer incarnation has answered in its place.
+        self.is_replaced = False
         # Polls of the current round without an answer; a new round begins when ends are listed.
         self.open_polls = 0
         self.poll_round = 0
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -180,7 +180,9 @@
         lease_end_ms = 0
         if needs_lease and upstream.has_clock:
             lease_end_ms = upstream.extend_lease(self._lease_s(), now)
-        order = PollOrder(upstream.durable_end, lease_end_ms, int(wait_s * 1000))
+        # A newer incarnation carries out the poll as well, and its ends have the same numbers.
+        acked_end = 0 if upstream.is_replaced else upstream.durable_end
+        order = PollOrder(acked_end, lease_end_ms, int(wait_s * 1000))
         sent = SentPoll(now, order.acked_end, upstream.poll_round)
         self._section.count("looks")
         self._gateway.poll(ref_of(upstream), order, partial(self._on_poll, upstream, sent))
@@ -228,6 +230,8 @@
 
     def _on_poll_failed(self, upstream: Upstream, answer: PollAnswer, now: float) -> None:
         upstream.poll_failures += 1
+        if answer.result is OrderResult.BORN_AGAIN:
+            upstream.is_replaced = True
         if answer.result is OrderResult.OTHER_LIFE:
             self._runs.requeue_all(upstream, "other_life")
         if upstream.poll_failures == 1 and answer.result is OrderResult.UNKNOWN:
--- a/kumquatlift/authority/_run_orders.py
+++ b/kumquatlift/authority/_run_orders.py
@@ -144,6 +144,7 @@
             case OrderResult.UNKNOWN | OrderResult.BORN_AGAIN:
                 run.may_have_started = True
                 if result is OrderResult.BORN_AGAIN:
+                    upstream.is_replaced = True
                     upstream.unreachable_since = upstream.unreachable_since or now
                 self._loop.call_after(RESEND_S, partial(self._resend, upstream, run))
             case OrderResult.STALE_RUN:
--- a/tests/test_authority_handover.py
+++ b/tests/test_authority_handover.py
@@ -184,6 +184,29 @@
         assert world.violations == []
         assert world.state_of("a" * 16) == "completed"
 
+    def test_an_end_on_another_incarnation_is_not_acknowledged_with_numbers_of_the_former_one(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a second run of a task that is done.
+
+        Each incarnation numbers its ends from 1. A poll for the former one that arrives at the next
+        one must not make it forget an end that nobody has read. Found by tools/fuzz_leases.py, seed
+        9120.
+        """
+        world = make(upstreams=1)
+        world.submit("b" * 16, job(1), work_ms=30)
+        world.run(0.5)
+        monkeypatch.setattr(world, "announce", lambda _state: None)
+        world.kill_upstream("u0")
+        world.add_upstream("u0")
+        monkeypatch.undo()
+        world.submit("a" * 16, job(1), work_ms=30)
+        world.run(0.3)
+        world.announce(world.upstreams["u0"].state)
+        world.run(1.0)
+        assert world.state_of("a" * 16) == "completed"
+        assert world.starts == 2
+
     def test_the_tasks_of_a_restarted_upstream_run_again(self) -> None:
         world = make(upstreams=2)
         world.submit("a" * 16, job(2), work_ms=1000)
