Restart the tasks of an upstream that restarts twice in a row

Cause: the runs of a former incarnation wait until the next one has listed its runs. If that one ended before, its successor took over only its runs, which were none, so the tasks counted as running for ever and the job never ended.

Change: the successor takes over the previous runs as well.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -281,7 +281,8 @@
         if known is not None and known.state.started_at_ms == state.started_at_ms:
             known.update(state)
         else:
-            previous_runs = known.runs if known is not None else {}
+            # A former incarnation that did not list its runs may also have had previous ones.
+            previous_runs = {**known.previous_runs, **known.runs} if known is not None else {}
             self._add_upstream(state, previous_runs)
         for other in list(self.fleet.values()):
             has_same_address = other.state.address == state.address
--- a/tests/test_authority_handover.py
+++ b/tests/test_authority_handover.py
@@ -207,6 +207,23 @@
         assert world.state_of("a" * 16) == "completed"
         assert world.starts == 2
 
+    def test_the_tasks_of_an_upstream_that_restarts_twice_run_again(self) -> None:
+        """Guards against a job that never ends.
+
+        The second restart comes before the upstream has listed its runs after the first one. Found
+        by tools/fuzz_leases.py, seed 500143.
+        """
+        world = make(upstreams=1)
+        world.submit("a" * 16, job(1), work_ms=300)
+        world.run(0.1)
+        for _ in range(2):
+            world.kill_upstream("u0")
+            world.add_upstream("u0").is_reachable = False
+            world.run(0.03)
+        world.upstreams["u0"].is_reachable = True
+        world.run(2.0)
+        assert world.state_of("a" * 16) == "completed"
+
     def test_the_tasks_of_a_restarted_upstream_run_again(self) -> None:
         world = make(upstreams=2)
         world.submit("a" * 16, job(2), work_ms=1000)
