Check the states that the soak's callers are told

Cause: the soak's callers looked at the status of an answer only, never submitted a job again while its first submission was open, and closed no connection. So it could not see that a submission was told a state that it may not be told (docs/incidents/unreadable-job-state.md).

Change: callers close their connection while the answer is open and submit the job again through the other frontend, submit it through both at a time, and query it on the connection of the submission. A state 'completed' needs a done end of every task in the history of the stand-in upstreams, and 'failed' a task that failed as often as the queue allows; stored jobs have one of the five states. Two mutants: 'cancels at a disconnect' restores the fault, 'answers another job' gives a job's result to another.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -58,6 +58,36 @@
         assert history.started_after_failures(2) == ["a.0.0.0"]
         assert history.started_after_failures(3) == []
 
+    @pytest.mark.parametrize(
+        ("ends", "state", "reason"),
+        [
+            (["done", "done"], "completed", ""),
+            (["done", "lapsed"], "completed", "but a.0.0.1 is not done"),
+            (["done", "failed"], "failed", "but no task has failed 2 times"),
+            (["failed", "failed"], "failed", "but no task has failed 2 times"),
+            (["done", "done"], "cancelled", "which is no result"),
+            (["done", "done"], "running", "which is no result"),
+            (["done", "done"], None, "which is no result"),
+        ],
+    )
+    def test_result_that_the_runs_do_not_show_is_reported(
+        self, ends: list[str], state: str | None, reason: str
+    ) -> None:
+        tasks = ["a.0.0.0", "a.0.0.1"]
+        history = History()
+        for task, end in zip(tasks, ends, strict=True):
+            history.record_start(task, "u1")
+            history.record_end(task, "u1", end)
+        assert history.explain_result(tasks, state, 2) == reason
+
+    def test_job_with_a_task_that_failed_often_enough_has_failed(self) -> None:
+        history = History()
+        for _ in range(2):
+            history.record_start("a.0.0.0", "u1")
+            history.record_end("a.0.0.0", "u1", "failed")
+        assert history.explain_result(["a.0.0.0", "a.0.0.1"], "failed", 2) == ""
+        assert history.explain_result(["a.0.0.0"], "completed", 2) == "but a.0.0.0 is not done"
+
     @pytest.mark.parametrize("state", ["queued", "running", "cancelled", ""])
     def test_job_without_a_cancel_must_be_completed_or_failed(self, state: str) -> None:
         assert not is_expected_end(state, is_cancel_sent=False)
@@ -79,6 +109,9 @@
         soak.run()
         assert soak.violations == []
         assert soak.checked["starts"] > 0
+        assert soak.checked["submissions told completed"] > 0
+        assert soak.checked["callers that left and returned"] > 0
+        assert soak.checked["jobs submitted twice at a time"] > 0
         assert sum(soak.faults.values()) > 3
 
 
@@ -93,7 +126,13 @@
                 ("core killed",),
                 "after its completion was acknowledged",
             ),
+            ("answers another job", ("proxies pass",), "is not done"),
             ("answers with an error", ("proxies pass",), "was answered with 500"),
+            (
+                "cancels at a disconnect",
+                ("proxies pass",),
+                "is told 'cancelled', which is no result",
+            ),
             ("cuts answers", ("frontend stopped",), "connection was closed after"),
             ("doubles the room", ("proxies pass",), "exceeds the capacity"),
             ("drops cancels", ("proxies pass",), "was cancelled, but its tasks kept running"),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from kumquatlift.authority import Reply, _ends, _fleet, _requests, _work
+from kumquatlift.authority import Reply, _attempts, _ends, _fleet, _requests, _work
 from kumquatlift.codes import ResultCode
 from kumquatlift.platform import _control, _frontend, _programs
 from kumquatlift.store import _journal, _raft
@@ -60,6 +60,32 @@
     _patch(_frontend.Frontend, "_submit", submit_or_fail)
 
 
+def _answer_another_job() -> None:
+    """Answer the submissions of another job, in a share of the cases, when a job ends."""
+    pop = _attempts.Attempts.pop
+
+    def pop_another(attempts: Any, job_id: str) -> list[Any]:
+        others = [other for other in attempts._waiting if other != job_id]
+        is_wrong = bool(others) and random.random() < WRONG_SHARE
+        return pop(attempts, random.choice(others) if is_wrong else job_id)
+
+    _patch(_attempts.Attempts, "pop", pop_another)
+
+
+def _cancel_at_a_disconnect() -> None:
+    """Cancel a job when the connection of one of its callers breaks, and tell any state.
+
+    Restores the fault of docs/incidents/unreadable-job-state.md.
+    """
+    _patch(_requests.Requests, "_withdraw", _requests.Requests._cancel)
+    _patch(_requests, "_result_reply", lambda job: Reply(ResultCode.ACCEPTED, {"state": job.state}))
+    _patch(
+        _frontend.Frontend,
+        "_state_response",
+        lambda frontend, job_id, reply, allowed: ApiResponse.from_json(200, reply.fields),
+    )
+
+
 def _exit_on_sigterm() -> None:
     """Exit at once on SIGTERM, with requests in progress."""
     wait = _programs.StopSignal.wait
@@ -195,7 +221,9 @@
 
 MUTANTS: dict[str, Callable[[], None]] = {
     "acknowledges before the log": _acknowledge_before_logging,
+    "answers another job": _answer_another_job,
     "answers with an error": _answer_with_an_error,
+    "cancels at a disconnect": _cancel_at_a_disconnect,
     "cuts answers": _exit_on_sigterm,
     "doubles the room": _double_resources,
     "drops cancels": _drop_cancels,
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -15,6 +15,7 @@
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 
 from tools.soak_faults import FAULT_KINDS, FaultSchedule
@@ -22,7 +23,9 @@
     CONFIG,
     CONNECTION_LOST,
     NO_ANSWER,
+    SUBMIT_TIMEOUT_S,
     Cluster,
+    JobRequest,
     PersistentConnections,
     try_call,
     wait_until,
@@ -55,6 +58,22 @@
 # The threads of a proxy notice a reset only at their next poll, so a request sent up to this long
 # after the reset may still use the closed connection.
 PROXY_CLOSE_S = 0.1
+# Number of times that a caller submits a job, statuses after which it does not submit it again, and
+# the delay before it does: the time after which callers submit again, in seconds.
+MAX_SUBMISSIONS = 3
+ANSWERS = frozenset((200, 429, 503))
+RESUBMIT_S = 1.3
+# Stands for the status of a submission whose caller closed its connection.
+LEFT = -2
+# Shares of the callers of jobs that are answered at their end: those that close their connection
+# after up to MAX_STAY_S, about the time of half of the jobs, and submit the job again through
+# another frontend; and, of the others, those that submit it through all frontends at a time.
+LEAVING_SHARE = 0.5
+TWICE_SHARE = 0.2
+MAX_STAY_S = 0.5
+# States that a submission may be told that is answered at the end, and those of a stored job.
+RESULT_STATES = ("completed", "failed")
+JOB_STATES = (*RESULT_STATES, "cancelled", "queued", "running")
 # Cancelled jobs run longer than CANCEL_LIMIT_S, so that one whose cancel has no effect is seen.
 CANCELLED_SHARE = 0.1
 CANCELLED_RUN_MS = 6000
@@ -106,7 +125,7 @@
         self.violations: list[str] = []
         # Jobs to check after the faults: logged ones that were accepted, and those refused by
         # every answer.
-        self._accepted: list[int] = []
+        self._accepted: list[JobRequest] = []
         self._refused: list[int] = []
         # Jobs for which a cancel was sent, and the monotonic times of acknowledged cancels.
         self._cancel_sent: set[int] = set()
@@ -157,56 +176,131 @@
         rng = random.Random(index)
         conns = PersistentConnections()
         while not self._stop_callers.is_set():
+            job = self._next_job(rng)
+            frontend_index = rng.randrange(FRONTENDS)
+            statuses: list[int] = []
+            if not job.is_logged and rng.random() < LEAVING_SHARE:
+                statuses.append(self._submit_and_leave(job, frontend_index, rng))
+                frontend_index = (frontend_index + 1) % FRONTENDS
+            elif not job.is_logged and rng.random() < TWICE_SHARE:
+                statuses += self._submit_twice(job)
+            while len(statuses) < MAX_SUBMISSIONS and not ANSWERS.intersection(statuses):
+                if statuses and statuses[-1] != LEFT:
+                    time.sleep(RESUBMIT_S)
+                    frontend_index = rng.randrange(FRONTENDS)
+                statuses.append(self._submit(job, frontend_index, conns=conns))
             with self._lock:
-                self._last_number += 1
-                number = self._last_number
-            is_cancelled = rng.random() < CANCELLED_SHARE
-            is_logged = is_cancelled or rng.random() < 0.5
-            if not is_logged:
-                self._best_effort.add(number)
-            tasks, run_ms = rng.randrange(1, 5), rng.choice([20, 60, 200, 900])
-            if is_cancelled:
-                # Several long tasks would take all resources from the other jobs.
-                tasks, run_ms = 1, CANCELLED_RUN_MS
-            fails = not is_cancelled and rng.random() < FAILING_SHARE
-            steps = 2 if not is_cancelled and rng.random() < TWO_STEPS_SHARE else 1
-            statuses = []
-            for _ in range(3):
-                frontend_index = rng.randrange(FRONTENDS)
-                sent_at = time.monotonic()
-                status = self._cluster.submit(
-                    number,
-                    tasks=tasks,
-                    run_ms=run_ms,
-                    is_logged=is_logged,
-                    steps=steps,
-                    fails=fails,
-                    frontend=frontend_index,
-                    conns=conns,
-                )
-                statuses.append(status)
-                if status == CONNECTION_LOST:
-                    self._check_unanswered(frontend_index, number, sent_at)
-                if status in (200, 503, 429):
-                    break
-                time.sleep(1.3)
-            with self._lock:
-                if statuses[-1] == 200 and is_logged:
-                    self._accepted.append(number)
+                if 200 in statuses and job.is_logged:
+                    self._accepted.append(job)
                 if set(statuses) <= {503, 429}:
-                    self._refused.append(number)
-            if is_cancelled and statuses[-1] == 200:
+                    self._refused.append(job.number)
+            if statuses == [200]:
+                self._query_on_kept_connection(job, frontend_index, conns)
+            if job.run_ms == CANCELLED_RUN_MS and 200 in statuses:
                 time.sleep(rng.random())
-                self._cancel_sent.add(number)
-                if self._cluster.cancel(number, frontend_index) in (200, 410):
-                    self._cancelled[number] = time.monotonic()
+                self._cancel(job.number, frontend_index)
             self.checked["answers"] += 1
-            if statuses[-1] != 200:
+            if 200 not in statuses:
                 time.sleep(REFUSED_DELAY_S)
-            for status in set(statuses) - {CONNECTION_LOST, NO_ANSWER, 200, 429, 503, 504}:
-                self._report_violation(f"job {number:016x} was answered with {status}")
         conns.close()
 
+    def _next_job(self, rng: random.Random) -> JobRequest:
+        with self._lock:
+            self._last_number += 1
+            number = self._last_number
+        if rng.random() < CANCELLED_SHARE:
+            # Several long tasks would take all resources from the other jobs.
+            return JobRequest(number, tasks=1, run_ms=CANCELLED_RUN_MS)
+        job = JobRequest(
+            number,
+            tasks=rng.randrange(1, 5),
+            run_ms=rng.choice([20, 60, 200, 900]),
+            is_logged=rng.random() < 0.5,
+            steps=2 if rng.random() < TWO_STEPS_SHARE else 1,
+            fails=rng.random() < FAILING_SHARE,
+        )
+        if not job.is_logged:
+            self._best_effort.add(number)
+        return job
+
+    def _submit(
+        self,
+        job: JobRequest,
+        frontend_index: int,
+        *,
+        conns: PersistentConnections | None = None,
+        timeout_s: float = SUBMIT_TIMEOUT_S,
+    ) -> int:
+        """Submit a job, check the answer, and return the status."""
+        sent_at = time.monotonic()
+        status, body = self._cluster.submit_job(
+            job, frontend=frontend_index, conns=conns, timeout_s=timeout_s
+        )
+        if status == CONNECTION_LOST:
+            self._check_unanswered(frontend_index, job.number, sent_at)
+        elif status == 200 and not job.is_logged:
+            state = body.get("state") if isinstance(body, dict) else None
+            self.checked[f"submissions told {state}"] += 1
+            self._check_state(job, state)
+        elif status not in (NO_ANSWER, 200, 429, 503, 504):
+            self._report_violation(f"job {job.number:016x} was answered with {status}")
+        return status
+
+    def _submit_and_leave(self, job: JobRequest, frontend_index: int, rng: random.Random) -> int:
+        """Submit a job, close the connection if no answer has come by then, and wait to return.
+
+        Returns:
+            The status; ``LEFT`` if the caller has left.
+        """
+        status = self._submit(job, frontend_index, timeout_s=rng.uniform(0.01, MAX_STAY_S))
+        if status != NO_ANSWER:
+            return status
+        self.checked["callers that left and returned"] += 1
+        time.sleep(rng.choice([0.0, RESUBMIT_S]))
+        return LEFT
+
+    def _submit_twice(self, job: JobRequest) -> list[int]:
+        """Submit a job through two frontends at a time, and return both statuses."""
+        self.checked["jobs submitted twice at a time"] += 1
+        with ThreadPoolExecutor(FRONTENDS) as executor:
+            return list(executor.map(partial(self._submit, job), range(FRONTENDS)))
+
+    def _query_on_kept_connection(
+        self, job: JobRequest, frontend_index: int, conns: PersistentConnections
+    ) -> None:
+        """Query a job on the connection of its only submission; the answer must be its own."""
+        status, body = self._cluster.query(job, frontend_index, conns)
+        if status == 200:
+            self.checked["queries on kept connections"] += 1
+            # A job that was answered at its end has ended for good.
+            self._check_state(job, body.get("state"), allowed=JOB_STATES if job.is_logged else ())
+
+    def _check_state(
+        self, job: JobRequest, state: object, *, allowed: tuple[str, ...] = ()
+    ) -> None:
+        """Check a state that a caller was told against the runs of its job.
+
+        Args:
+            job: The job.
+            state: The state.
+            allowed: States other than results that are allowed.
+        """
+        if state in allowed and state not in RESULT_STATES:
+            return
+        reason = self._cluster.history.explain_result(job.task_names, state, MAX_ATTEMPTS)
+        if reason:
+            self._report_violation(
+                f"the caller of job {job.number:016x} is told {state!r}, {reason}"
+            )
+
+    def _cancel(self, number: int, frontend_index: int) -> None:
+        self._cancel_sent.add(number)
+        status, body = self._cluster.cancel(number, frontend_index)
+        if status in (200, 410):
+            self._cancelled[number] = time.monotonic()
+        if status == 200 and body.get("state") not in JOB_STATES:
+            self._report_violation(f"the cancel of job {number:016x} is told {body}")
+
     def _replace_configurations(self) -> None:
         version = 3
         while not self._stop_callers.is_set():
@@ -267,16 +361,19 @@
         self.checked["service after the last fault"] += 1
         self._check_processes()
         settled_at = time.monotonic() + self._settle_s
-        for number in self._accepted:
+        for job in self._accepted:
             self.checked["accepted jobs that ended"] += 1
             remaining_s = max(0.0, settled_at - time.monotonic())
             try:
-                wait_until(lambda n=number: self._has_ended(n), remaining_s)  # type: ignore[misc]
+                wait_until(lambda n=job.number: self._has_ended(n), remaining_s)  # type: ignore[misc]
             except AssertionError:
-                state = self._cluster.state(number)
+                state = self._cluster.state(job.number)
                 self._report_violation(
-                    f"job {number:016x} was accepted and is {state or 'unknown'}"
+                    f"job {job.number:016x} was accepted and is {state or 'unknown'}"
                 )
+            else:
+                state = self._cluster.state(job.number)
+                self._check_state(job, state, allowed=("", "cancelled"))
         for number in self._refused:
             self.checked["refused jobs that did not run"] += 1
             if self._cluster.history.has_started(f"{number:016x}"):
@@ -325,7 +422,7 @@
     If a cancel was sent, the job may be cancelled or no longer known, even when the answer to the
     cancel was lost.
     """
-    return state in ("completed", "failed") or (is_cancel_sent and state in ("cancelled", ""))
+    return state in RESULT_STATES or (is_cancel_sent and state in ("cancelled", ""))
 
 
 def shrink(
--- a/tools/users_platform/__init__.py
+++ b/tools/users_platform/__init__.py
@@ -4,7 +4,7 @@
 ``tests.users_platform``.
 """
 
-from tools.users_platform._cluster import CONFIG, Cluster, wait_until
+from tools.users_platform._cluster import CONFIG, SUBMIT_TIMEOUT_S, Cluster, JobRequest, wait_until
 from tools.users_platform._history import History
 from tools.users_platform._http import (
     CONNECTION_LOST,
@@ -21,8 +21,10 @@
     "CONNECTION_LOST",
     "DRAIN_GRACE_S",
     "NO_ANSWER",
+    "SUBMIT_TIMEOUT_S",
     "Cluster",
     "History",
+    "JobRequest",
     "PersistentConnections",
     "Program",
     "StandInUpstream",
--- a/tools/users_platform/_cluster.py
+++ b/tools/users_platform/_cluster.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from kumquatlift.settings import Address
 from tools.fault_proxy import FaultProxy
@@ -35,6 +35,44 @@
 }
 
 
+# Longer than any answer of a frontend takes.
+SUBMIT_TIMEOUT_S = 12.0
+
+
+class JobRequest(NamedTuple):
+    """A job as its callers submit it.
+
+    Args:
+        number: Identity of the job.
+        tasks: Number of tasks in each step.
+        run_ms: Run time of a task, in milliseconds.
+        is_logged: Whether the job is logged and answered when accepted, not when it has ended.
+        steps: Number of steps, each of which depends on the one before.
+        fails: Whether every run of its tasks fails.
+    """
+
+    number: int
+    tasks: int = 2
+    run_ms: int = 50
+    is_logged: bool = True
+    steps: int = 1
+    fails: bool = False
+
+    @property
+    def path(self) -> str:
+        """Path of the job's requests."""
+        return f"/q/{self.number:016x}"
+
+    @property
+    def task_names(self) -> list[str]:
+        """Names of all tasks."""
+        return [
+            f"{self.number:016x}.0.{step}.{index}"
+            for step in range(self.steps)
+            for index in range(self.tasks)
+        ]
+
+
 def wait_until(condition: Callable[[], bool], timeout_s: float = 15.0) -> None:
     """Wait for a condition; raise ``AssertionError`` when it does not come true in time."""
     deadline = time.monotonic() + timeout_s
@@ -149,42 +187,50 @@
                 return 200
         return 0
 
-    def submit(
+    def submit(self, number: int, *, frontend: int = 0, **options: Any) -> int:
+        """Submit a job and return the status; see ``submit_job``."""
+        return self.submit_job(JobRequest(number, **options), frontend=frontend)[0]
+
+    def submit_job(
         self,
-        number: int,
+        job: JobRequest,
         *,
-        tasks: int = 2,
-        run_ms: int = 50,
-        is_logged: bool = True,
-        steps: int = 1,
-        fails: bool = False,
         frontend: int = 0,
         conns: PersistentConnections | None = None,
-    ) -> int:
-        """Submit a job and return the status; see ``try_call``.
+        timeout_s: float = SUBMIT_TIMEOUT_S,
+    ) -> tuple[int, Any]:
+        """Submit a job, and return the status and the JSON body; see ``try_call``.
 
         Args:
-            number: Identity of the job.
-            tasks: Number of tasks in each step.
-            run_ms: Run time of a task, in milliseconds.
-            is_logged: Whether the job is logged and answered when accepted, not when it has ended.
-            steps: Number of steps, each of which depends on the one before.
-            fails: Whether every run of its tasks fails.
+            job: The job.
             frontend: Number of the frontend.
             conns: Connections to reuse; None for a new connection.
+            timeout_s: Time after which the caller closes its connection, in seconds.
         """
-        spec = json.dumps({"ms": run_ms, "cpu": 6800, "tasks": tasks, "fails": fails})
-        step = {"count": tasks, "cpu": 6800, "requestedMemoryMb": 64, "estimatedMs": run_ms}
-        rows = [{**step, "dependsOn": [number - 1] if number else []} for number in range(steps)]
-        body = {"spec": spec, "steps": rows, "bestEffort": not is_logged}
+        spec = {"ms": job.run_ms, "cpu": 6800, "tasks": job.tasks, "fails": job.fails}
+        step = {
+            "count": job.tasks,
+            "cpu": 6800,
+            "requestedMemoryMb": 64,
+            "estimatedMs": job.run_ms,
+        }
+        rows = [
+            {**step, "dependsOn": [number - 1] if number else []} for number in range(job.steps)
+        ]
+        body = {"spec": json.dumps(spec), "steps": rows, "bestEffort": not job.is_logged}
         conns = conns or PersistentConnections()
         address = self.frontends[frontend].public
-        status, _ = conns.try_call(address, "POST", f"/q/{number:016x}", body, timeout_s=12.0)
-        return status
+        return conns.try_call(address, "POST", job.path, body, timeout_s=timeout_s)
+
+    def query(
+        self, job: JobRequest, frontend: int, conns: PersistentConnections
+    ) -> tuple[int, Any]:
+        """Query a job, and return the status and the JSON body; see ``try_call``."""
+        return conns.try_call(self.frontends[frontend].public, "GET", job.path)
 
-    def cancel(self, number: int, frontend: int = 0) -> int:
-        """Cancel a job and return the status; see ``try_call``."""
-        return try_call(self.frontends[frontend].public, "DELETE", f"/q/{number:016x}")[0]
+    def cancel(self, number: int, frontend: int = 0) -> tuple[int, Any]:
+        """Cancel a job, and return the status and the JSON body; see ``try_call``."""
+        return try_call(self.frontends[frontend].public, "DELETE", f"/q/{number:016x}")
 
     def state(self, number: int) -> str:
         """Return the state of a job; empty if no frontend knows it."""
--- a/tools/users_platform/_history.py
+++ b/tools/users_platform/_history.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 from typing import NamedTuple
 
 
@@ -42,6 +43,8 @@
         self._acknowledged: dict[str, float] = {}
         # Tasks with an end ``done``, acknowledged or not.
         self._completed: set[str] = set()
+        # Number of ends ``failed`` by task, acknowledged or not.
+        self._failures: Counter[str] = Counter()
         # Times of the acknowledged ends ``failed`` by task.
         self._failure_times: dict[str, list[float]] = {}
 
@@ -121,8 +124,27 @@
             self._running.pop(task, None)
             if reason == "done":
                 self._completed.add(task)
+            elif reason == "failed":
+                self._failures[task] += 1
             self.events.append(RunEvent(time.monotonic(), reason, task, upstream))
 
+    def explain_result(self, tasks: list[str], state: object, attempts: int) -> str:
+        """Return why a job cannot have ended in a state; empty if it can.
+
+        Args:
+            tasks: Names of all tasks of the job.
+            state: State that the caller of the job was told.
+            attempts: Number of failed runs of a task after which its job fails.
+        """
+        with self._lock:
+            missing = [task for task in tasks if task not in self._completed]
+            has_failed = any(self._failures[task] >= attempts for task in tasks)
+        if state == "completed":
+            return f"but {missing[0]} is not done" if missing else ""
+        if state == "failed":
+            return "" if has_failed else f"but no task has failed {attempts} times"
+        return "which is no result"
+
     def record_violation(self, text: str) -> None:
         """Record a violated guarantee."""
         with self._lock:
