Let leaving callers of the soak break connections that they have used before

A caller that left used a connection of its own; now it breaks its kept one, which is replaced for the next submission. It goes to the other frontend only if it has left.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -180,8 +180,9 @@
             frontend_index = rng.randrange(FRONTENDS)
             statuses: list[int] = []
             if not job.is_logged and rng.random() < LEAVING_SHARE:
-                statuses.append(self._submit_and_leave(job, frontend_index, rng))
-                frontend_index = (frontend_index + 1) % FRONTENDS
+                statuses.append(self._submit_and_leave(job, frontend_index, conns, rng))
+                if statuses == [LEFT]:
+                    frontend_index = (frontend_index + 1) % FRONTENDS
             elif not job.is_logged and rng.random() < TWICE_SHARE:
                 statuses += self._submit_twice(job)
             while len(statuses) < MAX_SUBMISSIONS and not ANSWERS.intersection(statuses):
@@ -246,13 +247,20 @@
             self._report_violation(f"job {job.number:016x} was answered with {status}")
         return status
 
-    def _submit_and_leave(self, job: JobRequest, frontend_index: int, rng: random.Random) -> int:
+    def _submit_and_leave(
+        self,
+        job: JobRequest,
+        frontend_index: int,
+        conns: PersistentConnections,
+        rng: random.Random,
+    ) -> int:
         """Submit a job, close the connection if no answer has come by then, and wait to return.
 
         Returns:
             The status; ``LEFT`` if the caller has left.
         """
-        status = self._submit(job, frontend_index, timeout_s=rng.uniform(0.01, MAX_STAY_S))
+        stay_s = rng.uniform(0.01, MAX_STAY_S)
+        status = self._submit(job, frontend_index, conns=conns, timeout_s=stay_s)
         if status != NO_ANSWER:
             return status
         self.checked["callers that left and returned"] += 1
