--- a/kumquatlift/authority/_run_orders.py
+++ b/kumquatlift/authority/_run_orders.py
@@ -156,6 +156,7 @@
             case OrderResult.UNKNOWN | OrderResult.BORN_AGAIN:
                 run.may_have_started = True
                 if result is OrderResult.BORN_AGAIN:
+                    upstream.is_replaced = True
                     upstream.unreachable_since = upstream.unreachable_since or now
                 self._call_later(RESEND_S, partial(self._resend, upstream, run))
             case OrderResult.STALE_RUN:
--- a/tests/test_authority_handover.py
+++ b/tests/test_authority_handover.py
@@ -184,6 +184,46 @@
         assert world.violations == []
         assert world.state_of("a" * 16) == "completed"
 
+    def test_an_end_on_another_incarnation_is_not_acknowledged_with_numbers_of_the_former_one(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a second run of a task that is done.
+
+        Each incarnation numbers its ends from 1. A poll for the former one that arrives at the next
+        one must not make it forget an end that nobody has read. Found by tools/fuzz_leases.py, seed
+        9120.
+        """
+        world = make(upstreams=1)
+        world.submit("b" * 16, job(1), work_ms=30)
+        world.run(0.5)
+        monkeypatch.setattr(world, "announce", lambda _state: None)
+        world.kill_upstream("u0")
+        world.add_upstream("u0")
+        monkeypatch.undo()
+        world.submit("a" * 16, job(1), work_ms=30)
+        world.run(0.3)
+        world.announce(world.upstreams["u0"].state)
+        world.run(1.0)
+        assert world.state_of("a" * 16) == "completed"
+        assert world.starts == 2
+
+    def test_the_tasks_of_an_upstream_that_restarts_twice_run_again(self) -> None:
+        """Guards against a job that never ends.
+
+        The second restart comes before the upstream has listed its runs after the first one. Found
+        by tools/fuzz_leases.py, seed 500143.
+        """
+        world = make(upstreams=1)
+        world.submit("a" * 16, job(1), work_ms=300)
+        world.run(0.1)
+        for _ in range(2):
+            world.kill_upstream("u0")
+            world.add_upstream("u0").is_reachable = False
+            world.run(0.03)
+        world.upstreams["u0"].is_reachable = True
+        world.run(2.0)
+        assert world.state_of("a" * 16) == "completed"
+
     def test_the_tasks_of_a_restarted_upstream_run_again(self) -> None:
         world = make(upstreams=2)
         world.submit("a" * 16, job(2), work_ms=1000)
@@ -308,6 +348,25 @@
         world.run(3.0)
         assert world.violations == []
 
+    def test_the_end_of_an_earlier_run_does_not_keep_an_abandoned_run_going(self) -> None:
+        """Guards against a run that nobody waits for and that is never stopped.
+
+        The earlier run of its task lapsed on an upstream that lists this end only after the last
+        caller has left. Found by tools/fuzz_leases.py, seed 20007.
+        """
+        world = make(upstreams=2)
+        world.submit("a" * 16, answered_at_end(1), work_ms=9000, attempt="first")
+        world.run(0.2)
+        lost = next(upstream for upstream in world.upstreams.values() if upstream.runs)
+        lost.is_reachable = False
+        world.run(2.5)
+        assert world.starts == 2
+        world.send_request(Request(Operation.WITHDRAW, {"job": "a" * 16, "attempt": "first"}))
+        world.run(0.1)
+        lost.is_reachable = True
+        world.run(3.0)
+        assert not any(upstream.runs for upstream in world.upstreams.values())
+
     def test_a_waiting_job_that_would_end_too_late_is_refused_at_once(self) -> None:
         world = make(upstreams=1)
         replies = [
