Ignore runs and ends of tasks that their job doesn't have

An upstream that listed the end of a task outside its job (step 7 of a job of one step, occurrence 5 of a job without occurrences, a negative number) could stop the whole group:

- A stored job: the row was proposed in an ENDS command.
Applying it raised IndexError or KeyError on every replica.
The event loop logs an error of a callback and goes on, and the log had already counted the entry as applied, so no process ended there; but the leader never learned of the commit, so the ends of all upstreams in the same command stayed unacknowledged, and the entry failed again on each replica after each restart.
- An index that the job doesn't have counted as a done task, so a job was reported as completed while one of its tasks had not run.
A listed run of such a task raised in the leader's loop at each poll, so the runs of that upstream were not reconciled.

The ends are acknowledged, as the upstream would list them for ever. A committed command that can't be applied at all is logged as command_not_applied and skipped, on the same conditions on each replica, and the leader and the waiting caller are told. A batch of ends is read in full before the first one takes effect. A stored configuration that can't be read no longer ends a process at its start.

Errors that depend on the process, such as a lack of memory, are not skipped.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -129,14 +129,17 @@
 
     def _on_applied(self, applied: Applied) -> None:
         leader = self._leader
-        if leader is not None:
-            self._notify_leader(leader, applied)
+        if leader is not None and applied.command is not None:
+            self._notify_leader(leader, applied, applied.command)
+        elif leader is not None:
+            # It may have held ends; those that upstreams wait for count as acknowledged.
+            leader.on_ends(applied.position, ())
         if self._requests is not None:
             self._requests.on_applied(applied)
 
-    def _notify_leader(self, leader: Leader, applied: Applied) -> None:
-        fields = applied.command.fields
-        match applied.command.kind:
+    def _notify_leader(self, leader: Leader, applied: Applied, command: Command) -> None:
+        fields = command.fields
+        match command.kind:
             case CommandKind.JOB if applied.job is not None:
                 leader.add_job(applied.job)
             case CommandKind.ENDS:
--- a/kumquatlift/authority/_ends.py
+++ b/kumquatlift/authority/_ends.py
@@ -51,7 +51,9 @@
             if job is not None:
                 if job.end_task(end, self._state.wall_ms()):
                     self._on_committed(end)
-            elif end.task.job in self._state.jobs:
+                continue
+            job = self._state.jobs.get(end.task.job)
+            if job is not None and job.has_task(end.task):
                 logged.append(end)
         if logged:
             upstream.open_batches += 1
--- a/kumquatlift/authority/_orphans.py
+++ b/kumquatlift/authority/_orphans.py
@@ -105,6 +105,8 @@
     def adopt(self, progress: Progress) -> None:
         """Assign stored runs and ends to the job they belong to, which has become known.
 
+        Those of tasks that the job doesn't have are dropped.
+
         Runs that are being stopped count as running until their end is listed, so that their tasks
         do not start elsewhere before.
         """
@@ -113,6 +115,9 @@
             job.end_task(self._ends.pop(task)[0], self._state.wall_ms())
         for task in [task for task in self._runs if task.job == job.job_id]:
             upstream = self._runs.pop(task).upstream
+            if not job.has_task(task):
+                upstream.remove(task)
+                continue
             run = upstream.runs.get(task)
             if run is not None:
                 run.expected_ms = progress.expected_ms[task.step]
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -249,13 +249,23 @@
 
     def _record_ends(self, upstream: Upstream, answer: PollAnswer) -> None:
         ends: list[TaskEnd] = []
+        listed_before = upstream.listed_end
         for number, end in answer.ends:
             if number <= upstream.listed_end:
                 continue
             upstream.listed_end = number
+            if self._names_unknown_task(end.task):
+                get_logger().warning(
+                    "end_of_unknown_task",
+                    task=str(end.task),
+                    run=end.run,
+                    upstream=upstream.state.upstream_id,
+                )
+                continue
             ends.append(end)
             self._runs.end(upstream, end)
-        if ends:
+        # Ends that are ignored are acknowledged too, or the upstream would list them for ever.
+        if upstream.listed_end > listed_before:
             # Every poll that waited for an end has been answered by now, or its answer is lost.
             upstream.poll_round += 1
             upstream.open_polls = 0
@@ -266,7 +276,17 @@
     ) -> None:
         """Update the leader's records of runs from the list of an upstream."""
         listed: set[TaskKey] = set()
+        unknown = [row.task for row in answer.running if self._names_unknown_task(row.task)]
+        if unknown:
+            get_logger().warning(
+                "runs_of_unknown_tasks",
+                upstream=upstream.state.upstream_id,
+                runs=len(unknown),
+                first=str(unknown[0]),
+            )
         for row in answer.running:
+            if self._names_unknown_task(row.task):
+                continue
             listed.add(row.task)
             run = upstream.runs.get(row.task)
             if run is None or run.number != row.run:
@@ -282,6 +302,11 @@
             if is_settled and run.task not in listed:
                 self._runs.requeue(upstream, run, "not_listed")
 
+    def _names_unknown_task(self, task: TaskKey) -> bool:
+        """Return whether a task names a known job that has no such task."""
+        job = self._find_job(task.job)
+        return job is not None and not job.has_task(task)
+
     def _adopt_run(self, upstream: Upstream, task: TaskKey, number: int, now: float) -> None:
         """Record a run that this leader did not start there; stop it if its task needs no run."""
         job = self._find_job(task.job)
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -303,6 +303,8 @@
 
 def _commit_reply(applied: Applied) -> Reply:
     """Return the reply to a request whose command was committed."""
+    if applied.command is None:
+        return Reply(ResultCode.MALFORMED, {"reason": "the command can't be applied"})
     if applied.command.kind is not CommandKind.CANCEL:
         return _DONE
     if applied.job is None:
--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -23,13 +23,13 @@
 
     Args:
         position: Index of its entry in the log.
-        command: The command.
+        command: The command; None if it was skipped because it can't be applied.
         job: Job that it concerns; None when there is none or it is unknown.
         ends: Ends of runs that changed the state.
     """
 
     position: int
-    command: Command
+    command: Command | None
     job: Job | None = None
     ends: tuple[TaskEnd, ...] = ()
 
@@ -60,8 +60,21 @@
         return int(self._wall_clock() * 1000)
 
     def apply(self, index: int, term: int, data: bytes) -> None:
-        """Apply a committed command."""
-        command = Command.from_bytes(data)
+        """Apply a committed command.
+
+        A command that can't be applied is skipped. As that depends only on the command and on the
+        state, all replicas skip the same commands.
+        """
+        try:
+            applied = self._apply(index, term, Command.from_bytes(data))
+        except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as exc:
+            get_logger().error(
+                "command_not_applied", index=index, data=repr(data[:200]), exc_info=exc
+            )
+            applied = Applied(index, None)
+        self.on_applied(applied)
+
+    def _apply(self, index: int, term: int, command: Command) -> Applied:
         fields = command.fields
         applied = Applied(index, command)
         match command.kind:
@@ -86,7 +99,7 @@
                     del self.upstreams[known.upstream_id]
             case CommandKind.FORGET:
                 self._forget(fields["ended_before_ms"])
-        self.on_applied(applied)
+        return applied
 
     def _add_job(self, term: int, command: Command) -> Job:
         fields = command.fields
@@ -98,11 +111,17 @@
         return job
 
     def _end_tasks(self, command: Command) -> tuple[TaskEnd, ...]:
+        # All rows are read before the first one takes effect, so that a command is either applied
+        # in full or skipped.
+        at_ms = command.fields["at_ms"]
+        rows = [
+            TaskEnd(TaskKey(*row[:4]), row[4], EndReason(row[5]), row[6])
+            for row in command.fields["ends"]
+        ]
         ends: list[TaskEnd] = []
-        for row in command.fields["ends"]:
-            end = TaskEnd(TaskKey(*row[:4]), row[4], EndReason(row[5]), row[6])
+        for end in rows:
             job = self.jobs.get(end.task.job)
-            if job is not None and job.end_task(end, command.fields["at_ms"]):
+            if job is not None and job.end_task(end, at_ms):
                 ends.append(end)
         return tuple(ends)
 
@@ -136,7 +155,12 @@
             return
         plain = json.loads(data)
         if plain["config"]:
-            self.routing = RoutingTable(cfg=self._read_config(plain["config"]))
+            try:
+                self.routing = RoutingTable(cfg=self._read_config(plain["config"]))
+            except ValueError as exc:
+                # Without a configuration, the operator sends it again; an error here would end the
+                # process at each start.
+                get_logger().error("config_not_restored", error=str(exc)[:300])
         for row in plain["jobs"]:
             job = Job.from_plain(row)
             self.jobs[job.job_id] = job
--- a/kumquatlift/authority/_work.py
+++ b/kumquatlift/authority/_work.py
@@ -3,6 +3,7 @@
 from typing import Any, NamedTuple
 
 from kumquatlift.authority._commands import EndReason, TaskEnd, TaskKey
+from kumquatlift.log import get_logger
 
 
 class Step(NamedTuple):
@@ -175,6 +176,15 @@
         """Whether any step of the job runs until the job is cancelled."""
         return any(step.runs_until_cancelled for step in self.spec.steps)
 
+    def has_task(self, task: TaskKey) -> bool:
+        """Whether a task is one of this job; upstreams may name others."""
+        return (
+            task.job == self.job_id
+            and 0 <= task.step < len(self.spec.steps)
+            and 0 <= task.number < self.spec.steps[task.step].tasks
+            and 0 <= task.occurrence < max(1, self.spec.occurrences)
+        )
+
     def tasks_of(self, occurrence: int, number: int) -> list[TaskKey]:
         """Return the keys of all tasks of a step."""
         count = self.spec.steps[number].tasks
@@ -194,10 +204,13 @@
             now_ms: Wall clock, in Unix milliseconds.
 
         Returns:
-            Whether the job changed. Repeated ends, ends of earlier runs and ends of completed tasks
-            are ignored.
+            Whether the job changed. Repeated ends, ends of earlier runs, ends of completed tasks
+            and ends of tasks that the job doesn't have are ignored.
         """
         task = end.task
+        if not self.has_task(task):
+            get_logger().warning("end_of_unknown_task", task=str(task), run=end.run)
+            return False
         if not self.is_open or task in self.done or end.run <= self.ended_run.get(task, 0):
             return False
         step = self.spec.steps[task.step]
@@ -250,7 +263,11 @@
 
     @classmethod
     def from_plain(cls, plain: list[Any]) -> "Job":
-        """Read what ``to_plain`` returned."""
+        """Read what ``to_plain`` returned.
+
+        Tasks that the job doesn't have are left out; earlier versions stored those that an upstream
+        had listed.
+        """
         (job_id, queue, term, accepted_at_ms, max_attempts, zone), spec = plain[0], plain[1]
         job = cls(
             job_id=job_id,
@@ -262,10 +279,11 @@
             zone=zone,
         )
         job.state, job.ended_at_ms, job.is_started = plain[2]
-        job.done = {TaskKey(job_id, *row) for row in plain[3]}
-        job.ended_run = {TaskKey(job_id, *row[:3]): row[3] for row in plain[4]}
-        job.failures = {TaskKey(job_id, *row[:3]): row[3] for row in plain[5]}
-        job.checkpoint = {TaskKey(job_id, *row[:3]): row[3] for row in plain[6]}
+        job.done = {task for row in plain[3] if job.has_task(task := TaskKey(job_id, *row))}
+        job.ended_run, job.failures, job.checkpoint = (
+            {task: row[3] for row in rows if job.has_task(task := TaskKey(job_id, *row[:3]))}
+            for rows in plain[4:7]
+        )
         for task in job.done:
             job.remaining[task.occurrence, task.step] -= 1
         return job
