Call the callback of each order and poll, also after an unexpected error

While an answer to a poll held a row that raised an error outside those that the codec catches (an end numbered 1e999, a running row that is an object), the operator saw `worker_failed`, and the upstream was soon not polled any more: the worker's function ended before it posted the answer, so the poll stayed open, and with MAX_OPEN_POLLS of them none was sent. Its ends weren't read, and its lease ended.

UpstreamClient now turns any error of an exchange or of its reading into an unknown outcome, logged as order_failed; the leader already handles that as a lost answer. It also wakes the pool for polls once a second: a poll whose thread the system refused waited for the next submit, which may never come when that poll is the only one. The pool for orders is woken by its own periodic submit. Of the other uses of WorkerPool.submit, `Dispatcher` and the topic queues were not changed here.

--- a/kumquatlift/platform/_upstream_client.py
+++ b/kumquatlift/platform/_upstream_client.py
@@ -13,6 +13,7 @@
     StopOrder,
     UpstreamRef,
 )
+from kumquatlift.log import get_logger
 from kumquatlift.platform._wire import (
     read_order_answer,
     read_poll_answer,
@@ -50,6 +51,8 @@
         self._orders = WorkerPool(threads=ORDER_THREADS, name="order")
         self._polls = WorkerPool(threads=POLL_THREADS, name="look")
         loop.call_every(CLOSE_IDLE_S, partial(self._orders.submit, self._pool.close_idle))
+        # Each ``submit`` above does the same for the threads for orders.
+        loop.call_every(CLOSE_IDLE_S, self._polls.wake)
 
     def start(
         self, ref: UpstreamRef, order: StartOrder, done: Callable[[OrderAnswer], None]
@@ -75,20 +78,29 @@
         timeout_s: float,
         done: Callable[[OrderAnswer], None],
     ) -> None:
-        answer = self._exchange(ref, path, body, timeout_s)
-        if isinstance(answer, OrderAnswer):
-            result = answer
-        else:
-            result = read_order_answer(answer.status, answer.body, ref.started_at_ms)
+        try:
+            answer = self._exchange(ref, path, body, timeout_s)
+            if isinstance(answer, OrderAnswer):
+                result = answer
+            else:
+                result = read_order_answer(answer.status, answer.body, ref.started_at_ms)
+        except Exception as exc:
+            # The leader counts on the callback, so any error is an unknown outcome.
+            result = _on_error(ref, path, exc)
         self._loop.post(done, result)
 
     def _poll(self, ref: UpstreamRef, order: PollOrder, done: Callable[[PollAnswer], None]) -> None:
         timeout_s = POLL_TIMEOUT_S + order.wait_ms / 1000
-        answer = self._exchange(ref, "/api/hold", write_poll(order, ref.token), timeout_s)
-        if isinstance(answer, OrderAnswer):
-            result = PollAnswer(answer.result, reason=answer.reason)
-        else:
-            result = read_poll_answer(answer.status, answer.body, ref.started_at_ms)
+        try:
+            answer = self._exchange(ref, "/api/hold", write_poll(order, ref.token), timeout_s)
+            if isinstance(answer, OrderAnswer):
+                result = PollAnswer(answer.result, reason=answer.reason)
+            else:
+                result = read_poll_answer(answer.status, answer.body, ref.started_at_ms)
+        except Exception as exc:
+            # As in ``_send_order``.
+            failure = _on_error(ref, "/api/hold", exc)
+            result = PollAnswer(failure.result, reason=failure.reason)
         self._loop.post(done, result)
 
     def _exchange(
@@ -109,3 +121,11 @@
             # one.
             self._pool.drop(ref.address)
             return OrderAnswer(OrderResult.UNKNOWN, reason=f"{type(exc).__name__} {exc}"[:120])
+
+
+def _on_error(ref: UpstreamRef, path: str, exc: Exception) -> OrderAnswer:
+    """Log an error that no other part handles, and return an answer with an unknown outcome."""
+    get_logger().error(
+        "order_failed", upstream=ref.upstream_id, path=path, error=repr(exc), exc_info=exc
+    )
+    return OrderAnswer(OrderResult.UNKNOWN, reason=f"{type(exc).__name__} {exc}"[:120])
