Check each value of a request by one reader, with bounds

Operators, callers and upstreams got 500 in place of 400 for numbers such as 1e999 and NaN (OverflowError, ValueError) and for texts with a lone surrogate (UnicodeEncodeError). Other values were passed on and stored: a 400-digit capacity, port 99999, the address 999.1.1:70 (refused only when it was dialled, after a name lookup), identities of upstreams with spaces or line breaks, which can't be sent in a header, a configuration whose nesting passes or fails with the depth of the reader's own stack, true as a number of a step.

One job could also end every process: each replica keeps an entry for each step of each occurrence, and `repetitions` had no bound. The tasks of all occurrences are now bounded by 500,000.

Values were checked where they were used, by whatever exception was caught there. All requests now go through _fields.py: finite numbers with bounds, texts with a length and no lone surrogate, IPv4 addresses with a port, at most 64 labels, JSON of at most 32 levels without NaN or Infinity. Each failure is a WireError that names the field. Numbers with a fraction and whole floats are accepted as before, except for `born` and `dependsOn`, which must be whole.

--- a/kumquatlift/platform/_control.py
+++ b/kumquatlift/platform/_control.py
@@ -6,7 +6,7 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
-from kumquatlift.platform._fields import WireError
+from kumquatlift.platform._fields import WireError, upstream_identity
 from kumquatlift.platform._wire import read_config, read_heartbeat
 from kumquatlift.settings import Address
 from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
@@ -68,6 +68,11 @@
         return ApiResponse.from_json(200, {"heartbeatAddress": str(address)})
 
     def _deregister(self, upstream_id: str) -> ApiResponse:
+        try:
+            upstream_identity(upstream_id)
+        except WireError as exc:
+            get_logger().warning("leave_malformed", reason=str(exc))
+            return ApiResponse.from_json(400, {"reason": str(exc)})
         request = Request(Operation.LEAVE, {"upstream": upstream_id})
         reply = self._client.call(request, timeout_s=ANNOUNCE_TIMEOUT_S)
         if not isinstance(reply, Reply) or reply.code is not ResultCode.ACCEPTED:
--- a/kumquatlift/platform/_fields.py
+++ b/kumquatlift/platform/_fields.py
@@ -4,6 +4,7 @@
 the name of the field.
 """
 
+import ipaddress
 import json
 import math
 import re
@@ -17,8 +18,20 @@
 MAX_DEPTH = 32
 # Characters of names: identities, services, zones, labels, hosts.
 MAX_NAME = 256
+MAX_LABELS = 64
+# Longest prefix of request paths.
+MAX_PATH = 2048
+# Thousandths of a core, megabytes or accelerators of an upstream or a task: more than any has.
+MAX_AMOUNT = 10**9
+# Longest duration, in milliseconds: about 30 years.
+MAX_DURATION_MS = 10**12
+# Bound of counts and factors in a configuration.
+MAX_FACTOR = 10**6
 # Longest checkpoint, which is stored with its task and sent with each start.
 MAX_CHECKPOINT = 4096
+# Identities of upstreams are sent in an HTTP header.
+_UPSTREAM_ID = re.compile(r"[!-~]{1,128}")
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
 _TASK = re.compile(r"([0-9a-z]{1,64})\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})", re.ASCII)
 _TEXT_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 
@@ -27,6 +40,41 @@
     """A message doesn't follow the platform's published protocol."""
 
 
+def decode_object(body: bytes | str) -> dict[str, Any]:
+    """Decode the JSON object of a request.
+
+    Raises:
+        WireError: The body is not a JSON object, or it is nested too deeply.
+    """
+    try:
+        fields = json.loads(body, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as exc:
+        raise WireError(f"not JSON: {str(exc)[:200]}") from exc
+    if not isinstance(fields, dict):
+        raise WireError("an object is needed")
+    if _depth_exceeds(fields, MAX_DEPTH):
+        raise WireError(f"not JSON of at most {MAX_DEPTH} levels")
+    return fields
+
+
+def _refuse_constant(text: str) -> None:
+    raise WireError(f"{text} is no JSON")
+
+
+def _depth_exceeds(value: Any, levels: int) -> bool:
+    level = [value]
+    for _ in range(levels):
+        level = [
+            child
+            for each in level
+            for child in (each.values() if isinstance(each, dict) else each)
+            if isinstance(child, dict | list)
+        ]
+        if not level:
+            return False
+    return True
+
+
 def decode_answer(body: bytes) -> dict[str, Any]:
     """Decode the JSON object of an answer so that one odd value doesn't cost the others.
 
@@ -43,7 +91,7 @@
             text = _without_deep_parts(body.decode("utf-8", "surrogateescape"))
             fields = json.loads(text, parse_int=_parse_integer)
         except (ValueError, RecursionError) as exc:
-            raise WireError(f"not JSON: {exc}") from exc
+            raise WireError(f"not JSON: {str(exc)[:200]}") from exc
     if not isinstance(fields, dict):
         raise WireError("an object is needed")
     return fields
@@ -82,6 +130,27 @@
     return int(value)
 
 
+def number(value: Any, name: str, *, most: float = MAX_FACTOR) -> float:
+    """Return a finite number from 0.
+
+    Raises:
+        WireError: The value is no number, or outside the bounds.
+    """
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value <= most:
+        raise WireError(f"{name}: a number from 0 to {most} is needed")
+    return float(value)
+
+
+def amount(value: Any, name: str, *, most: int = MAX_AMOUNT) -> int:
+    """Return a number from 0 without its fraction.
+
+    Raises:
+        WireError: The value is no number, or outside the bounds.
+    """
+    return int(number(value, name, most=most))
+
+
 def integer_or_none(value: Any) -> int | None:
     """Return a whole number from 0 to ``MAX_INTEGER``; None for anything else."""
     try:
@@ -109,6 +178,33 @@
     return value
 
 
+def upstream_identity(value: Any) -> str:
+    """Return the identity of an upstream.
+
+    Raises:
+        WireError: The value is not of 1 to 128 printable ASCII characters other than the space.
+    """
+    if not isinstance(value, str) or not _UPSTREAM_ID.fullmatch(value):
+        raise WireError("id: 1 to 128 printable ASCII characters are needed")
+    return value
+
+
+def address(value: Any, name: str) -> str:
+    """Return an address of the form "ip:port".
+
+    Raises:
+        WireError: The value has no IPv4 address or no port from 1 to 65535.
+    """
+    host, _, port = text(value, name).rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise WireError(f"{name}: an IPv4 address and a port are needed") from None
+    if not _PORT.fullmatch(port) or int(port) > 65535:
+        raise WireError(f"{name}: a port from 1 to 65535 is needed")
+    return f"{host}:{port}"
+
+
 def task_key(value: Any, name: str) -> TaskKey:
     """Return the identity of a task.
 
--- a/kumquatlift/platform/_wire.py
+++ b/kumquatlift/platform/_wire.py
@@ -27,19 +27,32 @@
 )
 from kumquatlift.log import get_logger
 from kumquatlift.platform._fields import (
+    MAX_AMOUNT,
     MAX_CHECKPOINT,
+    MAX_DURATION_MS,
+    MAX_FACTOR,
+    MAX_INTEGER,
+    MAX_LABELS,
     MAX_NAME,
+    MAX_PATH,
     WireError,
+    address,
+    amount,
     decode_answer,
+    decode_object,
     integer,
     integer_or_none,
+    number,
     task_key,
     text,
+    upstream_identity,
 )
 
 MAX_PAYLOAD_BYTES = 4000
 MAX_TASKS = 10_000
 MAX_STEPS = 200
+# Tasks of all occurrences of a job. Each replica holds them in memory.
+MAX_REPEATED_TASKS = 500_000
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _STATES = ("ready", "draining")
 _END_REASONS = frozenset(EndReason)
@@ -66,53 +79,56 @@
     Raises:
         WireError: A field is missing or not valid; the message names it.
     """
-    fields = _decode_object(body)
+    fields = decode_object(body)
     # ``spec`` is a text that the upstreams receive unchanged.
-    payload = fields.get("spec", "")
+    payload = text(fields.get("spec", ""), "spec", least=0, most=MAX_PAYLOAD_BYTES)
     rows = fields.get("steps")
-    if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
+    if len(payload.encode()) > MAX_PAYLOAD_BYTES:
         raise WireError(f"spec: a text of at most {MAX_PAYLOAD_BYTES} bytes is needed")
     if not isinstance(rows, list) or not 0 < len(rows) <= MAX_STEPS:
         raise WireError(f"steps: a list of 1 to {MAX_STEPS} steps is needed")
     steps = tuple(_read_step(number, row) for number, row in enumerate(rows))
-    if sum(step.tasks for step in steps) > MAX_TASKS:
+    tasks = sum(step.tasks for step in steps)
+    if tasks > MAX_TASKS:
         raise WireError(f"steps: at most {MAX_TASKS} tasks are allowed")
+    occurrences = _amount(fields, "repetitions")
+    if occurrences * tasks > MAX_REPEATED_TASKS:
+        raise WireError(f"repetitions: at most {MAX_REPEATED_TASKS} tasks in total are allowed")
     return JobSpec(
         payload,
         steps,
-        _integer(fields, "repetitions"),
-        _integer(fields, "startAtMs"),
-        _integer(fields, "intervalMs"),
+        occurrences,
+        _amount(fields, "startAtMs", most=MAX_INTEGER),
+        _amount(fields, "intervalMs", most=MAX_DURATION_MS),
         # ``bestEffort`` jobs are answered only when they have ended, instead of when accepted.
         bool(fields.get("bestEffort", False)),
     )
 
 
-def _read_step(number: int, row: Any) -> Step:
+def _read_step(position: int, row: Any) -> Step:
+    at = f"steps.{position}."
     if not isinstance(row, dict):
-        raise WireError(f"steps.{number}: an object is needed")
+        raise WireError(f"steps.{position}: an object is needed")
     dependencies = row.get("dependsOn", [])
-    if not isinstance(dependencies, list) or not all(
-        isinstance(each, int) and 0 <= each < number for each in dependencies
-    ):
-        raise WireError(f"steps.{number}.dependsOn: numbers of earlier steps are needed")
-    count = _integer(row, "count")
+    if not isinstance(dependencies, list) or len(dependencies) > MAX_STEPS:
+        raise WireError(f"{at}dependsOn: numbers of earlier steps are needed")
+    count = _amount(row, "count", at=at, most=MAX_TASKS)
     if count < 1:
-        raise WireError(f"steps.{number}.count: at least 1 is needed")
+        raise WireError(f"{at}count: at least 1 is needed")
     return Step(
         count,
         # ``cpu`` is in thousandths of a processor.
-        _integer(row, "cpu"),
-        _integer(row, "requestedMemoryMb"),
-        _integer(row, "gpu"),
-        _integer(row, "estimatedMs"),
-        tuple(dependencies),
+        _amount(row, "cpu", at=at),
+        _amount(row, "requestedMemoryMb", at=at),
+        _amount(row, "gpu", at=at),
+        _amount(row, "estimatedMs", at=at, most=MAX_DURATION_MS),
+        tuple(integer(each, f"{at}dependsOn", most=position - 1) for each in dependencies),
         bool(row.get("gang", False)),
         bool(row.get("rackSensitive", False)),
         # ``requirements`` is a single label that the upstream must have.
-        str(row.get("requirements", "")),
-        str(row.get("dataRack", "")),
-        _integer(row, "antiAffinity"),
+        text(row.get("requirements", ""), f"{at}requirements", least=0),
+        text(row.get("dataRack", ""), f"{at}dataRack", least=0),
+        _amount(row, "antiAffinity", at=at),
         bool(row.get("longRunning", False)),
         # A step that ``fills`` uses only processor time that other steps leave idle.
         bool(row.get("fills", False)),
@@ -128,11 +144,12 @@
     Raises:
         WireError: A field is missing or not valid; the message names it.
     """
-    fields = _decode_object(source.encode())
+    fields = decode_object(source)
     version: Any = fields.get("version")
-    if not _is_integer(version) or version < 1:
-        raise WireError("version: a number from 1 is needed")
-    services = [_text(row, "name") for row in _rows(fields, "services")]
+    if not isinstance(version, int):
+        raise WireError("version: a whole number is needed")
+    version = integer(version, "version", least=1)
+    services = [text(row.get("name"), "services.name") for row in _rows(fields, "services")]
     if len(set(services)) != len(services):
         raise WireError("services: a name is used twice")
     queues = tuple(_read_queue(row, services) for row in _rows(fields, "routes"))
@@ -143,28 +160,25 @@
 
 
 def _read_queue(row: dict[str, Any], services: list[str]) -> Queue:
-    name = _text(row, "name")
-    service = _text(row, "service")
+    name = text(row.get("name"), "routes.name")
+    at = f"routes.{name}."
+    service = text(row.get("service"), f"{at}service")
     if service not in services:
         raise WireError(f"routes.{name}: the service {service!r} is not in the configuration")
-    timeout_ms: Any = row.get("timeoutMs")
-    if not _is_number(timeout_ms) or timeout_ms <= 0:
-        raise WireError(f"routes.{name}.timeoutMs: a number above 0 is needed")
-    prefix = _text(row, "pathPrefix")
+    if not number(row.get("timeoutMs"), f"{at}timeoutMs", most=MAX_DURATION_MS):
+        raise WireError(f"{at}timeoutMs: a number above 0 is needed")
+    prefix = text(row.get("pathPrefix"), f"{at}pathPrefix", most=MAX_PATH)
     if not prefix.startswith("/"):
-        raise WireError(f"routes.{name}.pathPrefix: a path is needed")
-    slack: Any = row.get("slackFactor", 1.0)
-    if not _is_number(slack) or slack < 0:
-        raise WireError(f"routes.{name}.slackFactor: a number is needed")
+        raise WireError(f"{at}pathPrefix: a path is needed")
     return Queue(
         name,
-        _text(row, "host").lower(),
+        text(row.get("host"), f"{at}host").lower(),
         prefix,
         service,
-        _integer(row, "priority"),
-        max(1, _integer(row, "maxAttempts", 1)),
-        float(slack),
-        _integer(row, "targetLatencyMs"),
+        _amount(row, "priority", at=at, most=MAX_FACTOR),
+        max(1, _amount(row, "maxAttempts", 1, at=at, most=MAX_FACTOR)),
+        number(row.get("slackFactor", 1.0), f"{at}slackFactor"),
+        _amount(row, "targetLatencyMs", at=at, most=MAX_DURATION_MS),
     )
 
 
@@ -177,29 +191,26 @@
     Raises:
         WireError: A field is missing or not valid; the message names it.
     """
-    fields = _decode_object(body)
+    fields = decode_object(body)
     capacity = fields.get("capacity")
     if not isinstance(capacity, dict):
         raise WireError("capacity: an object is needed")
     labels = fields.get("labels", [])
-    if not isinstance(labels, list) or not all(isinstance(label, str) for label in labels):
-        raise WireError("labels: texts are needed")
+    if not isinstance(labels, list) or len(labels) > MAX_LABELS:
+        raise WireError(f"labels: a list of at most {MAX_LABELS} texts is needed")
     if fields.get("state") not in _STATES:
         raise WireError("state: ready or draining is needed")
-    address = _text(fields, "address")
-    if not re.fullmatch(r"[0-9.]+:[0-9]{1,5}", address):
-        raise WireError("address: an IP number and a port are needed")
     return UpstreamState(
-        upstream_id,
+        upstream_identity(upstream_id),
         # ``born`` is when this incarnation started, in Unix milliseconds.
-        _integer(fields, "born"),
-        address,
-        _text(fields, "service"),
-        _text(fields, "zone"),
-        _integer(capacity, "cpu"),
-        _integer(capacity, "requestedMemoryMb"),
-        _integer(capacity, "gpu"),
-        tuple(labels),
+        integer(fields.get("born", 0), "born"),
+        address(fields.get("address"), "address"),
+        text(fields.get("service"), "service"),
+        text(fields.get("zone"), "zone"),
+        _amount(capacity, "cpu", at="capacity."),
+        _amount(capacity, "requestedMemoryMb", at="capacity."),
+        _amount(capacity, "gpu", at="capacity."),
+        tuple(text(label, "labels", least=0) for label in labels),
         fields["state"] == "draining",
     )
 
@@ -324,7 +335,9 @@
 
 def _reason(fields: dict[str, Any]) -> str:
     reason = fields.get("reason", "")
-    return reason[:MAX_NAME] if isinstance(reason, str) else ""
+    if not isinstance(reason, str):
+        return ""
+    return reason[:MAX_NAME].encode("ascii", "backslashreplace").decode()
 
 
 def _read_running(task: TaskKey, row: list[Any]) -> RunningTask:
@@ -365,16 +378,6 @@
 # Fields of JSON objects
 
 
-def _decode_object(body: bytes) -> dict[str, Any]:
-    try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError) as exc:
-        raise WireError(f"not JSON: {exc}") from exc
-    if not isinstance(fields, dict):
-        raise WireError("an object is needed")
-    return fields
-
-
 def _decode_answer_or_none(body: bytes) -> dict[str, Any] | None:
     try:
         return decode_answer(body)
@@ -394,23 +397,7 @@
     return rows
 
 
-def _text(fields: dict[str, Any], name: str) -> str:
-    value = fields.get(name)
-    if not isinstance(value, str) or not value:
-        raise WireError(f"{name}: a text is needed")
-    return value
-
-
-def _integer(fields: dict[str, Any], name: str, default: int = 0) -> int:
-    value = fields.get(name, default)
-    if not _is_number(value) or value < 0:
-        raise WireError(f"{name}: a number from 0 is needed")
-    return int(value)
-
-
-def _is_number(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool)
-
-
-def _is_integer(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool)
+def _amount(
+    fields: dict[str, Any], name: str, default: int = 0, *, at: str = "", most: int = MAX_AMOUNT
+) -> int:
+    return amount(fields.get(name, default), at + name, most=most)
