Skip a committed job with more tasks than replicas can hold

The bound on repetitions in the codec doesn't cover jobs that a log already holds, or those that an instance of an earlier version passes on. Each replica that applies such a job runs out of memory, and does so again after each restart. State.apply now skips the command, as all replicas do, and its caller is answered that the job isn't valid. A skipped submission is also removed from the open ones; otherwise later submissions of the same job would wait for a commit that has passed.

--- a/kumquatlift/authority/__init__.py
+++ b/kumquatlift/authority/__init__.py
@@ -17,10 +17,17 @@
     UpstreamRef,
 )
 from kumquatlift.authority._serving import Queue, ServingConfig
-from kumquatlift.authority._work import CALLER_STATES, RESULT_STATES, JobSpec, Step
+from kumquatlift.authority._work import (
+    CALLER_STATES,
+    MAX_REPEATED_TASKS,
+    RESULT_STATES,
+    JobSpec,
+    Step,
+)
 
 __all__ = [
     "CALLER_STATES",
+    "MAX_REPEATED_TASKS",
     "RESULT_STATES",
     "Authority",
     "EndReason",
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -94,6 +94,10 @@
         """Answer the callers that wait for the commit of a log entry."""
         if applied.job is not None:
             self._open_submits.pop(applied.job.job_id, None)
+        elif applied.command is None:
+            for job_id, index in list(self._open_submits.items()):
+                if index == applied.position:
+                    del self._open_submits[job_id]
         for waiter in self._waiters.pop(applied.position, ()):
             waiter(_commit_reply(applied))
 
--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -14,7 +14,7 @@
     UpstreamState,
 )
 from kumquatlift.authority._serving import ConfigReader, RoutingTable, ServingConfig
-from kumquatlift.authority._work import Job, JobSpec, JobState
+from kumquatlift.authority._work import MAX_REPEATED_TASKS, Job, JobSpec, JobState
 from kumquatlift.log import get_logger
 
 
@@ -175,12 +175,18 @@
         command: A command of the kind ``JOB``.
         term: Term of the leader that accepted the job.
         is_logged: Whether the command is in the log.
+
+    Raises:
+        ValueError: It has more tasks than replicas can hold; earlier versions stored such jobs.
     """
     fields = command.fields
+    spec = JobSpec.from_plain(fields["spec"])
+    if spec.repeated_tasks > MAX_REPEATED_TASKS:
+        raise ValueError(f"more than {MAX_REPEATED_TASKS} tasks in all occurrences")
     return Job(
         job_id=fields["job"],
         queue=fields["queue"],
-        spec=JobSpec.from_plain(fields["spec"]),
+        spec=spec,
         term=term,
         accepted_at_ms=fields["at_ms"],
         max_attempts=fields["max_attempts"],
--- a/kumquatlift/authority/_work.py
+++ b/kumquatlift/authority/_work.py
@@ -5,6 +5,9 @@
 from kumquatlift.authority._commands import EndReason, TaskEnd, TaskKey
 from kumquatlift.log import get_logger
 
+# Tasks of all occurrences of a job. Each replica holds them in memory.
+MAX_REPEATED_TASKS = 500_000
+
 
 class Step(NamedTuple):
     """A step of a job: a number of tasks with equal requirements.
@@ -70,6 +73,11 @@
         steps = tuple(Step(*row)._replace(after=tuple(row[5])) for row in plain[1])
         return cls(plain[0], steps, *plain[2:])
 
+    @property
+    def repeated_tasks(self) -> int:
+        """Number of tasks in all occurrences."""
+        return max(1, self.occurrences) * sum(step.tasks for step in self.steps)
+
     @property
     def work_ms(self) -> float:
         """Total declared run time of all tasks at speed 1, in milliseconds."""
--- a/kumquatlift/platform/_wire.py
+++ b/kumquatlift/platform/_wire.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from kumquatlift.authority import (
+    MAX_REPEATED_TASKS,
     EndReason,
     JobSpec,
     OrderAnswer,
@@ -51,8 +52,6 @@
 MAX_PAYLOAD_BYTES = 4000
 MAX_TASKS = 10_000
 MAX_STEPS = 200
-# Tasks of all occurrences of a job. Each replica holds them in memory.
-MAX_REPEATED_TASKS = 500_000
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _STATES = ("ready", "draining")
 _END_REASONS = frozenset(EndReason)
--- a/tests/test_authority_unknown_tasks.py
+++ b/tests/test_authority_unknown_tasks.py
@@ -18,6 +18,7 @@
 )
 from kumquatlift.authority._state import State
 from kumquatlift.authority._work import Job
+from kumquatlift.codes import ResultCode
 from tests.authority_world import answered_at_end, job, make
 from tools.fleet_model import FleetModel
 from tools.model_upstream import ModelUpstream
@@ -216,6 +217,21 @@
         assert positions == [1, 2]
         assert "command_not_applied" in events(logs)
 
+    def test_job_with_too_many_occurrences_is_skipped(self) -> None:
+        kind, fields = json.loads(job_command())
+        fields["spec"] = job(2)._replace(occurrences=300_000).to_plain()
+        state = new_state()
+        state.apply(1, 1, json.dumps([kind, fields]).encode())
+        assert state.jobs == {}
+
+    def test_caller_of_a_skipped_job_is_answered_each_time(self) -> None:
+        world = make()
+        for _ in range(2):
+            spec = job(2)._replace(occurrences=300_000)
+            reply = world.submit(JOB, spec, work_ms=10)
+            world.run(0.1)
+            assert reply.result(timeout=0).code is ResultCode.MALFORMED
+
 
 class TestUnreadRows:
     """Guards against an odd row in the lists of an upstream that costs it its lease or its runs."""
