--- a/kumquatlift/authority/__init__.py
+++ b/kumquatlift/authority/__init__.py
@@ -3,7 +3,13 @@
 from kumquatlift.authority._api import Operation, Reply, Request
 from kumquatlift.authority._authority import Authority
 from kumquatlift.authority._client import LeaderClient, authority_handler
-from kumquatlift.authority._commands import EndReason, TaskEnd, TaskKey, UpstreamState
+from kumquatlift.authority._commands import (
+    MAX_START_AHEAD_MS,
+    EndReason,
+    TaskEnd,
+    TaskKey,
+    UpstreamState,
+)
 from kumquatlift.authority._leader import Limits
 from kumquatlift.authority._orders import (
     OrderAnswer,
@@ -28,6 +34,7 @@
 __all__ = [
     "CALLER_STATES",
     "MAX_REPEATED_TASKS",
+    "MAX_START_AHEAD_MS",
     "RESULT_STATES",
     "Authority",
     "EndReason",
--- a/kumquatlift/authority/_commands.py
+++ b/kumquatlift/authority/_commands.py
@@ -4,6 +4,10 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+# An upstream's start may lie this far ahead of a process's wall clock. A day covers a clock that is
+# set to another time zone; a later start would take the place of all real incarnations.
+MAX_START_AHEAD_MS = 86_400_000
+
 
 class TaskKey(NamedTuple):
     """Identity of a task.
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -7,7 +7,12 @@
 from kumquatlift.authority._admission import MIN_RETRY_MS
 from kumquatlift.authority._api import Operation, Reply, Request
 from kumquatlift.authority._attempts import Attempts, ReplyCallback
-from kumquatlift.authority._commands import Command, CommandKind, UpstreamState
+from kumquatlift.authority._commands import (
+    MAX_START_AHEAD_MS,
+    Command,
+    CommandKind,
+    UpstreamState,
+)
 from kumquatlift.authority._leader import Leader
 from kumquatlift.authority._serving import Queue
 from kumquatlift.authority._state import Applied, State, job_of
@@ -272,6 +277,16 @@
     def _announce(self, upstream: UpstreamState, answer: ReplyCallback) -> None:
         upstream = upstream._replace(labels=tuple(upstream.labels))
         known = self._state.upstreams.get(upstream.upstream_id)
+        latest_ms = self._state.wall_ms() + MAX_START_AHEAD_MS
+        if upstream.started_at_ms > latest_ms:
+            get_logger().warning("upstream_from_future", upstream=upstream.upstream_id)
+            answer(Reply(ResultCode.MALFORMED, {"reason": "born: too far in the future"}))
+            return
+        if known is not None and known.started_at_ms > latest_ms:
+            # Earlier versions stored it. The next announcement takes its place.
+            get_logger().warning("upstream_from_future_removed", upstream=upstream.upstream_id)
+            self._leave({"upstream": upstream.upstream_id}, answer)
+            return
         if known is not None and upstream.started_at_ms < known.started_at_ms:
             # A delayed announcement of a previous incarnation.
             answer(_DONE)
--- a/kumquatlift/platform/_control.py
+++ b/kumquatlift/platform/_control.py
@@ -1,5 +1,6 @@
 """HTTP service for upstreams, which send heartbeats, and for operators, who configure routes."""
 
+import time
 from urllib.parse import unquote
 
 from kumquatlift.authority import LeaderClient, Operation, Reply, Request
@@ -50,7 +51,7 @@
 
     def _heartbeat(self, upstream_id: str, req: ApiRequest) -> ApiResponse:
         try:
-            upstream = read_heartbeat(upstream_id, req.body)
+            upstream = read_heartbeat(upstream_id, req.body, now_ms=int(time.time() * 1000))
         except WireError as exc:
             get_logger().warning("heartbeat_malformed", upstream=upstream_id, reason=str(exc))
             return ApiResponse.from_json(400, {"reason": str(exc)})
--- a/kumquatlift/platform/_wire.py
+++ b/kumquatlift/platform/_wire.py
@@ -10,6 +10,7 @@
 
 from kumquatlift.authority import (
     MAX_REPEATED_TASKS,
+    MAX_START_AHEAD_MS,
     EndReason,
     JobSpec,
     OrderAnswer,
@@ -184,9 +185,14 @@
 # Upstreams
 
 
-def read_heartbeat(upstream_id: str, body: bytes) -> UpstreamState:
+def read_heartbeat(upstream_id: str, body: bytes, *, now_ms: int) -> UpstreamState:
     """Decode a heartbeat.
 
+    Args:
+        upstream_id: Identity of its sender.
+        body: Body of the request.
+        now_ms: Wall clock, in Unix milliseconds.
+
     Raises:
         WireError: A field is missing or not valid; the message names it.
     """
@@ -202,7 +208,7 @@
     return UpstreamState(
         upstream_identity(upstream_id),
         # ``born`` is when this incarnation started, in Unix milliseconds.
-        integer(fields.get("born", 0), "born"),
+        integer(fields.get("born", 0), "born", most=now_ms + MAX_START_AHEAD_MS),
         address(fields.get("address"), "address"),
         text(fields.get("service"), "service"),
         text(fields.get("zone"), "zone"),
--- a/tests/test_authority_unknown_tasks.py
+++ b/tests/test_authority_unknown_tasks.py
@@ -233,6 +233,36 @@
             assert reply.result(timeout=0).code is ResultCode.MALFORMED
 
 
+class TestStartsInTheFuture:
+    """Guards against a start in the far future that takes the place of a live upstream for good.
+
+    The upstream's own heartbeats counted as those of an earlier incarnation.
+    """
+
+    def test_announcement_is_refused(self) -> None:
+        world = make(upstreams=1)
+        state = world.upstreams["u0"].state
+        reply = world.announce(state._replace(started_at_ms=10**400))
+        world.run(0.1)
+        assert reply.result(timeout=0).code is ResultCode.MALFORMED
+        assert world.authority.state.upstreams == {"u0": state}
+
+    def test_stored_announcement_is_replaced(self) -> None:
+        world = make(upstreams=1)
+        state = world.upstreams["u0"].state
+        odd = state._replace(started_at_ms=10**400)
+        world.log.propose(json.dumps(["upstream", {"upstream": odd}]).encode())
+        world.run(0.1)
+        assert world.authority.state.upstreams == {"u0": odd}
+        for _ in range(2):
+            world.announce(state)
+            world.run(0.2)
+        assert world.authority.state.upstreams == {"u0": state}
+        world.submit(JOB, job(1), work_ms=100)
+        world.run(0.5)
+        assert world.state_of(JOB) == "completed"
+
+
 class TestUnreadRows:
     """Guards against an odd row in the lists of an upstream that costs it its lease or its runs."""
 
--- a/tests/users_platform/test_odd_values.py
+++ b/tests/users_platform/test_odd_values.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from kumquatlift.authority import (
+    MAX_START_AHEAD_MS,
     JobSpec,
     LeaderClient,
     OrderResult,
@@ -32,7 +33,7 @@
     read_poll_answer,
 )
 from kumquatlift.transport.wsgi import ApiRequest
-from tests.users_platform.test_wire import HEARTBEAT, ROUTE
+from tests.users_platform.test_wire import HEARTBEAT, NOW_MS, ROUTE
 
 JOB_ID = "a" * 16
 JOB = {
@@ -187,7 +188,7 @@
     def test_heartbeat(self, path: tuple[Any, ...], value: str) -> None:
         body = change(HEARTBEAT, path, value)
         with pytest.raises(WireError, match=rf"^{path[0]}|JSON"):
-            read_heartbeat("i-1", body)
+            read_heartbeat("i-1", body, now_ms=NOW_MS)
         assert post("/api/instances/i-1/heartbeat", body) == 400
 
     @pytest.mark.parametrize(("path", "value"), JOBS, ids=short)
@@ -219,14 +220,25 @@
     def test_whole_floats_and_bounds(self) -> None:
         capacity = {"cpu": 1200.0, "requestedMemoryMb": 10**9, "gpu": 0.0}
         fields = {**HEARTBEAT, "capacity": capacity, "born": float(10**12), "more": [[{}]]}
-        state = read_heartbeat("i-7f3a91c2", json.dumps(fields).encode())
+        state = read_heartbeat("i-7f3a91c2", json.dumps(fields).encode(), now_ms=NOW_MS)
         assert (state.cpu_milli, state.memory_mb, state.started_at_ms) == (1200, 10**9, 10**12)
         assert isinstance(state.started_at_ms, int)
 
     @pytest.mark.parametrize("address", ["127.0.0.1:1", "255.255.255.255:65535", "10.128.0.9:8080"])
     def test_addresses(self, address: str) -> None:
         fields = {**HEARTBEAT, "address": address}
-        assert read_heartbeat("i", json.dumps(fields).encode()).address == address
+        assert read_heartbeat("i", json.dumps(fields).encode(), now_ms=NOW_MS).address == address
+
+    def test_start_on_a_clock_that_is_up_to_a_day_ahead(self) -> None:
+        latest_ms = NOW_MS + MAX_START_AHEAD_MS
+        fields = {**HEARTBEAT, "born": latest_ms}
+        state = read_heartbeat("i", json.dumps(fields).encode(), now_ms=NOW_MS)
+        assert state.started_at_ms == latest_ms
+        with pytest.raises(WireError, match="born"):
+            read_heartbeat(
+                "i", json.dumps({**fields, "born": latest_ms + 1}).encode(), now_ms=NOW_MS
+            )
+        assert post("/api/instances/i/heartbeat", change(HEARTBEAT, ("born",), "1" * 15)) == 400
 
     def test_a_job_with_many_occurrences(self) -> None:
         job = {"steps": [{"count": 5, "estimatedMs": 900.5}], "repetitions": 100_000}
@@ -234,7 +246,10 @@
 
     def test_texts_outside_ascii(self) -> None:
         fields = {**HEARTBEAT, "zone": "z\u00fcrich-\U0001f34a"}
-        assert read_heartbeat("i", json.dumps(fields).encode()).zone == "z\u00fcrich-\U0001f34a"
+        assert (
+            read_heartbeat("i", json.dumps(fields).encode(), now_ms=NOW_MS).zone
+            == "z\u00fcrich-\U0001f34a"
+        )
 
 
 JSON_VALUES = st.recursive(
@@ -309,7 +324,7 @@
     @given(body=changed(HEARTBEAT))
     def test_heartbeat(self, body: bytes) -> None:
         try:
-            upstream = read_heartbeat("i-1", body)
+            upstream = read_heartbeat("i-1", body, now_ms=NOW_MS)
         except WireError:
             return
         state = assert_stored(CommandKind.UPSTREAM, {"upstream": list(upstream)})
@@ -319,7 +334,7 @@
     @given(upstream_id=st.text(alphabet=st.characters()) | st.text(max_size=200))
     def test_identity(self, upstream_id: str) -> None:
         try:
-            upstream = read_heartbeat(upstream_id, json.dumps(HEARTBEAT).encode())
+            upstream = read_heartbeat(upstream_id, json.dumps(HEARTBEAT).encode(), now_ms=NOW_MS)
         except WireError:
             return
         assert upstream.upstream_id.isascii() and upstream.upstream_id.isprintable()
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -18,6 +18,7 @@
     write_start,
 )
 
+NOW_MS = 1_700_000_000_000
 ROUTE = {
     "name": "r",
     "host": "A.example",
@@ -130,7 +131,7 @@
     """Heartbeats of upstreams, and orders and polls to them."""
 
     def test_a_heartbeat_is_decoded(self) -> None:
-        state = read_heartbeat("i-1", json.dumps(HEARTBEAT).encode())
+        state = read_heartbeat("i-1", json.dumps(HEARTBEAT).encode(), now_ms=NOW_MS)
         assert state.started_at_ms == 5
         assert state.rack == "r1"
         assert not state.is_draining
@@ -148,7 +149,7 @@
     )
     def test_an_invalid_heartbeat_is_refused(self, change: dict[str, Any]) -> None:
         with pytest.raises(WireError):
-            read_heartbeat("i-1", json.dumps({**HEARTBEAT, **change}).encode())
+            read_heartbeat("i-1", json.dumps({**HEARTBEAT, **change}).encode(), now_ms=NOW_MS)
 
     def test_orders_are_encoded(self) -> None:
         task = TaskKey("a" * 16, 0, 1, 17)
