Ignore a clock reading that doesn't fit the upstream's earlier ones

One answer with a far-ahead `clockMs` moved the leader's idea of the upstream's clock: a lease that still held counted as over, so that its tasks could start elsewhere while they ran, and every later list of runs counted as older than the odd one and was ignored until the next leader. If the first reading was odd, no later one was taken.

A reading must now lie within 10 s of what the earlier ones let expect at a rate of 0.98 to 1.02; answers that are handled late because the process was paused stay within that. Other readings are logged and ignored, with the list of runs of the same answer. If they advance like a clock for 2 s, they replace the earlier ones, and the lease is assumed to have been renewed just then. An odd reading of less than 10 s ahead is still believed.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -6,9 +6,15 @@
 from kumquatlift.authority._commands import TaskKey, UpstreamState
 from kumquatlift.authority._orders import UpstreamRef
 from kumquatlift.authority._work import Step
+from kumquatlift.log import get_logger
 
 # An upstream's clock may run slower than the leader's by this share; the platform guarantees it.
 MAX_CLOCK_SLOWNESS = 0.02
+# A reading of an upstream's clock may differ by this much from what the earlier ones let expect, as
+# an answer may be handled late while this process is paused.
+MAX_CLOCK_ERROR_MS = 10_000
+# Other readings count only if they advance like a clock over this time.
+CLOCK_DOUBT_S = 2.0
 # Weight of the newest run in the moving average of an upstream's speed, which thus reflects about
 # the last five runs.
 SPEED_WEIGHT = 0.2
@@ -172,6 +178,8 @@
         self._clock_ms = 0
         self._clock_at = 0.0
         self._lease_end_ms = 0
+        # A reading that doesn't fit the earlier ones, and the leader's time when it arrived.
+        self._doubted_clock: tuple[int, float] | None = None
 
     @property
     def has_clock(self) -> bool:
@@ -220,16 +228,50 @@
         passed_ms = (now - self._clock_at) * 1000 * (1 - MAX_CLOCK_SLOWNESS)
         return self._clock_ms + int(passed_ms)
 
-    def record_clock(self, clock_ms: int | None, now: float) -> None:
-        """Record a reading of its clock that has just arrived, if the answer held one."""
+    def record_clock(self, clock_ms: int | None, now: float) -> int | None:
+        """Record a reading of its clock that has just arrived, if the answer held one.
+
+        A reading that doesn't fit the earlier ones would make a lease end too early or too late for
+        the leader, so it is ignored until later ones agree with it.
+
+        Returns:
+            The reading; None without one, or if it was ignored.
+        """
         if clock_ms is None:
-            return
+            return None
+        if self.has_clock and not self._is_clock_plausible(clock_ms, now):
+            if not self._agrees_with_doubted(clock_ms, now):
+                return None
+            get_logger().warning("upstream_clock_changed", upstream=self.state.upstream_id)
+            self._clock_at = 0.0
+            self.lists_clock_ms = 0
+        self._doubted_clock = None
         if not self.has_clock:
             # An earlier leader may have renewed the lease just before.
             self._lease_end_ms = clock_ms + int(self._lease_s * 1000)
         if not self.has_clock or clock_ms >= self.clock_ms(now):
             self._clock_ms = clock_ms
             self._clock_at = now
+        return clock_ms
+
+    def _is_clock_plausible(self, clock_ms: int, now: float) -> bool:
+        highest_ms = self._clock_ms + (now - self._clock_at) * 1000 * (1 + MAX_CLOCK_SLOWNESS)
+        lowest_ms = self.clock_ms(now)
+        return lowest_ms - MAX_CLOCK_ERROR_MS <= clock_ms <= highest_ms + MAX_CLOCK_ERROR_MS
+
+    def _agrees_with_doubted(self, clock_ms: int, now: float) -> bool:
+        """Return whether readings that don't fit the earlier ones have advanced like a clock."""
+        if self._doubted_clock is not None:
+            doubted_ms, doubted_at = self._doubted_clock
+            passed_ms = (now - doubted_at) * 1000
+            is_advancing = abs(clock_ms - doubted_ms - passed_ms) <= CLOCK_DOUBT_S * 1000 / 2
+            if is_advancing:
+                return passed_ms >= CLOCK_DOUBT_S * 1000
+        get_logger().warning(
+            "upstream_clock_odd", upstream=self.state.upstream_id, clock_ms=clock_ms
+        )
+        self._doubted_clock = (clock_ms, now)
+        return False
 
     def is_overdue(self, now: float) -> bool:
         """Whether a run should have ended by now, so that the answer to a poll may be lost."""
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -191,7 +191,7 @@
         if self._fleet.get(upstream.state.upstream_id) is not upstream:
             return
         now = self._clock.now()
-        upstream.record_clock(answer.clock_ms, now)
+        clock_ms = upstream.record_clock(answer.clock_ms, now) or 0
         if answer.result is OrderResult.UNKNOWN and sent.at < upstream.listed_at:
             # The upstream has answered a later poll, so only this answer was lost.
             self.poll_if_due(upstream)
@@ -210,7 +210,6 @@
         upstream.acked_end = max(upstream.acked_end, sent.acked_end)
         upstream.listed_at = now
         self._record_ends(upstream, answer)
-        clock_ms = answer.clock_ms or 0
         if clock_ms >= upstream.lists_clock_ms:
             upstream.lists_clock_ms = clock_ms
             self._reconcile_runs(upstream, answer, sent.at, now)
