Don't take an end whose number is far above the upstream's clock

A well-formed end with a number such as 2**53 - 1 was taken as the newest end of its upstream. All real ends of that incarnation, which have lower numbers, were ignored from then on, and the next poll told the upstream to forget them, so its jobs stayed in the state "running".

Both the numbers of ends and the clock start anew with an incarnation, and far fewer than one run ends in a millisecond, so a number above the clock's reading by more than 10,000 counts as a row that can't be read: it is logged, polled for slowly and not acknowledged. A smaller wrong number is still believed.

--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -47,6 +47,9 @@
 # Limit for the open polls of one upstream. If 6% of the answers are lost, all three are lost once
 # in 4,600 cases.
 MAX_OPEN_POLLS = 3
+# An upstream numbers its ends from 1, and far fewer than one run ends on it in each millisecond. A
+# number above its clock's reading plus this margin would hide and acknowledge all later ends.
+MAX_END_AHEAD = 10_000
 # Multiple of the expected time in the limit for stalled runs; see STALL_S.
 STALL_FACTOR = 2.5
 
@@ -191,6 +194,7 @@
         if self._fleet.get(upstream.state.upstream_id) is not upstream:
             return
         now = self._clock.now()
+        answer = _without_implausible_ends(upstream, answer)
         clock_ms = upstream.record_clock(answer.clock_ms, now) or 0
         if answer.result is OrderResult.UNKNOWN and sent.at < upstream.listed_at:
             # The upstream has answered a later poll, so only this answer was lost.
@@ -365,3 +369,18 @@
         if idle_s > STALL_S * factor and now - run.decided_at > limit_s * factor:
             upstream.failures += 1
             self._runs.orders.stop(upstream, run, f"stalled_at_{run.percent}_percent")
+
+
+def _without_implausible_ends(upstream: Upstream, answer: PollAnswer) -> PollAnswer:
+    """Count ends whose number is far above the upstream's clock among those that can't be read."""
+    if answer.clock_ms is None:
+        return answer
+    most = answer.clock_ms + MAX_END_AHEAD
+    ends = tuple(row for row in answer.ends if row[0] <= most)
+    if len(ends) == len(answer.ends):
+        return answer
+    get_logger().warning(
+        "end_numbers_too_large", upstream=upstream.state.upstream_id, most=answer.ends[-1][0]
+    )
+    unread = answer.unread_ends + len(answer.ends) - len(ends)
+    return answer._replace(ends=ends, unread_ends=unread)
--- a/tests/test_authority_unknown_tasks.py
+++ b/tests/test_authority_unknown_tasks.py
@@ -287,6 +287,22 @@
         assert world.starts == 1
         assert polls < 60
 
+    def test_end_with_a_huge_number_does_not_hide_later_ones(self) -> None:
+        world = make(upstreams=1)
+        upstream = world.upstreams["u0"]
+        world.submit("b" * 16, job(1), work_ms=100)
+        world.run(0.05)
+        other = TaskEnd(TaskKey("c" * 16, 0, 0, 0), 1, EndReason.DONE)
+        upstream._ends.append((2**53 - 1, other))
+        world.run(0.5)
+        world.submit(JOB, job(2, estimate_ms=1500), work_ms=1500)
+        world.run(2.5)
+        assert world.state_of("b" * 16) == "completed"
+        assert world.state_of(JOB) == "completed"
+        assert world.starts == 3
+        # It is never acknowledged, as that would cover all later ends.
+        assert [number for number, _ in upstream._ends] == [2**53 - 1]
+
     def test_run_without_a_number_is_not_started_again(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
