Accept a job whose Deadline-Ms is no number

The header was converted by int() after str.isdigit(), which also allows superscript digits, and int() refuses numbers of more than 4,300 digits. The caller got 500 for a valid job. Such a header now counts as missing. Before the change, 2 of the 6 tests failed with ValueError.

--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -221,7 +221,9 @@
 def _answer_timeout_s(req: ApiRequest) -> float:
     """Return how long a caller waits for an answer, in seconds; the header is in milliseconds."""
     text = req.headers.get("deadline-ms", "")
-    return min(RESULT_TIMEOUT_S, int(text) / 1000) if text.isdigit() else RESULT_TIMEOUT_S
+    # Longer numbers are above the limit anyway, and ``isdigit`` alone allows "\u00b2".
+    is_number = text.isascii() and text.isdigit() and len(text) < 10
+    return min(RESULT_TIMEOUT_S, int(text) / 1000) if is_number else RESULT_TIMEOUT_S
 
 
 def _refused(retry_after_ms: int, reason: str) -> ApiResponse:
--- a/tests/users_platform/test_odd_values.py
+++ b/tests/users_platform/test_odd_values.py
@@ -22,9 +22,10 @@
 from kumquatlift.authority._commands import Command, CommandKind
 from kumquatlift.authority._state import State
 from kumquatlift.blackboard import Blackboard
+from kumquatlift.codes import ResultCode
 from kumquatlift.platform._control import Control
 from kumquatlift.platform._fields import MAX_DEPTH, MAX_INTEGER, WireError
-from kumquatlift.platform._frontend import Frontend
+from kumquatlift.platform._frontend import RESULT_TIMEOUT_S, Frontend
 from kumquatlift.platform._wire import (
     read_config,
     read_heartbeat,
@@ -214,6 +215,34 @@
         assert post(f"/api/instances/{upstream_id}/{action}", body) == 400
 
 
+class RecordingLeader:
+    """Accepts each request and records the timeout of the caller."""
+
+    leader = "10.0.0.1:7000"
+
+    def __init__(self) -> None:
+        self.timeouts_s: list[float] = []
+
+    def call(self, _request: Request, *, timeout_s: float, **_options: Any) -> Reply:
+        self.timeouts_s.append(timeout_s)
+        return Reply(ResultCode.ACCEPTED, {"state": "completed"})
+
+
+class TestDeadline:
+    """Guards against an odd deadline that is answered by 500 although the job is valid."""
+
+    @pytest.mark.parametrize("value", ["\u00b2", "9" * 5000, "1e999", "-5", "NaN", ""])
+    def test_odd_deadline_counts_as_missing(self, value: str) -> None:
+        leader = RecordingLeader()
+        section = Blackboard().section("s")
+        frontend = Frontend(client=leader, zone="z", section=section)  # type: ignore[arg-type]
+        headers = {"host": "h", "deadline-ms": value}
+        body = json.dumps({**JOB, "bestEffort": True}).encode()
+        req = ApiRequest("POST", f"/q/{JOB_ID}", {}, headers, body)
+        assert frontend.handle(req).status == 200
+        assert leader.timeouts_s == [RESULT_TIMEOUT_S]
+
+
 class TestAccepted:
     """Guards against a check that refuses what the protocol allows."""
 
