Release the occurrences of a job in parts, and keep no entry for each of them

A job with very many occurrences, which the codec accepts up to 500,000 tasks, blocked the leader: at each tick it went through all steps of all occurrences, and each replica held an entry for each of them (65 MB for 500,000). A leader that needs 7.7 s for 1 s of work loses its lease, as does the next one, since the job is in the log.

The due occurrences are now computed from the start and the interval, those that are released in full are skipped, and no more are released while 10,000 tasks of the job wait, which is as many as a job without occurrences may have. A job counts the done tasks of the steps that have any, and is completed when all of its tasks are done.

--- a/kumquatlift/authority/_progress.py
+++ b/kumquatlift/authority/_progress.py
@@ -41,6 +41,7 @@
         "objective_ms",
         "queue",
         "released",
+        "released_before",
         "running",
         "runs",
         "waiting",
@@ -71,6 +72,8 @@
         self.waiting_ms = 0.0
         # Occurrences and numbers of the steps whose tasks were released to start.
         self.released: set[tuple[int, int]] = set()
+        # All steps of the occurrences before this one were released.
+        self.released_before = 0
         self.is_released = False
         # Upstreams on which tasks run, by task.
         self.running: dict[TaskKey, str] = {}
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -20,6 +20,9 @@
 
 # An upstream on which this many runs failed or stalled in a row gets no tasks for the backoff time.
 FAILURES_BEFORE_BACKOFF = 2
+# More occurrences of a job are not released while this many of its tasks wait. It is the most tasks
+# that a job without occurrences may have.
+MAX_WAITING = 10_000
 # The first backoff; each further failure doubles it up to the limit.
 BACKOFF_S = 1.5
 MAX_BACKOFF_S = 12.0
@@ -208,26 +211,46 @@
         self.release(progress)
 
     def release(self, progress: Progress) -> None:
-        """Queue the tasks of all steps that are due and whose predecessors are done."""
+        """Queue the tasks of all steps that are due and whose predecessors are done.
+
+        A job whose occurrences have more tasks than ``MAX_WAITING`` gets the others later.
+        """
         job = progress.job
         if job.job_id in self.recovering_jobs:
             return
-        for occurrence, number in job.remaining:
-            if (occurrence, number) in progress.released:
-                continue
-            if not self._is_due(job, occurrence) or not job.is_step_ready(occurrence, number):
-                continue
-            progress.released.add((occurrence, number))
-            self.needs_placing = True
-            for task in job.tasks_of(occurrence, number):
-                if task not in job.done and task not in progress.running:
-                    progress.add_waiting(task)
+        for occurrence in range(progress.released_before, self._due_occurrences(job)):
+            is_complete = True
+            for number in range(len(job.spec.steps)):
+                if (occurrence, number) in progress.released:
+                    continue
+                if len(progress.waiting) >= MAX_WAITING:
+                    return
+                if job.is_step_ready(occurrence, number):
+                    self._release_step(progress, occurrence, number)
+                else:
+                    is_complete = False
+            if is_complete and occurrence == progress.released_before:
+                progress.released_before += 1
+
+    def _release_step(self, progress: Progress, occurrence: int, number: int) -> None:
+        job = progress.job
+        progress.released.add((occurrence, number))
+        self.needs_placing = True
+        for task in job.tasks_of(occurrence, number):
+            if task not in job.done and task not in progress.running:
+                progress.add_waiting(task)
 
-    def _is_due(self, job: Job, occurrence: int) -> bool:
-        if not job.spec.occurrences:
-            return True
-        due_ms = job.spec.start_at_ms + occurrence * job.spec.interval_ms
-        return self._state.wall_ms() >= due_ms
+    def _due_occurrences(self, job: Job) -> int:
+        """Return the number of occurrences that are due by now."""
+        spec = job.spec
+        if not spec.occurrences:
+            return 1
+        since_start_ms = self._state.wall_ms() - spec.start_at_ms
+        if since_start_ms < 0:
+            return 0
+        if not spec.interval_ms:
+            return spec.occurrences
+        return min(spec.occurrences, since_start_ms // spec.interval_ms + 1)
 
     def close(self, progress: Progress) -> None:
         """Close a job that has ended: stop its runs, notify its callers and record its times."""
--- a/kumquatlift/authority/_work.py
+++ b/kumquatlift/authority/_work.py
@@ -1,5 +1,6 @@
 """Jobs, which consist of dependent steps of tasks."""
 
+from collections import Counter
 from typing import Any, NamedTuple
 
 from kumquatlift.authority._commands import EndReason, TaskEnd, TaskKey
@@ -123,6 +124,7 @@
         "accepted_at_ms",
         "checkpoint",
         "done",
+        "done_of_step",
         "ended_at_ms",
         "ended_run",
         "failures",
@@ -131,9 +133,9 @@
         "job_id",
         "max_attempts",
         "queue",
-        "remaining",
         "spec",
         "state",
+        "tasks",
         "term",
         "zone",
     )
@@ -166,13 +168,10 @@
         self.failures: dict[TaskKey, int] = {}
         self.ended_run: dict[TaskKey, int] = {}
         self.checkpoint: dict[TaskKey, str] = {}
-        occurrences = max(1, spec.occurrences)
-        # Number of tasks that are not done, by occurrence and number of the step.
-        self.remaining = {
-            (occurrence, number): step.tasks
-            for occurrence in range(occurrences)
-            for number, step in enumerate(spec.steps)
-        }
+        # Number of done tasks, by occurrence and number of the step. Only steps with done tasks are
+        # included, as a job may have very many occurrences.
+        self.done_of_step: Counter[tuple[int, int]] = Counter()
+        self.tasks = spec.repeated_tasks
 
     @property
     def is_open(self) -> bool:
@@ -200,8 +199,10 @@
 
     def is_step_ready(self, occurrence: int, number: int) -> bool:
         """Whether all steps that a step depends on are done."""
+        steps = self.spec.steps
         return all(
-            self.remaining[occurrence, other] == 0 for other in self.spec.steps[number].after
+            self.done_of_step[occurrence, other] == steps[other].tasks
+            for other in steps[number].after
         )
 
     def end_task(self, end: TaskEnd, now_ms: int) -> bool:
@@ -243,8 +244,8 @@
         for member in members:
             if member not in self.done:
                 self.done.add(member)
-                self.remaining[member.occurrence, member.step] -= 1
-        if not any(self.remaining.values()):
+                self.done_of_step[member.occurrence, member.step] += 1
+        if len(self.done) == self.tasks:
             self.close(JobState.COMPLETED, now_ms)
 
     def close(self, state: str, now_ms: int) -> None:
@@ -292,6 +293,5 @@
             {task: row[3] for row in rows if job.has_task(task := TaskKey(job_id, *row[:3]))}
             for rows in plain[4:7]
         )
-        for task in job.done:
-            job.remaining[task.occurrence, task.step] -= 1
+        job.done_of_step.update((task.occurrence, task.step) for task in job.done)
         return job
--- a/tests/test_authority_unknown_tasks.py
+++ b/tests/test_authority_unknown_tasks.py
@@ -172,7 +172,7 @@
         plain[3], plain[4:] = [task[1:]], [[[*task[1:], 1]], [[*task[1:], 1]], [[*task[1:], "c"]]]
         restored = Job.from_plain(plain)
         assert restored.to_plain() == state.jobs[JOB].to_plain()
-        assert restored.remaining == {(0, 0): 2}
+        assert not restored.done_of_step
 
     def test_replica_starts_with_a_configuration_that_cannot_be_read(self) -> None:
         def read_config(source: str) -> ServingConfig:
