Pass the time to the codec in the mutant that changes heartbeats

read_heartbeat takes the wall clock since starts in the far future are refused. The mutant of the soak replaced it by a function without that argument, so each heartbeat would have failed.

--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -185,8 +185,12 @@
 
 
 def _change_heartbeats(change: Callable[[Any], Any]) -> None:
-    read: Callable[[str, bytes], Any] = vars(_control)["read_heartbeat"]
-    _patch(_control, "read_heartbeat", lambda upstream_id, body: change(read(upstream_id, body)))
+    read: Callable[..., Any] = vars(_control)["read_heartbeat"]
+    _patch(
+        _control,
+        "read_heartbeat",
+        lambda upstream_id, body, **options: change(read(upstream_id, body, **options)),
+    )
 
 
 def _patch(owner: Any, name: str, value: Any) -> None:
