Refuse a heartbeat in which an unused field has another type

The protocol says that an entry with fields of another type names no runner to use. `slots`, `coldRemainingMs`, `remainingMs`, `sequence`, `clockMs` and `version` weren't read, so an entry with such a field of another type was announced as an upstream and polled. They may still be missing.

--- a/kumquatlift/platform/_fields.py
+++ b/kumquatlift/platform/_fields.py
@@ -8,6 +8,7 @@
 import json
 import math
 import re
+import sys
 from typing import Any
 
 from kumquatlift.authority import TaskKey
@@ -130,14 +131,19 @@
     return int(value)
 
 
+def is_finite_number(value: Any) -> bool:
+    """Return whether a value is a number that a double can hold."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_number and abs(value) <= sys.float_info.max
+
+
 def number(value: Any, name: str, *, most: float = MAX_FACTOR) -> float:
     """Return a finite number from 0.
 
     Raises:
         WireError: The value is no number, or outside the bounds.
     """
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not 0 <= value <= most:
+    if not is_finite_number(value) or not 0 <= value <= most:
         raise WireError(f"{name}: a number from 0 to {most} is needed")
     return float(value)
 
--- a/kumquatlift/platform/_wire.py
+++ b/kumquatlift/platform/_wire.py
@@ -44,6 +44,7 @@
     decode_object,
     integer,
     integer_or_none,
+    is_finite_number,
     number,
     task_key,
     text,
@@ -55,6 +56,8 @@
 MAX_STEPS = 200
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _STATES = ("ready", "draining")
+# Fields of a heartbeat that this product doesn't use.
+_UNUSED_NUMBERS = ("slots", "coldRemainingMs", "remainingMs", "sequence", "clockMs")
 _END_REASONS = frozenset(EndReason)
 _START_REFUSALS = {
     "fence": OrderResult.FENCED,
@@ -205,6 +208,12 @@
         raise WireError(f"labels: a list of at most {MAX_LABELS} texts is needed")
     if fields.get("state") not in _STATES:
         raise WireError("state: ready or draining is needed")
+    for name in _UNUSED_NUMBERS:
+        # Another type than that of the protocol shows that another program wrote the message.
+        if name in fields and not is_finite_number(fields[name]):
+            raise WireError(f"{name}: a number is needed")
+    if not isinstance(fields.get("version", ""), str):
+        raise WireError("version: a text is needed")
     return UpstreamState(
         upstream_identity(upstream_id),
         # ``born`` is when this incarnation started, in Unix milliseconds.
--- a/tests/users_platform/test_odd_values.py
+++ b/tests/users_platform/test_odd_values.py
@@ -119,6 +119,12 @@
     *((("labels",), value) for value in ["5", '"a"', "{}", json.dumps(["a"] * 65)]),
     *((("state",), value) for value in ["5", '"new"', "{}", "[]", "null"]),
     *((("capacity",), value) for value in ["5", '"a"', "[]", "null"]),
+    *(
+        ((name,), value)
+        for name in ("slots", "coldRemainingMs", "remainingMs", "sequence", "clockMs")
+        for value in ("1e999", "NaN", "9" * 400, "true", "null", "{}", "[]", '"5"')
+    ),
+    *((("version",), value) for value in ("5", "null", "[]")),
     (("more",), "[" * 900 + "]" * 900),
     (("more",), "[" * MAX_DEPTH + "]" * MAX_DEPTH),
     (("more",), "NaN"),
@@ -273,6 +279,18 @@
         job = {"steps": [{"count": 5, "estimatedMs": 900.5}], "repetitions": 100_000}
         assert read_job(json.dumps(job).encode()).occurrences == 100_000
 
+    def test_heartbeat_with_all_fields(self) -> None:
+        fields = {
+            **HEARTBEAT,
+            "version": "v1",
+            "slots": 8,
+            "coldRemainingMs": 0,
+            "remainingMs": 1500.5,
+            "clockMs": 482113,
+            "sequence": 4,
+        }
+        assert read_heartbeat("i", json.dumps(fields).encode(), now_ms=NOW_MS).zone == "z"
+
     def test_texts_outside_ascii(self) -> None:
         fields = {**HEARTBEAT, "zone": "z\u00fcrich-\U0001f34a"}
         assert (
