Count a deeply nested answer of a runner as an unknown outcome

RunnerClient let RecursionError out of an attempt's thread, so the attempt never ended for its job, which waited until its deadline. Before the change the new case failed: "RecursionError: maximum recursion depth exceeded while decoding a JSON array".

--- a/kumquatlift/upstreams/runner_client.py
+++ b/kumquatlift/upstreams/runner_client.py
@@ -112,7 +112,7 @@
 def _classify(req: RunRequest, answer: HttpResponse, run_s: float) -> AttemptResult:
     try:
         obj = json.loads(answer.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         obj = None
     if not isinstance(obj, dict):
         reason = f"status {answer.status} without a JSON object"
--- a/tests/test_runner_client.py
+++ b/tests/test_runner_client.py
@@ -112,6 +112,7 @@
             send(answer("a0", {"x": 1, "y": 2})),
             send(b"nonsense\r\n\r\n"),
             send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"),
+            send(b"HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + b"[" * 20000),
             send(answer("a1", {"x": 1, "y": 2}, status="504 Gateway Timeout")),
         ],
         ids=[
@@ -120,6 +121,7 @@
             "other-attempt",
             "not-http",
             "not-an-object",
+            "deeply-nested",
             "gateway-timeout",
         ],
     )
