Fail an exchange with an upstream on an interim response instead of taking it for the answer

Cause: http.client skips 100 only. A 102 or 103 was taken for the whole answer, without a body, and its connection went back to the pool. The actual answer came later and was read as that of the next request, unless it was there before that request was written.

Change: any other interim status fails the exchange, as an answer that can't be used, and closes the connection.

Evidence: tests/test_pool_answers.py: 480 concurrent calls with late, surplus, cut, chunked, interim and empty answers and closed connections. No upstream is known to send such answers, so this is not shown to be the cause of the incident.

--- a/kumquatlift/transport/connection_pool.py
+++ b/kumquatlift/transport/connection_pool.py
@@ -223,6 +223,10 @@
     conn.flush()
     sock = conn.sock
     res = conn.getresponse()
+    if res.status < http.HTTPStatus.OK:
+        # http.client skips 100 only. After any other interim response the actual one would be read
+        # as that of the next request.
+        raise http.client.HTTPException(f"interim response {res.status}")
     parts: list[bytes] = []
     size = 0
     while part := res.read1(_READ_BYTES):
--- /dev/null
+++ b/tests/test_pool_answers.py
@@ -0,0 +1,220 @@
+"""Every answer of the connection pool belongs to its request and is whole."""
+
+import http.client
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from kumquatlift.transport.connection_pool import ConnectionPool, HttpResponse, NotSentError
+
+WAIT_S = 5.0
+CALLERS = 8
+CALLS_PER_CALLER = 60
+
+
+def answer_head(body: bytes, *, status: str = "200 OK", extra: bytes = b"") -> bytes:
+    """Return the head of an answer with a Content-Length."""
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n" % (status.encode(), len(body), extra)
+
+
+def whole(body: bytes, *, status: str = "200 OK", extra: bytes = b"") -> bytes:
+    """Return an answer with a Content-Length."""
+    return answer_head(body, status=status, extra=extra) + body
+
+
+def chunked(body: bytes) -> bytes:
+    """Return an answer in chunks of at most five bytes."""
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunks = [body[start : start + 5] for start in range(0, len(body), 5)]
+    return head + b"".join(b"%x\r\n%s\r\n" % (len(c), c) for c in chunks) + b"0\r\n\r\n"
+
+
+class ScriptedServer:
+    """A server that passes each request, as its path, to a function with its connection.
+
+    Args:
+        serve: Writes the answer; returns whether the connection stays open.
+    """
+
+    def __init__(self, serve: Callable[[socket.socket, bytes], bool]) -> None:
+        self._serve = serve
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        self.accepted = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self._serve_conn, args=(sock,), daemon=True).start()
+
+    def _serve_conn(self, sock: socket.socket) -> None:
+        buffer = b""
+        with sock:
+            try:
+                while data := sock.recv(65536):
+                    buffer += data
+                    while b"\r\n\r\n" in buffer:
+                        head, _, buffer = buffer.partition(b"\r\n\r\n")
+                        if not self._serve(sock, head.split(b" ")[1]):
+                            return
+            except OSError:
+                return
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        self._listener.close()
+
+
+@pytest.fixture(name="start_server")
+def fixture_start_server() -> Iterator[Callable[..., ScriptedServer]]:
+    """Return a function that starts a server, which ends with the test."""
+    servers: list[ScriptedServer] = []
+
+    def start(serve: Callable[[socket.socket, bytes], bool]) -> ScriptedServer:
+        servers.append(ScriptedServer(serve))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def get(
+    pool: ConnectionPool, server: ScriptedServer, path: str, *, timeout_s: float = WAIT_S
+) -> HttpResponse:
+    """Send a GET request."""
+    return pool.exchange(server.address, "GET", path, b"", {}, timeout_s=timeout_s)
+
+
+class TestAnswers:
+    """An answer never meets the request after its own."""
+
+    def test_concurrent_requests_get_their_own_answers(
+        self, start_server: Callable[..., ScriptedServer]
+    ) -> None:
+        """Guards against crossed answers after late, surplus, cut, interim and odd answers."""
+
+        def serve(sock: socket.socket, path: bytes) -> bool:
+            number = int(path.rpartition(b"/")[2])
+            body = path * (1 + number % 7)
+            match number % 11:
+                case 0:
+                    threading.Event().wait(0.03)
+                    sock.sendall(whole(body))
+                case 1:
+                    sock.sendall(chunked(body))
+                case 2:
+                    sock.sendall(whole(body, extra=b"Connection: close\r\n"))
+                    return False
+                case 3:
+                    sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" + whole(body))
+                case 4:
+                    sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+                case 5:
+                    sock.sendall(whole(body)[:-1])
+                    return False
+                case 6:
+                    sock.sendall(whole(body) + whole(b"surplus"))
+                case 7:
+                    sock.sendall(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+                    threading.Event().wait(0.002)
+                    sock.sendall(whole(body))
+                case 8:
+                    sock.sendall(whole(body)[:-1])
+                    threading.Event().wait(0.002)
+                    sock.sendall(body[-1:])
+                case _:
+                    sock.sendall(whole(body))
+            return True
+
+        server, pool = start_server(serve), ConnectionPool()
+
+        def call(caller: int) -> list[int]:
+            counts = [0, 0, 0]
+            for number in range(CALLS_PER_CALLER):
+                path = f"/{caller}/{number}"
+                timeout_s = 0.01 if number % 11 == 0 else WAIT_S
+                try:
+                    res = get(pool, server, path, timeout_s=timeout_s)
+                except (OSError, http.client.HTTPException, ValueError, NotSentError):
+                    counts[1] += 1
+                    continue
+                expected = path.encode() * (1 + number % 7)
+                is_own = res.body == expected or (res.status, number % 11) == (204, 4)
+                counts[0 if is_own else 2] += 1
+            return counts
+
+        with ThreadPoolExecutor(CALLERS) as executor:
+            counts = [sum(each) for each in zip(*executor.map(call, range(CALLERS)), strict=True)]
+        pool.close()
+        own, failed, crossed = counts
+        assert crossed == 0
+        assert own + failed == CALLERS * CALLS_PER_CALLER
+        # Answers of the cases 0, 5 and 7 may fail, and no others.
+        assert failed <= CALLERS * 3 * (CALLS_PER_CALLER // 11 + 1)
+
+    @pytest.mark.parametrize("status", ["102 Processing", "103 Early Hints", "199 Other"])
+    def test_an_interim_answer_is_not_taken_for_the_answer(
+        self, start_server: Callable[..., ScriptedServer], status: str
+    ) -> None:
+        """Guards against a next request that is answered with the rest of this answer."""
+        release = threading.Event()
+
+        def serve(sock: socket.socket, path: bytes) -> bool:
+            if path == b"/1":
+                sock.sendall(f"HTTP/1.1 {status}\r\n\r\n".encode())
+            elif path == b"/2":
+                sock.sendall(whole(b"of 1") if server.accepted == 1 else whole(b"of 2"))
+            release.set()
+            return True
+
+        server, pool = start_server(serve), ConnectionPool()
+        with pytest.raises((http.client.HTTPException, TimeoutError)):
+            get(pool, server, "/1", timeout_s=0.3)
+        assert get(pool, server, "/2").body == b"of 2"
+        pool.close()
+
+    def test_bytes_on_an_idle_connection_close_it(
+        self, start_server: Callable[..., ScriptedServer]
+    ) -> None:
+        """Guards against an answer that was there before its request was written."""
+        socks: list[socket.socket] = []
+
+        def serve(sock: socket.socket, path: bytes) -> bool:
+            socks.append(sock)
+            sock.sendall(whole(path))
+            return True
+
+        server, pool = start_server(serve), ConnectionPool()
+        assert get(pool, server, "/1").body == b"/1"
+        socks[0].sendall(whole(b"surplus"))
+        assert get(pool, server, "/2").body == b"/2"
+        assert server.accepted == 2
+        pool.close()
+
+    @pytest.mark.parametrize(
+        "data",
+        [whole(b"0123456789")[:-1], chunked(b"0123456789")[:-7], chunked(b"0123456789")[:-9]],
+    )
+    def test_a_cut_answer_fails(
+        self, start_server: Callable[..., ScriptedServer], data: bytes
+    ) -> None:
+        """Guards against an answer that is not whole."""
+
+        def serve(sock: socket.socket, _path: bytes) -> bool:
+            sock.sendall(data)
+            return False
+
+        pool = ConnectionPool()
+        with pytest.raises((http.client.HTTPException, OSError)):
+            get(pool, start_server(serve), "/1")
+        assert pool.idle == 0
