Close a connection to an upstream on which more bytes came than its answer holds

Cause: bytes after an answer that were read together with it were discarded, and the connection was reused. The remainder, if it comes later, would be read as the beginning of the next answer. Only bytes that came after the answer was read were noticed.

Change: the reader of a response records whether bytes are left when it is closed; if so, the connection is not reused.

Evidence: test_a_connection_with_surplus_bytes_is_not_reused, which fails on the code before: 'assert 1 == 0', idle connections. A surplus answer that arrives whole after the next request was written can't be told from that request's own answer in HTTP/1.1; this remains.

--- a/kumquatlift/transport/connection_pool.py
+++ b/kumquatlift/transport/connection_pool.py
@@ -1,13 +1,15 @@
 """Pool of HTTP connections that never resends a request, and reports when it was not sent."""
 
 import http.client
+import io
 import select
 import socket
 import threading
 import time
 from collections import defaultdict, deque
 from collections.abc import Mapping
-from typing import NamedTuple
+from contextlib import suppress
+from typing import Any, NamedTuple
 
 from kumquatlift.settings import Address
 
@@ -37,9 +39,44 @@
     body: bytes
 
 
+class _Reader(io.BufferedReader):
+    """Reader that records on closing whether bytes follow those that were read from it.
+
+    Args:
+        raw: Stream of the socket.
+        sock: The socket.
+    """
+
+    has_surplus = False
+
+    def __init__(self, raw: Any, sock: socket.socket) -> None:
+        super().__init__(raw)
+        self._sock = sock
+
+    def close(self) -> None:
+        """Check for surplus bytes without waiting for any, and close the stream."""
+        if not self.closed:
+            with suppress(OSError, ValueError):
+                self._sock.settimeout(0)
+                self.has_surplus = bool(self.peek(1))
+        super().close()
+
+
+class _Response(http.client.HTTPResponse):
+    """HTTP response whose ``reader`` tells whether more bytes came than belong to it."""
+
+    def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
+        super().__init__(sock, *args, **options)
+        stream: Any = self.fp
+        self.reader = _Reader(stream.detach(), sock)
+        self.fp = self.reader
+
+
 class PooledConnection(http.client.HTTPConnection):
     """HTTP connection that sends the head and body of a request in one system call."""
 
+    response_class = _Response
+
     def __init__(self, host: str, port: int, timeout_s: float) -> None:
         super().__init__(host, port, timeout=timeout_s)
         self._parts: list[bytes] = []
@@ -59,7 +96,8 @@
     """Thread-safe pool of HTTP connections, by address.
 
     A connection serves one request at a time. It returns to the pool only after a complete
-    response, so that a late response cannot be taken for that of another request.
+    response without further bytes, so that a late or surplus response cannot be taken for that of
+    another request.
 
     Args:
         max_idle_s: Connections that were idle for more seconds are not reused.
@@ -247,4 +285,6 @@
     is_reusable = not res.will_close
     # http.client accepts a new request only after the response is closed.
     res.close()
+    if isinstance(res, _Response) and res.reader.has_surplus:
+        is_reusable = False
     return HttpResponse(res.status, b"".join(parts)), is_reusable and conn.sock is not None
--- a/tests/test_pool_answers.py
+++ b/tests/test_pool_answers.py
@@ -183,6 +183,28 @@
         assert get(pool, server, "/2").body == b"of 2"
         pool.close()
 
+    @pytest.mark.parametrize("encode", [whole, chunked])
+    def test_a_connection_with_surplus_bytes_is_not_reused(
+        self, start_server: Callable[..., ScriptedServer], encode: Callable[[bytes], bytes]
+    ) -> None:
+        """Guards against bytes after an answer, of which a part was read together with it.
+
+        The remainder, which comes later, would be read as the answer to the next request.
+        """
+
+        def serve(sock: socket.socket, path: bytes) -> bool:
+            if path == b"/1":
+                sock.sendall(encode(b"of 1") + b"surplus")
+            else:
+                sock.sendall(whole(b"of 1" if server.accepted == 1 else b"of 2"))
+            return True
+
+        server, pool = start_server(serve), ConnectionPool()
+        assert get(pool, server, "/1").body == b"of 1"
+        assert pool.idle == 0
+        assert get(pool, server, "/2").body == b"of 2"
+        pool.close()
+
     def test_bytes_on_an_idle_connection_close_it(
         self, start_server: Callable[..., ScriptedServer]
     ) -> None:
