Don't set the result of a refused call a second time when it has expired meanwhile

Cause: OpenCalls.refuse set the future whether or not the selector loop had ended the call, so the caller's thread got an InvalidStateError out of TcpChannel.call.

Change: a call that is refused when it is opened gets its result there, where no other thread knows it; one that is refused later is completed only if it is still open.

Evidence: test_a_call_that_expires_meanwhile_has_one_result; on the code before: 'InvalidStateError: FINISHED'.

--- a/kumquatlift/transport/_calls.py
+++ b/kumquatlift/transport/_calls.py
@@ -52,26 +52,21 @@
     def __len__(self) -> int:
         return len(self._calls)
 
-    def open(self, peer: str, timeout_s: float) -> tuple[Call, str]:
-        """Create a call.
-
-        Returns:
-            The call, and the reason for refusing it; the reason is empty when it was accepted.
-        """
+    def open(self, peer: str, timeout_s: float) -> Call:
+        """Create a call; if it is refused, it is complete as ``NOT_DELIVERED`` and not open."""
         deadline = time.monotonic() + timeout_s
         call = Call(call_id=next(self._ids), peer=peer, deadline=deadline)
         with self._lock:
             if self._is_closed:
-                return call, "the channel is closed"
-            if len(self._calls) >= MAX_OPEN_CALLS:
-                return call, f"{MAX_OPEN_CALLS} calls are open"
-            self._calls[call.id] = call
-        return call, ""
-
-    def refuse(self, call: Call, reason: str) -> None:
-        """Complete a call that was never queued, as ``NOT_DELIVERED``, in the current thread."""
-        self._remove(call)
-        call.fut.set_result(Failure(ResultCode.NOT_DELIVERED, reason))
+                refusal = "the channel is closed"
+            elif len(self._calls) >= MAX_OPEN_CALLS:
+                refusal = f"{MAX_OPEN_CALLS} calls are open"
+            else:
+                self._calls[call.id] = call
+                return call
+        call.is_open = False
+        call.fut.set_result(Failure(ResultCode.NOT_DELIVERED, refusal))
+        return call
 
     def complete(self, call: Call, result: bytes | Failure) -> None:
         """Complete a call in the current thread, unless it is already complete."""
--- a/kumquatlift/transport/tcp_channel.py
+++ b/kumquatlift/transport/tcp_channel.py
@@ -5,6 +5,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
+from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.settings import Address
 from kumquatlift.transport._calls import Call, OpenCalls
@@ -91,10 +92,11 @@
         A request that the peer refused before starting its handler also fails as
         ``NOT_DELIVERED``.
         """
-        call, refusal = self._calls.open(peer, timeout_s)
-        refusal = refusal or self._submit(call, topic, body)
+        call = self._calls.open(peer, timeout_s)
+        refusal = self._submit(call, topic, body) if call.is_open else ""
         if refusal:
-            self._calls.refuse(call, refusal)
+            # The call may have expired meanwhile; then it has its result.
+            self._calls.complete(call, Failure(ResultCode.NOT_DELIVERED, refusal))
         return call.fut
 
     def send(self, peer: str, topic: str, body: bytes) -> None:
--- a/tests/test_channel_answers.py
+++ b/tests/test_channel_answers.py
@@ -14,7 +14,9 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.settings import Address
+from kumquatlift.transport._calls import OpenCalls
 from kumquatlift.transport._envelope import FrameKind, encode
+from kumquatlift.transport._link import Links
 from kumquatlift.transport.tcp_channel import TcpChannel
 from tests.test_tcp_channel import WAIT_S, Net, ScriptedPeer, code
 from tools.fault_proxy import FaultProxy
@@ -296,3 +298,31 @@
     while channel.snapshot()["late_answers"] < number and time.monotonic() < deadline:
         time.sleep(0.005)
     return int(channel.snapshot()["late_answers"])
+
+
+class TestRefusedCall:
+    """A call that cannot be sent."""
+
+    def test_a_call_that_expires_meanwhile_has_one_result(
+        self, net: Net, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an exception in the caller's thread: a result that is set twice."""
+        a = net.channel("a")
+
+        def expire(links: Links, peer: str) -> None:
+            """Take as long as the call lasts, and find no room for the peer."""
+            deadline = time.monotonic() + WAIT_S
+            while a.snapshot()["open_calls"] and time.monotonic() < deadline:
+                time.sleep(0.01)
+
+        monkeypatch.setattr(Links, "get", expire)
+        fut = a.call("p", "t", b"", timeout_s=0.0)
+        assert code(fut.result(WAIT_S)) is ResultCode.NOT_DELIVERED
+
+    def test_a_call_on_a_closed_channel_has_a_result(self) -> None:
+        """Guards against a refused call that stays without a result."""
+        calls = OpenCalls()
+        calls.close("end of the test")
+        call = calls.open("p", 1.0)
+        assert not call.is_open
+        assert code(call.fut.result(0.0)) is ResultCode.NOT_DELIVERED
