Answer a request whose handler fails after it returned its future

Cause: an exception of the future of an async handler was logged by concurrent.futures and nothing was sent, so the caller waited until its timeout. The same held for a reply of the leader that can't be encoded, and for exceptions other than KeyError, TypeError and ValueError in handling a request on the leader. A request that had been answered as malformed raised a second time when what it waited for came, and the other requests that waited for the same log entry or job were left without an answer.

Change: such a future is answered with FAILED. The leader answers TIMED_OUT instead, because clients ask again at once after a FAILED. Each request has one answer.

Evidence: TestFailedAsyncHandler and TestFaultOfTheLeader in tests/test_channel_answers.py; on the code before all five cases fail; last line: 'FAILED ...::TestFaultOfTheLeader::test_the_request_and_the_others_are_answered[error1-2001]'.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -17,6 +17,7 @@
 from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.codes import ResultCode
+from kumquatlift.log import get_logger
 from kumquatlift.store import Entry, EventLoop, Role
 
 TICK_S = 0.05
@@ -225,11 +226,19 @@
         if request.operation is Operation.WHO_LEADS:
             fut.set_result(Reply(ResultCode.ACCEPTED, _members(log)))
             return
+
+        def answer(reply: Reply) -> None:
+            # A request whose handling raised may be answered a second time by what it waits for.
+            if not fut.done():
+                fut.set_result(reply)
+
         try:
-            requests.handle(request, fut.set_result)
+            requests.handle(request, answer)
         except (KeyError, TypeError, ValueError) as exc:
-            if not fut.done():
-                fut.set_result(Reply(ResultCode.MALFORMED, {"reason": repr(exc)}))
+            answer(Reply(ResultCode.MALFORMED, {"reason": repr(exc)}))
+        except Exception as exc:
+            get_logger().error("request_failed", operation=request.operation, error=repr(exc))
+            answer(Reply(ResultCode.TIMED_OUT, {"reason": repr(exc)}))
 
     def dump(self) -> dict[str, Any]:
         """Return the state of this instance for the state dump."""
--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -209,9 +209,20 @@
         except (ValueError, TypeError) as exc:
             done.set_result(Reply(ResultCode.MALFORMED, {"reason": repr(exc)}).to_bytes())
             return done
-        handle_request(request).add_done_callback(
-            lambda fut: done.set_result(fut.result().to_bytes())
-        )
+        handle_request(request).add_done_callback(partial(_encode_reply, done))
         return done
 
     return handle
+
+
+def _encode_reply(done: "Future[bytes]", fut: "Future[Reply]") -> None:
+    """Complete a future with the encoded reply, or with one that says that the outcome is unknown.
+
+    A failed handler would be asked again at once, as often as the time of the call allows.
+    """
+    try:
+        body = fut.result().to_bytes()
+    except Exception as exc:
+        get_logger().error("reply_failed", error=repr(exc))
+        body = Reply(ResultCode.TIMED_OUT, {"reason": repr(exc)}).to_bytes()
+    done.set_result(body)
--- a/kumquatlift/transport/_topic_queues.py
+++ b/kumquatlift/transport/_topic_queues.py
@@ -104,10 +104,22 @@
         try:
             reply = self._handler(sender, body)
         except Exception as exc:
-            get_logger().error("handler_failed", topic=self._topic, peer=sender, error=repr(exc))
-            answer(FrameKind.FAILED, repr(exc)[:200].encode())
+            self._fail(sender, exc, answer)
             return
         if isinstance(reply, Future):
-            reply.add_done_callback(lambda fut: answer(FrameKind.ANSWER, fut.result()))
+            reply.add_done_callback(lambda fut: self._answer_from(fut, sender, answer))
         else:
             answer(FrameKind.ANSWER, reply or b"")
+
+    def _answer_from(self, fut: "Future[bytes]", sender: str, answer: AnswerCallback) -> None:
+        """Answer with the result of a future that is done."""
+        try:
+            reply = fut.result()
+        except Exception as exc:
+            self._fail(sender, exc, answer)
+        else:
+            answer(FrameKind.ANSWER, reply)
+
+    def _fail(self, sender: str, exc: Exception, answer: AnswerCallback) -> None:
+        get_logger().error("handler_failed", topic=self._topic, peer=sender, error=repr(exc))
+        answer(FrameKind.FAILED, repr(exc)[:200].encode("utf-8", "replace"))
--- a/kumquatlift/transport/channel.py
+++ b/kumquatlift/transport/channel.py
@@ -11,7 +11,9 @@
 """Takes the sender's name and a body; returns the answer's body, or None for an empty one."""
 
 AsyncHandler = Callable[[str, bytes], "Future[bytes]"]
-"""Like a ``Handler``, but returns a future, so a pending answer occupies no thread of the topic."""
+"""Like a ``Handler``, but returns a future, so a pending answer occupies no thread of the topic.
+
+If the future raises, the call fails like that of a handler that raises."""
 
 
 class Topic(StrEnum):
--- a/tests/test_channel_answers.py
+++ b/tests/test_channel_answers.py
@@ -6,11 +6,13 @@
 import struct
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 
 import pytest
 
+from kumquatlift.authority import Operation, Reply, Request, authority_handler
+from kumquatlift.authority._requests import Requests
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.settings import Address
@@ -18,6 +20,7 @@
 from kumquatlift.transport._envelope import FrameKind, encode
 from kumquatlift.transport._link import Links
 from kumquatlift.transport.tcp_channel import TcpChannel
+from tests.authority_world import job, make
 from tests.test_tcp_channel import WAIT_S, Net, ScriptedPeer, code
 from tools.fault_proxy import FaultProxy
 
@@ -300,6 +303,76 @@
     return int(channel.snapshot()["late_answers"])
 
 
+class TestFailedAsyncHandler:
+    """A handler that fails after it returned its future."""
+
+    def test_the_caller_is_told(self, net: Net) -> None:
+        """Guards against callers that wait until their timeout for a handler that has failed."""
+        a, b = net.channel("a"), net.channel("b")
+        pending: Future[bytes] = Future()
+        b.handle_async("t", lambda _sender, _body: pending)
+        fut = a.call("b", "t", b"", timeout_s=WAIT_S)
+        pending.set_exception(ValueError("odd field"))
+        result = fut.result(1.0)
+        assert code(result) is ResultCode.TIMED_OUT
+        assert "odd field" in str(result)
+
+    def test_the_caller_is_told_of_a_cancelled_future(self, net: Net) -> None:
+        """Guards against the same for a future that is cancelled."""
+        a, b = net.channel("a"), net.channel("b")
+        pending: Future[bytes] = Future()
+        b.handle_async("t", lambda _sender, _body: pending)
+        fut = a.call("b", "t", b"", timeout_s=WAIT_S)
+        pending.cancel()
+        assert code(fut.result(1.0)) is ResultCode.TIMED_OUT
+
+    def test_the_caller_of_the_authority_is_told(self, net: Net) -> None:
+        """Guards against a request to the leader that waits for a reply that can't be encoded."""
+        a, b = net.channel("a"), net.channel("b")
+        reply: Future[Reply] = Future()
+        b.handle_async("t", authority_handler(lambda _request: reply))
+        body = Request(Operation.WHO_LEADS, {}).to_bytes()
+        fut = a.call("b", "t", body, timeout_s=WAIT_S)
+        reply.set_result(Reply(ResultCode.ACCEPTED, {"state": {1, 2}}))
+        result = fut.result(1.0)
+        assert isinstance(result, bytes)
+        assert Reply.from_bytes(result).code is ResultCode.TIMED_OUT
+
+
+class TestFaultOfTheLeader:
+    """A request whose handling raises, on the leader."""
+
+    @pytest.mark.parametrize(
+        ("error", "expected"),
+        [
+            (OverflowError("1e999"), ResultCode.TIMED_OUT),
+            (ValueError("odd field"), ResultCode.MALFORMED),
+        ],
+    )
+    def test_the_request_and_the_others_are_answered(
+        self, monkeypatch: pytest.MonkeyPatch, error: Exception, expected: ResultCode
+    ) -> None:
+        """Guards against requests without an answer, and against two answers to one request."""
+        world = make()
+        handle = Requests.handle
+
+        def handle_and_raise(
+            self: Requests, request: Request, answer: Callable[[Reply], None]
+        ) -> None:
+            handle(self, request, answer)
+            if request.operation is Operation.SUBMIT and len(futs) == 1:
+                raise error
+
+        monkeypatch.setattr(Requests, "handle", handle_and_raise)
+        futs = []
+        for _ in range(3):
+            futs.append(world.submit("a" * 16, job(), work_ms=50))
+            world.loop.run_pending()
+        world.run(0.5)
+        codes = [fut.result(timeout=0).code for fut in futs]
+        assert codes == [expected, ResultCode.ACCEPTED, ResultCode.ACCEPTED]
+
+
 class TestRefusedCall:
     """A call that cannot be sent."""
 
