Queue a message and look up its peer in one step, so that the link isn't evicted between

Cause: with 256 known peers, looking up another one evicts a link without connection and queued frames. A thread that had just looked that link up appended its request to it; the loop connected for it, but the hello found another link, and the request was never written. The call failed at its deadline instead of being sent.

Change: Links.put looks up and appends under the lock of the table.

Evidence: TestEvictedLink; on the code before: 'assert Failure(code=...ry_after_ms=0) == b'rex''.

--- a/kumquatlift/transport/_link.py
+++ b/kumquatlift/transport/_link.py
@@ -3,7 +3,7 @@
 import threading
 from typing import Any
 
-from kumquatlift.transport._connection import Connection, SendQueue
+from kumquatlift.transport._connection import Connection, Frame, SendQueue
 from kumquatlift.transport.peer_diagnosis import ConnectOutcome, Evidence
 
 MAX_PEERS = 256
@@ -99,9 +99,20 @@
         if link is not None:
             return link
         with self._lock:
-            if len(self._links) >= MAX_PEERS and not self._remove_unused():
-                return None
-            return self._links.setdefault(peer, Link(peer=peer))
+            return self._get_locked(peer)
+
+    def put(self, peer: str, frame: Frame) -> tuple[Link | None, bool]:
+        """Append a frame to the send queue of a peer.
+
+        The link cannot be evicted meanwhile, and not before the frame is written.
+
+        Returns:
+            The link, which is None when the table is full; and whether the frame was appended,
+            which it isn't when the queue is full.
+        """
+        with self._lock:
+            link = self._get_locked(peer)
+            return link, link is not None and link.send_queue.put(frame)
 
     def snapshot(self, now: float) -> dict[str, Any]:
         """Return the counters of every link, by peer."""
@@ -109,6 +120,14 @@
             links = sorted(self._links.items())
         return {peer: link.snapshot(now) for peer, link in links}
 
+    def _get_locked(self, peer: str) -> Link | None:
+        link = self._links.get(peer)
+        if link is None:
+            if len(self._links) >= MAX_PEERS and not self._remove_unused():
+                return None
+            link = self._links[peer] = Link(peer=peer)
+        return link
+
     def _remove_unused(self) -> bool:
         """Remove one link without connection or queued frames; return whether there was one."""
         for peer, link in self._links.items():
--- a/kumquatlift/transport/tcp_channel.py
+++ b/kumquatlift/transport/tcp_channel.py
@@ -104,9 +104,11 @@
         if peer == self._name:
             self._topics.deliver(peer, Envelope(FrameKind.NOTICE, 0, topic, body), _discard_answer)
             return
-        link = self._links.get(peer)
         frame = Frame(encode(FrameKind.NOTICE, 0, topic, body))
-        if link and len(frame.data) <= MAX_FRAME_BYTES and link.send_queue.put(frame):
+        if len(frame.data) > MAX_FRAME_BYTES:
+            return
+        link, is_queued = self._links.put(peer, frame)
+        if is_queued:
             self._loop.wake(link)
 
     def evidence(self, peer: str) -> Evidence:
@@ -137,10 +139,10 @@
         frame = Frame(encode(FrameKind.REQUEST, call.id, topic, body), call)
         if len(frame.data) > MAX_FRAME_BYTES:
             return f"request of {len(frame.data)} bytes, at most {MAX_FRAME_BYTES} are allowed"
-        link = self._links.get(call.peer)
+        link, is_queued = self._links.put(call.peer, frame)
         if link is None:
             return f"{MAX_PEERS} peers are known"
-        if not link.send_queue.put(frame):
+        if not is_queued:
             return f"the queue to {call.peer} is full"
         self._loop.wake(link)
         return ""
--- a/tests/test_channel_answers.py
+++ b/tests/test_channel_answers.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 
 import pytest
 
@@ -16,7 +16,9 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.settings import Address
+from kumquatlift.transport import _link as link_module
 from kumquatlift.transport._calls import OpenCalls
+from kumquatlift.transport._connection import Frame, SendQueue
 from kumquatlift.transport._envelope import FrameKind, encode
 from kumquatlift.transport._link import Links
 from kumquatlift.transport.tcp_channel import TcpChannel
@@ -382,13 +384,14 @@
         """Guards against an exception in the caller's thread: a result that is set twice."""
         a = net.channel("a")
 
-        def expire(links: Links, peer: str) -> None:
+        def expire(_links: Links, _peer: str, _frame: Frame) -> tuple[None, bool]:
             """Take as long as the call lasts, and find no room for the peer."""
             deadline = time.monotonic() + WAIT_S
             while a.snapshot()["open_calls"] and time.monotonic() < deadline:
                 time.sleep(0.01)
+            return None, False
 
-        monkeypatch.setattr(Links, "get", expire)
+        monkeypatch.setattr(Links, "put", expire)
         fut = a.call("p", "t", b"", timeout_s=0.0)
         assert code(fut.result(WAIT_S)) is ResultCode.NOT_DELIVERED
 
@@ -399,3 +402,31 @@
         call = calls.open("p", 1.0)
         assert not call.is_open
         assert code(call.fut.result(0.0)) is ResultCode.NOT_DELIVERED
+
+
+class TestEvictedLink:
+    """A full table of peers evicts one that another thread has just looked up."""
+
+    def test_a_call_at_the_time_of_the_eviction_is_sent(
+        self, net: Net, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a request in the queue of a link that is not in the table any more."""
+        monkeypatch.setattr(link_module, "MAX_PEERS", 1)
+        a, b = net.channel("a"), net.channel("b")
+        b.handle("t", lambda _sender, body: b"re" + body)
+        net.addresses["gone"] = Address("127.0.0.1", 1)
+        others = ThreadPoolExecutor(1)
+
+        put = SendQueue.put
+
+        def put_late(queue: SendQueue, frame: Frame) -> bool:
+            """Give another thread the time to look up another peer before the frame is queued."""
+            if frame.call is not None and frame.call.peer == "b":
+                other = others.submit(a.call, "gone", "t", b"", timeout_s=0.1)
+                wait([other], timeout=0.2)
+            return put(queue, frame)
+
+        monkeypatch.setattr(SendQueue, "put", put_late)
+        fut = a.call("b", "t", b"x", timeout_s=1.0)
+        assert fut.result(WAIT_S) == b"rex"
+        others.shutdown()
