Check for surplus bytes of an answer without system calls

The check asked the socket again after each answer: two system calls for each order and poll, of which the leader exchanges thousands a second. Bytes that follow an answer stand in the buffer of its reader, or are noticed when the connection is next used. test_a_connection_with_surplus_bytes_is_not_reused holds as before.

--- a/kumquatlift/transport/connection_pool.py
+++ b/kumquatlift/transport/connection_pool.py
@@ -8,7 +8,6 @@
 import time
 from collections import defaultdict, deque
 from collections.abc import Mapping
-from contextlib import suppress
 from typing import Any, NamedTuple
 
 from kumquatlift.settings import Address
@@ -40,35 +39,30 @@
 
 
 class _Reader(io.BufferedReader):
-    """Reader that records on closing whether bytes follow those that were read from it.
-
-    Args:
-        raw: Stream of the socket.
-        sock: The socket.
-    """
+    """Reader that records on closing whether bytes are left in its buffer."""
 
     has_surplus = False
 
-    def __init__(self, raw: Any, sock: socket.socket) -> None:
-        super().__init__(raw)
-        self._sock = sock
-
     def close(self) -> None:
-        """Check for surplus bytes without waiting for any, and close the stream."""
+        """Check for surplus bytes without a system call, and close the stream."""
         if not self.closed:
-            with suppress(OSError, ValueError):
-                self._sock.settimeout(0)
-                self.has_surplus = bool(self.peek(1))
+            raw: Any = self.raw
+            raw.readinto = _read_nothing
+            self.has_surplus = bool(self.peek(1))
         super().close()
 
 
+def _read_nothing(_buffer: Any) -> int:
+    return 0
+
+
 class _Response(http.client.HTTPResponse):
     """HTTP response whose ``reader`` tells whether more bytes came than belong to it."""
 
     def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
         super().__init__(sock, *args, **options)
         stream: Any = self.fp
-        self.reader = _Reader(stream.detach(), sock)
+        self.reader = _Reader(stream.detach())
         self.fp = self.reader
 
 
