Send no body in the response to a HEAD request

Cause: waitress sends what the application returns, for HEAD as well. The bytes after the head were read by the client as the beginning of the next response on the connection.

Evidence: TestHead; on the code before: 'AssertionError: b'0000HTTP/1.1 200 OK''. The users' callers are not known to send HEAD, so this is not shown to be the cause of the incident.

--- a/kumquatlift/transport/wsgi.py
+++ b/kumquatlift/transport/wsgi.py
@@ -155,6 +155,7 @@
             *res.headers,
         ]
         start_response(status, headers)
-        return [res.body]
+        # Waitress would send the body, and the client would read it as the next response.
+        return [] if environ["REQUEST_METHOD"] == "HEAD" else [res.body]
 
     return app
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -323,3 +323,19 @@
                 cut += 1
             assert bodies == [answer_body(f"{number}.{n}.", 50_000) for n in range(len(bodies))]
         assert cut == 0
+
+
+class TestHead:
+    """A ``HEAD`` request, whose answer has no body."""
+
+    def test_the_answer_to_the_next_request_follows(self, server: Server) -> None:
+        """Guards against a body after the head, which the caller reads as the next answer."""
+        caller = RawCaller(server.port)
+        for number in range(5):
+            caller.send(request(f"{number}", size=3, method="HEAD"), request("next", size=1))
+            head = caller.read("HEAD")
+            assert head is not None
+            assert head.headers[b"content-length"] == b"4"
+            answer = caller.read()
+            assert answer is not None
+            assert answer.body == b"nextnext"
