Check in the store's schedules that no state older than one served before is served

Hypothesis 3 of docs/incidents/unreadable-job-state.md, the part of followers, new leaders, replaced cores and lost disks: the leader answers only while its replica serves, so a replica that serves must hold every command of the states that were served before, in order.

The check finds one that is made on purpose.

--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -11,6 +11,7 @@
     check_agreement,
     check_lease,
     check_previous_lease,
+    check_served,
     settle,
 )
 from tools.replica_world import ListMachine, World
@@ -309,6 +310,18 @@
         with pytest.raises(AssertionError, match="waits too short"):
             check_previous_lease(world, lease_starts)
 
+    def test_an_older_state_that_is_served_is_found(self) -> None:
+        world = World()
+        world.run(2.0)
+        shown: list[bytes] = []
+        world.propose(b"one")
+        world.run(0.5)
+        assert check_served(world, shown) == 1
+        assert shown == [b"one"]
+        world.leader.machine.commands.clear()
+        with pytest.raises(AssertionError, match="older state"):
+            check_served(world, shown)
+
     def test_lost_command_is_found(self) -> None:
         world = World()
         world.run(2.0)
--- a/tools/fuzz_store.py
+++ b/tools/fuzz_store.py
@@ -2,8 +2,9 @@
 
 Each schedule runs three or five replicas on a manual clock. It crashes replicas, wipes disks,
 isolates replicas, drops messages, takes snapshots and adds instances, while commands are proposed.
-At every step, at most one replica may hold the lease. At the end, after all faults have been
-healed, every replica must hold the same commands, including all acknowledged ones.
+At every step, at most one replica may hold the lease, and one that serves has the whole state that
+was served before. At the end, after all faults have been healed, every replica must hold the same
+commands, including all acknowledged ones.
 
     python -m tools.fuzz_store --steps 200000 --seed 1
 """
@@ -41,6 +42,7 @@
         self._wiped_at = -100.0
         self._number = 0
         self._lease_starts: dict[int, float] = {}
+        self._shown: list[bytes] = []
 
     def run(self) -> None:
         """Inject the faults, heal them and check the result.
@@ -66,6 +68,7 @@
         self.counts["steps"] += 1
         check_lease(self.world)
         check_previous_lease(self.world, self._lease_starts)
+        self.counts["served"] += check_served(self.world, self._shown)
         if self._rng.random() < PROPOSE_CHANCE:
             self.world.propose(b"c%d" % self._number)
             self._number += 1
@@ -140,6 +143,24 @@
         lease_starts[each.raft.term] = now - each.raft.lease_age_s
 
 
+def check_served(world: World, shown: list[bytes]) -> int:
+    """Check that no replica serves from a state that is older than one that was served before.
+
+    Args:
+        world: The replicas.
+        shown: Commands of the newest state that was served; updated by this call.
+
+    Returns:
+        Number of replicas that serve now.
+    """
+    serving = [each for each in world.replicas.values() if each.is_up and each.raft.is_serving]
+    for each in serving:
+        commands = each.machine.commands
+        assert commands[: len(shown)] == shown, f"{each.name} serves from an older state"
+        shown += commands[len(shown) :]
+    return len(serving)
+
+
 def check_agreement(world: World) -> None:
     """Check that all replicas hold the same commands, including every acknowledged one."""
     logs = [replica.machine.commands for replica in world.replicas.values()]
