--- a/tests/test_state_snapshots.py
+++ b/tests/test_state_snapshots.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kumquatlift.authority import EndReason, JobSpec, ServingConfig, Step, TaskKey
+from kumquatlift.authority import EndReason, JobSpec, ServingConfig, Step
 from kumquatlift.authority._commands import Command, CommandKind
 from kumquatlift.authority._state import State
 
@@ -45,37 +45,24 @@
     return State(read_config=lambda _source: ServingConfig(), wall_clock=lambda: 1.0)
 
 
-def command_of(state: State, step: tuple[object, ...], at_ms: int) -> Command | None:
+def command_of(step: tuple[object, ...], at_ms: int) -> Command | None:
     """Return the command that a leader proposes for a step of the test, if any."""
     match step:
         case ("submit", job, JobSpec() as spec, attempts):
             fields = {"job": job, "queue": "q", "spec": spec.to_plain(), "at_ms": at_ms}
             return Command(CommandKind.JOB, {**fields, "max_attempts": attempts, "zone": "z"})
         case ("ends", list(rows)):
-            return Command(
-                CommandKind.ENDS,
-                {"at_ms": at_ms, "ends": [row for row in rows if is_task(state, row)]},
-            )
+            return Command(CommandKind.ENDS, {"at_ms": at_ms, "ends": rows})
         case ("cancel", job):
             return Command(CommandKind.CANCEL, {"job": job, "at_ms": at_ms})
     return None
 
 
-def is_task(state: State, row: tuple[object, ...]) -> bool:
-    """Return whether an end names a task of a known job."""
-    job = state.jobs.get(str(row[0]))
-    task = TaskKey(*row[:4])  # type: ignore[arg-type]
-    return job is None or (
-        (task.occurrence, task.step) in job.remaining
-        and task.number < job.spec.steps[task.step].tasks
-    )
-
-
 def view(state: State) -> dict[str, object]:
     """Return everything that answers and decisions about jobs depend on."""
     return {
         job.job_id: (
-            (job.state, job.is_open, job.is_started, job.ended_at_ms, job.remaining),
+            (job.state, job.is_open, job.is_started, job.ended_at_ms, job.done_of_step),
             (job.done, job.ended_run, job.failures, job.checkpoint, job.spec, job.is_logged),
             (job.queue, job.term, job.accepted_at_ms, job.max_attempts, job.zone),
         )
@@ -92,7 +79,7 @@
         applied, restored = new_state(), new_state()
         shown: dict[str, str] = {}
         for index, step in enumerate(steps, 1):
-            command = command_of(applied, step, at_ms=index * 10)
+            command = command_of(step, at_ms=index * 10)
             if command is None:
                 data = restored.snapshot()
                 restored = new_state()
@@ -107,5 +94,5 @@
                     shown[job.job_id] not in FINAL
                 )
                 shown[job.job_id] = job.state
-                is_done = not any(job.remaining.values())
+                is_done = len(job.done) == job.tasks
                 assert (job.state == "completed") == (is_done and job.state != "cancelled")
