Give the tests of answers more time on a loaded machine

Seen at a load of 17 to 23 on 8 cores, in runs of all new files: of 6 runs without busy processes of their own 3 passed, 2 didn't end within 60 s and 1 failed; 3 of 3 beside three busy processes failed. The failures were too few answers for the test to tell something ('assert 0 >= 100'), a first request that was answered before the switch was turned, and a connection that took more than the second of a call; none was a crossed answer. The tests now go on until they have seen enough answers, at most 10 s, and wait longer; what they check is the same.

--- a/tests/test_channel_answers.py
+++ b/tests/test_channel_answers.py
@@ -33,12 +33,12 @@
 WINDOW = 60
 TIMEOUT_S = 0.6
 # Faults through the proxy, each followed by a time in seconds.
-RESETS = (("reset", 0.04),)
+RESETS = (("reset", 0.06),)
 ONE_WAY = (("cut down", 0.12), ("pass", 0.05), ("cut up", 0.12), ("pass", 0.05))
 # Longer than PING_TIMEOUT_S plus BUSY_PING_INTERVAL_S, so that connections are retired; the answers
 # come late on the old ones.
 SILENCE = (("cut down", 0.75), ("pass", 0.2))
-FREEZES = (("freeze", 0.1), ("reset", 0.02))
+FREEZES = (("freeze", 0.1), ("reset", 0.15))
 
 
 @pytest.fixture(name="net")
@@ -120,7 +120,8 @@
         self._server = server
         self._stopped = threading.Event()
         self._numbers = itertools.count()
-        self._old: list[TcpChannel] = []
+        # Own answers of all callers, approximately, to tell when the test has seen enough.
+        self.own = 0
         self.channel = self._start()
 
     def _start(self) -> TcpChannel:
@@ -149,6 +150,7 @@
                 window.append((body, self.channel.call("b", topic, body, timeout_s=timeout_s)))
             for body, fut in window:
                 counts.add(body, fut.result(WAIT_S))
+                self.own = max(self.own, counts.own)
         return counts
 
     def stop(self) -> None:
@@ -182,7 +184,8 @@
             futs = [executor.submit(load.call, number) for number in range(CALLERS)]
             deadline = time.monotonic() + FAULT_S
             for command, duration_s in itertools.cycle(faults):
-                if time.monotonic() > deadline:
+                now = time.monotonic()
+                if now > deadline and (load.own >= at_least or now > deadline + WAIT_S):
                     break
                 assert server.proxy.command(command).startswith("ok")
                 time.sleep(duration_s)
@@ -200,7 +203,10 @@
         load = Load(server)
         with ThreadPoolExecutor(CALLERS) as executor:
             futs = [executor.submit(load.call, number) for number in range(CALLERS)]
-            for _ in range(8):
+            deadline = time.monotonic() + WAIT_S
+            for restarts in itertools.count():
+                if restarts >= 8 and (load.own >= 100 or time.monotonic() > deadline):
+                    break
                 time.sleep(0.12)
                 (server if side == "answering" else load).restart()
             load.stop()
@@ -427,6 +433,6 @@
             return put(queue, frame)
 
         monkeypatch.setattr(SendQueue, "put", put_late)
-        fut = a.call("b", "t", b"x", timeout_s=1.0)
+        fut = a.call("b", "t", b"x", timeout_s=3.0)
         assert fut.result(WAIT_S) == b"rex"
         others.shutdown()
