--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,10 +2,12 @@
 
 import time
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 
 from tools.soak import Soak, is_expected_end
+from tools.soak_faults import FaultSchedule
 from tools.users_platform import History
 
 MUTANT_RUN_S = 6.0
@@ -101,6 +103,27 @@
         assert not is_expected_end("running", is_cancel_sent=True)
 
 
+class TestFaults:
+    """Faults are injected in any state of the programs."""
+
+    def test_a_core_that_has_no_data_yet_loses_its_disk(
+        self, monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+    ) -> None:
+        """Guards against a run that ends because a core was killed while it started."""
+        monkeypatch.setattr("tools.soak_faults.try_call", lambda *_args: (200, {}))
+        cores = [Mock(host=f"127.0.9.{number}") for number in range(3)]
+        schedule = FaultSchedule(
+            cluster=Mock(cores=cores),
+            folder=tmp_path,
+            seed=1,
+            seconds=1.0,
+            only=(),
+            report_violation=lambda _text: None,
+        )
+        schedule._lose_disk()
+        cores[0].start.assert_called_once()
+
+
 class TestRun:
     """A short schedule with real processes."""
 
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -129,7 +129,9 @@
             return
         victim = self._cluster.cores[0]
         victim.kill()
-        shutil.rmtree(self._folder / victim.host / "data")
+        # A core that was killed while it started has no data yet.
+        with contextlib.suppress(FileNotFoundError):
+            shutil.rmtree(self._folder / victim.host / "data")
         victim.start()
         self._disk_lost_at = time.monotonic()
 
