Serve all connections to upstreams in the leader's event loop

Cause: 24 threads for orders and 220 for polls share one interpreter with the event loop. Each exchange takes two hand-overs between threads, and each system call of a thread releases the interpreter and waits up to 5 ms to get it back while the loop is busy. Polls of the upstreams beyond the 220th also waited for a thread. The mean time of orders, which admission adds twice, rose with it, so jobs were refused while the processor was used by less than half.

Ruled out: the decisions.

A connection is still reused only after a whole answer without surplus bytes, and a failure still tells whether any byte was sent. The test of a poll without a thread becomes one of a poll without a socket, since polls need no thread any more; the tests of the thread pool itself stay.

--- a/kumquatlift/platform/_upstream_client.py
+++ b/kumquatlift/platform/_upstream_client.py
@@ -1,6 +1,5 @@
 """Client that sends orders and polls to upstreams over HTTP."""
 
-import http.client
 from collections.abc import Callable
 from functools import partial
 
@@ -13,6 +12,8 @@
     StopOrder,
     UpstreamRef,
 )
+from kumquatlift.codes import ResultCode
+from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
 from kumquatlift.platform._wire import (
     read_order_answer,
@@ -22,8 +23,8 @@
     write_stop,
 )
 from kumquatlift.store import EventLoop
-from kumquatlift.transport.connection_pool import ConnectionPool, HttpResponse, NotSentError
-from kumquatlift.worker_pool import WorkerPool
+from kumquatlift.transport.connection_pool import HttpResponse
+from kumquatlift.transport.event_http import ClientLimits, EventHttpClient
 
 # Timeout of a poll, in addition to the time for which the upstream may wait for a run to end.
 POLL_TIMEOUT_S = 0.2
@@ -32,10 +33,8 @@
 MAX_IDLE_S = 3.0
 # Interval at which connections that exceed ``MAX_IDLE_S`` are closed.
 CLOSE_IDLE_S = 1.0
-# Threads for start and stop orders. An upstream that doesn't answer blocks one for the timeout.
-ORDER_THREADS = 24
-# Threads for polls. A poll blocks its thread while it waits; each upstream has one at a time.
-POLL_THREADS = 220
+# Leaves a third of a core's 4,096 file descriptors to its servers, channel and journal.
+MAX_CONNECTIONS = 2700
 
 
 class UpstreamClient:
@@ -46,29 +45,38 @@
     """
 
     def __init__(self, *, loop: EventLoop) -> None:
-        self._loop = loop
-        self._pool = ConnectionPool(max_idle_s=MAX_IDLE_S)
-        self._orders = WorkerPool(threads=ORDER_THREADS, name="order")
-        self._polls = WorkerPool(threads=POLL_THREADS, name="look")
-        loop.call_every(CLOSE_IDLE_S, partial(self._orders.submit, self._pool.close_idle))
-        # Each ``submit`` above does the same for the threads for orders.
-        loop.call_every(CLOSE_IDLE_S, self._polls.wake)
+        self._http = EventHttpClient(
+            loop=loop,
+            limits=ClientLimits(
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+                max_idle_s=MAX_IDLE_S,
+                max_connections=MAX_CONNECTIONS,
+            ),
+        )
+        loop.call_every(CLOSE_IDLE_S, self._http.close_idle)
 
     def start(
         self, ref: UpstreamRef, order: StartOrder, done: Callable[[OrderAnswer], None]
     ) -> None:
         """Send a start order."""
-        body = write_start(order, ref.token)
-        self._orders.submit(self._send_order, ref, "/api/run-start", body, order.timeout_s, done)
+        self._send_order(
+            ref, "/api/run-start", write_start(order, ref.token), order.timeout_s, done
+        )
 
     def stop(self, ref: UpstreamRef, order: StopOrder, done: Callable[[OrderAnswer], None]) -> None:
         """Send a stop order."""
-        body = write_stop(order, ref.token)
-        self._orders.submit(self._send_order, ref, "/api/run-stop", body, order.timeout_s, done)
+        self._send_order(ref, "/api/run-stop", write_stop(order, ref.token), order.timeout_s, done)
 
     def poll(self, ref: UpstreamRef, order: PollOrder, done: Callable[[PollAnswer], None]) -> None:
         """Send a poll, which lists running tasks and ended runs, and renews the lease."""
-        self._polls.submit(self._poll, ref, order, done)
+        timeout_s = POLL_TIMEOUT_S + order.wait_ms / 1000
+        self._send(
+            ref,
+            "/api/hold",
+            write_poll(order, ref.token),
+            timeout_s,
+            partial(_on_polled, ref, done),
+        )
 
     def _send_order(
         self,
@@ -78,49 +86,62 @@
         timeout_s: float,
         done: Callable[[OrderAnswer], None],
     ) -> None:
-        try:
-            answer = self._exchange(ref, path, body, timeout_s)
-            if isinstance(answer, OrderAnswer):
-                result = answer
-            else:
-                result = read_order_answer(answer.status, answer.body, ref.started_at_ms)
-        except Exception as exc:
-            # The leader counts on the callback, so any error is an unknown outcome.
-            result = _on_error(ref, path, exc)
-        self._loop.post(done, result)
+        self._send(ref, path, body, timeout_s, partial(_on_ordered, ref, path, done))
 
-    def _poll(self, ref: UpstreamRef, order: PollOrder, done: Callable[[PollAnswer], None]) -> None:
-        timeout_s = POLL_TIMEOUT_S + order.wait_ms / 1000
-        try:
-            answer = self._exchange(ref, "/api/hold", write_poll(order, ref.token), timeout_s)
-            if isinstance(answer, OrderAnswer):
-                result = PollAnswer(answer.result, reason=answer.reason)
-            else:
-                result = read_poll_answer(answer.status, answer.body, ref.started_at_ms)
-        except Exception as exc:
-            # As in ``_send_order``.
-            failure = _on_error(ref, "/api/hold", exc)
-            result = PollAnswer(failure.result, reason=failure.reason)
-        self._loop.post(done, result)
-
-    def _exchange(
-        self, ref: UpstreamRef, path: str, body: bytes, timeout_s: float
-    ) -> HttpResponse | OrderAnswer:
+    def _send(
+        self,
+        ref: UpstreamRef,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        done: Callable[[HttpResponse | OrderAnswer], None],
+    ) -> None:
         headers = {"Content-Type": "application/json", "Expected-Instance": ref.upstream_id}
-        send = partial(
-            self._pool.exchange,
-            timeout_s=timeout_s,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-        )
-        try:
-            return send(ref.address, "POST", path, body, headers)
-        except NotSentError as exc:
-            return OrderAnswer(OrderResult.NOT_SENT, reason=str(exc))
-        except (OSError, http.client.HTTPException, ValueError) as exc:
-            # The upstream's other connections may have failed too, so the next order opens a new
-            # one.
-            self._pool.drop(ref.address)
-            return OrderAnswer(OrderResult.UNKNOWN, reason=f"{type(exc).__name__} {exc}"[:120])
+
+        def on_done(answer: HttpResponse | Failure) -> None:
+            if isinstance(answer, HttpResponse):
+                done(answer)
+            elif answer.code is ResultCode.NOT_DELIVERED:
+                done(OrderAnswer(OrderResult.NOT_SENT, reason=answer.reason[:120]))
+            else:
+                # The upstream's other connections may have failed too, so the next order opens a
+                # new one.
+                self._http.drop(ref.address)
+                done(OrderAnswer(OrderResult.UNKNOWN, reason=answer.reason[:120]))
+
+        self._http.send(ref.address, "POST", path, body, headers, timeout_s=timeout_s, done=on_done)
+
+
+def _on_ordered(
+    ref: UpstreamRef,
+    path: str,
+    done: Callable[[OrderAnswer], None],
+    answer: HttpResponse | OrderAnswer,
+) -> None:
+    if isinstance(answer, OrderAnswer):
+        done(answer)
+        return
+    try:
+        result = read_order_answer(answer.status, answer.body, ref.started_at_ms)
+    except Exception as exc:
+        # The leader counts on the callback, so any error is an unknown outcome.
+        result = _on_error(ref, path, exc)
+    done(result)
+
+
+def _on_polled(
+    ref: UpstreamRef, done: Callable[[PollAnswer], None], answer: HttpResponse | OrderAnswer
+) -> None:
+    if isinstance(answer, OrderAnswer):
+        done(PollAnswer(answer.result, reason=answer.reason))
+        return
+    try:
+        result = read_poll_answer(answer.status, answer.body, ref.started_at_ms)
+    except Exception as exc:
+        # As in ``_on_ordered``.
+        failure = _on_error(ref, "/api/hold", exc)
+        result = PollAnswer(failure.result, reason=failure.reason)
+    done(result)
 
 
 def _on_error(ref: UpstreamRef, path: str, exc: Exception) -> OrderAnswer:
--- a/tests/test_pool_answers.py
+++ b/tests/test_pool_answers.py
@@ -3,91 +3,19 @@
 import http.client
 import socket
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from kumquatlift.transport.connection_pool import ConnectionPool, HttpResponse, NotSentError
+from tests.http_servers import ScriptedServer, chunked, whole
 
 WAIT_S = 5.0
 CALLERS = 8
 CALLS_PER_CALLER = 60
 
 
-def answer_head(body: bytes, *, status: str = "200 OK", extra: bytes = b"") -> bytes:
-    """Return the head of an answer with a Content-Length."""
-    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n" % (status.encode(), len(body), extra)
-
-
-def whole(body: bytes, *, status: str = "200 OK", extra: bytes = b"") -> bytes:
-    """Return an answer with a Content-Length."""
-    return answer_head(body, status=status, extra=extra) + body
-
-
-def chunked(body: bytes) -> bytes:
-    """Return an answer in chunks of at most five bytes."""
-    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-    chunks = [body[start : start + 5] for start in range(0, len(body), 5)]
-    return head + b"".join(b"%x\r\n%s\r\n" % (len(c), c) for c in chunks) + b"0\r\n\r\n"
-
-
-class ScriptedServer:
-    """A server that passes each request, as its path, to a function with its connection.
-
-    Args:
-        serve: Writes the answer; returns whether the connection stays open.
-    """
-
-    def __init__(self, serve: Callable[[socket.socket, bytes], bool]) -> None:
-        self._serve = serve
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.address = "{}:{}".format(*self._listener.getsockname())
-        self.accepted = 0
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            self.accepted += 1
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            threading.Thread(target=self._serve_conn, args=(sock,), daemon=True).start()
-
-    def _serve_conn(self, sock: socket.socket) -> None:
-        buffer = b""
-        with sock:
-            try:
-                while data := sock.recv(65536):
-                    buffer += data
-                    while b"\r\n\r\n" in buffer:
-                        head, _, buffer = buffer.partition(b"\r\n\r\n")
-                        if not self._serve(sock, head.split(b" ")[1]):
-                            return
-            except OSError:
-                return
-
-    def close(self) -> None:
-        """Accept no more connections."""
-        self._listener.close()
-
-
-@pytest.fixture(name="start_server")
-def fixture_start_server() -> Iterator[Callable[..., ScriptedServer]]:
-    """Return a function that starts a server, which ends with the test."""
-    servers: list[ScriptedServer] = []
-
-    def start(serve: Callable[[socket.socket, bytes], bool]) -> ScriptedServer:
-        servers.append(ScriptedServer(serve))
-        return servers[-1]
-
-    yield start
-    for server in servers:
-        server.close()
-
-
 def get(
     pool: ConnectionPool, server: ScriptedServer, path: str, *, timeout_s: float = WAIT_S
 ) -> HttpResponse:
--- a/tests/users_platform/test_upstream_client.py
+++ b/tests/users_platform/test_upstream_client.py
@@ -1,5 +1,7 @@
 """Orders and polls to upstreams whose answers can't be read."""
 
+import errno
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -22,8 +24,10 @@
 from kumquatlift.platform import _upstream_client
 from kumquatlift.platform._upstream_client import UpstreamClient
 from kumquatlift.store import EventLoop
+from kumquatlift.transport import event_http
 
 WAIT_S = 4.0
+FLEET = 342
 TASK = TaskKey("a" * 16, 0, 0, 0)
 _Answer = TypeVar("_Answer")
 
@@ -120,21 +124,50 @@
         assert wait_for(loop, started).result is OrderResult.UNKNOWN
         assert wait_for(loop, stopped).result is OrderResult.UNKNOWN
 
-    def test_poll_without_a_thread_is_sent_later(
+    def test_poll_without_a_socket_is_answered_and_the_next_one_sent(
         self, serve: Callable[[bytes], UpstreamRef], monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        ref, start = serve(b"{}"), threading.Thread.start
-        refused: list[threading.Thread] = []
-
-        def start_or_fail(thread: threading.Thread) -> None:
-            if thread.name.startswith("look") and not refused:
-                refused.append(thread)
-                raise RuntimeError("can't start new thread")
-            start(thread)
-
-        monkeypatch.setattr(threading.Thread, "start", start_or_fail)
-        assert poll(ref).result is OrderResult.OK
-        assert refused
+        """Guards against an upstream that is not polled again after the system refused a socket."""
+        ref, loop = serve(b"{}"), EventLoop(clock=MonotonicClock())
+        client = UpstreamClient(loop=loop)
+        answers: list[PollAnswer] = []
+        with monkeypatch.context() as patched:
+            patched.setattr(event_http.socket, "socket", raise_no_descriptors)
+            client.poll(ref, PollOrder(0, 0, 2000), answers.append)
+        assert wait_for(loop, answers).result is OrderResult.NOT_SENT
+        answers.clear()
+        client.poll(ref, PollOrder(0, 0, 2000), answers.append)
+        assert wait_for(loop, answers).result is OrderResult.OK
+
+    def test_polls_of_all_upstreams_of_a_large_fleet_are_open_together(self) -> None:
+        """Guards against upstreams whose polls wait for a thread.
+
+        With 220 threads for polls, the polls of a fleet of 342 upstreams took turns, so ends were
+        reported up to half a lease late, and leases were renewed as late.
+        """
+        listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(FLEET)]
+        loop = EventLoop(clock=MonotonicClock())
+        client = UpstreamClient(loop=loop)
+        for number, listener in enumerate(listeners):
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            client.poll(UpstreamRef(f"u{number}", 5, address, 1), PollOrder(0, 0, 2000), print)
+        conns: list[socket.socket] = []
+        deadline = time.monotonic() + WAIT_S
+        for listener in listeners:
+            loop.run_pending()
+            listener.settimeout(max(0.001, deadline - time.monotonic()))
+            conns.append(listener.accept()[0])
+        loop.run_pending()
+        loop.run_pending()
+        for conn in conns:
+            conn.settimeout(max(0.001, deadline - time.monotonic()))
+            assert conn.recv(4096).startswith(b"POST /api/hold ")
+        for sock in (*listeners, *conns):
+            sock.close()
+
+
+def raise_no_descriptors(*_args: Any) -> Any:
+    raise OSError(errno.EMFILE, "too many open files")
 
 
 def raise_error(*_args: Any) -> Any:
