Send nothing late, and give up nothing that has arrived, after a pause

And in the half second after the next leader had ended its recovery at 3.11 s, 378 start orders were repeated for want of an answer within 30 to 36 ms, where 74 had been in the half second before: it placed 337 jobs at once and read their answers too late.

Cause of the first: an order is checked against the lease when it is decided, but it waits for its connection. The connect succeeds during the pause, and the timeout counts only time in which the process is not suspended. Upstreams refuse such orders as long as the next leader has been there before. Cause of the second: a batch of the event loop reads at most 200 sockets and then runs the timers, also those of exchanges whose answers are there.

Change: the client asks for the permission again when a connection is open, and answers truthfully that nothing was sent. An exchange is given up only after its socket was read once more, and a connect only if it has not succeeded.

--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -136,9 +136,10 @@
     loop = EventLoop(clock=clock)
     timer = Timer(clock=clock)
     channel = _open_channel(cfg)
+    gateway = UpstreamClient(loop=loop)
     authority = Authority(
         read_config=read_config,
-        gateway=UpstreamClient(loop=loop),
+        gateway=gateway,
         loop=loop,
         clock=clock,
         limits=Limits(
@@ -163,6 +164,7 @@
         target_voters=max(len(cfg.contacts), 2 * cfg.bounds.tolerated_machines + 1),
         max_journal_bytes=int(JOURNAL_SHARE * cfg.disk_mb * 1_000_000),
     )
+    gateway.may_send = lambda: replica.raft.has_lease
     replica.start()
     authority.attach(replica.raft)
     # Flushes the replica again after the authority, which proposes entries at the end of a batch;
--- a/kumquatlift/platform/_upstream_client.py
+++ b/kumquatlift/platform/_upstream_client.py
@@ -44,6 +44,10 @@
         loop: Event loop in which the callbacks for answers run.
     """
 
+    # Returns whether this instance still leads with a lease. A connection may take a while to open,
+    # and the process may be suspended meanwhile.
+    may_send: Callable[[], bool] = staticmethod(lambda: True)
+
     def __init__(self, *, loop: EventLoop) -> None:
         self._http = EventHttpClient(
             loop=loop,
@@ -52,6 +56,7 @@
                 max_idle_s=MAX_IDLE_S,
                 max_connections=MAX_CONNECTIONS,
             ),
+            may_send=lambda: self.may_send(),
         )
         loop.call_every(CLOSE_IDLE_S, self._http.close_idle)
 
--- a/kumquatlift/transport/event_http.py
+++ b/kumquatlift/transport/event_http.py
@@ -90,11 +90,20 @@
     Args:
         loop: The event loop.
         limits: Limits of the client.
+        may_send: Returns whether a request may still be sent on a connection that has just been
+            opened; the process may have been suspended since it was decided on.
     """
 
-    def __init__(self, *, loop: SocketLoop, limits: ClientLimits) -> None:
+    def __init__(
+        self,
+        *,
+        loop: SocketLoop,
+        limits: ClientLimits,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._loop = loop
         self._limits = limits
+        self._may_send = may_send
         # Idle connections by address, the newest last.
         self._idle: dict[str, list[_Connection]] = defaultdict(list)
         self._idle_count = 0
@@ -207,7 +216,7 @@
             self._loop.post(self._fail, conn, exchange, f"{address}: {exc}")
             return
         exchange.timer = self._loop.call_after(
-            self._limits.connect_timeout_s, partial(self._fail, conn, exchange, "connect timeout")
+            self._limits.connect_timeout_s, partial(self._on_connect_timeout, conn, exchange)
         )
         self._loop.watch(sock, partial(self._on_event, conn), for_writing=True)
 
@@ -238,7 +247,7 @@
         conn.exchange = exchange
         conn.unsent = exchange.data
         exchange.timer = self._loop.call_after(
-            exchange.timeout_s, partial(self._fail, conn, exchange, "timeout")
+            exchange.timeout_s, partial(self._on_timeout, conn, exchange)
         )
         try:
             self._write(conn)
@@ -273,10 +282,27 @@
         except (OSError, ResponseError) as exc:
             self._fail(conn, exchange, f"{type(exc).__name__} {exc}")
 
+    def _on_connect_timeout(self, conn: _Connection, exchange: _Exchange) -> None:
+        """Give up a connect, unless the loop was too busy to see that it has succeeded."""
+        try:
+            conn.sock.getpeername()
+        except OSError:
+            self._fail(conn, exchange, "connect timeout")
+        else:
+            self._on_event(conn, select.EPOLLOUT)
+
+    def _on_timeout(self, conn: _Connection, exchange: _Exchange) -> None:
+        """Give up an exchange, unless the loop was too busy to read an answer that has arrived."""
+        if conn.exchange is exchange:
+            self._on_event(conn, select.EPOLLIN)
+        self._fail(conn, exchange, "timeout")
+
     def _on_connected(self, conn: _Connection, exchange: _Exchange) -> None:
         error = conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
             raise OSError(error, f"{conn.address}: connect failed")
+        if not self._may_send():
+            raise PermissionError("the permission to send ended before the connection was open")
         conn.is_open = True
         if exchange.timer is not None:
             exchange.timer.cancel()
--- a/tests/test_event_http.py
+++ b/tests/test_event_http.py
@@ -11,7 +11,7 @@
 from kumquatlift.clock import MonotonicClock
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
-from kumquatlift.store import EventLoop
+from kumquatlift.store import EventLoop, _event_loop
 from kumquatlift.transport._http_response import MAX_RESPONSE_BYTES
 from kumquatlift.transport.connection_pool import HttpResponse
 from kumquatlift.transport.event_http import ClientLimits, EventHttpClient
@@ -20,6 +20,7 @@
 WAIT_S = 5.0
 CALLERS = 8
 CALLS_PER_CALLER = 60
+REQUESTS = 40
 StartServer = Callable[..., ScriptedServer]
 Answer = HttpResponse | Failure
 
@@ -29,8 +30,9 @@
 
     def __init__(self, *, max_idle_s: float = 3.0, max_connections: int = 100) -> None:
         self.loop = EventLoop(clock=MonotonicClock())
+        self.may_send = True
         limits = ClientLimits(0.5, max_idle_s, max_connections)
-        self.http = EventHttpClient(loop=self.loop, limits=limits)
+        self.http = EventHttpClient(loop=self.loop, limits=limits, may_send=lambda: self.may_send)
 
     def send(
         self, address: str, path: str, done: Callable[[Answer], None], timeout_s: float = WAIT_S
@@ -325,6 +327,55 @@
         peer.close()
 
 
+class TestPauses:
+    """A process that was paused or busy neither sends what it may not nor loses answers."""
+
+    def test_a_request_is_not_sent_when_the_permission_ended_during_the_connect(
+        self, start_server: StartServer, client: Client
+    ) -> None:
+        """Guards against a frozen leader that sends an order of its lost term when it resumes.
+
+        The order waited for its connection, which was open when the process resumed; only the
+        decision to send it had been checked against the lease.
+        """
+        received: list[bytes] = []
+
+        def serve(sock: socket.socket, path: bytes) -> bool:
+            received.append(path)
+            sock.sendall(whole(path))
+            return True
+
+        server, answers = start_server(serve), list[Answer]()
+        client.send(server.address, "/1", answers.append)
+        client.may_send = False
+        client.run_until(lambda: bool(answers))
+        assert code_of(answers[0]) is ResultCode.NOT_DELIVERED
+        client.may_send = True
+        assert body_of(client.get(server.address, "/2")) == b"/2"
+        assert received == [b"/2"]
+
+    def test_answers_that_arrived_while_the_loop_was_busy_are_not_given_up(
+        self, start_server: StartServer, client: Client, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against orders that are repeated although their answers have arrived.
+
+        A new leader places the tasks of all waiting jobs at once. The answers to hundreds of orders
+        arrived while it sent the last ones. A batch reads a limited number of them, and the others
+        timed out.
+        """
+        monkeypatch.setattr(_event_loop, "MAX_BATCH", REQUESTS // 4)
+        answers: list[Answer] = []
+        server = start_server(lambda sock, path: sock.sendall(whole(path)) is None)
+        for timeout_s in (WAIT_S, 0.2):
+            answers.clear()
+            for number in range(REQUESTS):
+                client.send(server.address, f"/{number}", answers.append, timeout_s)
+            if timeout_s < WAIT_S:
+                time.sleep(3 * timeout_s)
+            client.run_until(lambda: len(answers) == REQUESTS)
+            assert [each for each in answers if isinstance(each, Failure)] == []
+
+
 class TestConnections:
     """Connections are reused, and bounded in number and idle time."""
 
