Handle the leader's requests and the log's messages in the channel's thread

Cause: each request to the leader and each message of the log passed through a worker thread that only decodes it and posts it to the event loop. The hand-over costs processor time, and on a busy leader the worker waits for the interpreter.

Change: handle_inline runs the handler of a topic in the thread of the channel. The topics that may block keep their queues and threads.

--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -170,7 +170,7 @@
     # Flushes the replica again after the authority, which proposes entries at the end of a batch;
     # they would otherwise wait for the next batch.
     loop.after_batch(replica.flush)
-    channel.handle_async(Topic.AUTHORITY, authority_handler(authority.handle_request))
+    channel.handle_inline(Topic.AUTHORITY, authority_handler(authority.handle_request))
     client = LeaderClient(channel=channel, timer=timer, contacts=cfg.contacts)
     control = Control(client=client, control_port=Address.parse(cfg.listen.control).port)
     _serve(control.handle, cfg.listen.control, CONTROL_THREADS, "control")
--- a/kumquatlift/store/_replica.py
+++ b/kumquatlift/store/_replica.py
@@ -70,7 +70,7 @@
             now=seconds_since_boot,
             started_at=started_at,
         )
-        channel.handle(Topic.LOG, self._on_message, workers=1)
+        channel.handle_inline(Topic.LOG, self._on_message)
 
     def start(self) -> None:
         """Start the timers of the replica."""
--- a/kumquatlift/transport/_topic_queues.py
+++ b/kumquatlift/transport/_topic_queues.py
@@ -24,7 +24,7 @@
 
     def __init__(self, *, workers: int) -> None:
         self._workers = workers
-        self._queues: dict[str, TopicQueue] = {}
+        self._queues: dict[str, TopicQueue | InlineTopic] = {}
 
     def register(self, topic: str, handler: Handler | AsyncHandler, workers: int | None) -> None:
         """Set the handler of a topic; ``workers`` None means the default."""
@@ -32,6 +32,10 @@
             topic=topic, handler=handler, workers=workers or self._workers
         )
 
+    def register_inline(self, topic: str, handler: Handler | AsyncHandler) -> None:
+        """Set a handler that runs in the thread that delivers the message."""
+        self._queues[topic] = InlineTopic(topic=topic, handler=handler)
+
     def deliver(self, sender: str, envelope: Envelope, answer: AnswerCallback) -> None:
         """Queue a request or notice; refuse it without a handler or when its queue is full."""
         queue = self._queues.get(envelope.topic)
@@ -101,25 +105,53 @@
             self._run(sender, body, answer)
 
     def _run(self, sender: str, body: bytes, answer: AnswerCallback) -> None:
-        try:
-            reply = self._handler(sender, body)
-        except Exception as exc:
-            self._fail(sender, exc, answer)
-            return
-        if isinstance(reply, Future):
-            reply.add_done_callback(lambda fut: self._answer_from(fut, sender, answer))
-        else:
-            answer(FrameKind.ANSWER, reply or b"")
+        _run_handler(self._topic, self._handler, sender, body, answer)
+
+
+class InlineTopic:
+    """A topic whose handler runs in the thread of the channel, without a queue of its own.
+
+    Args:
+        topic: Name of the topic.
+        handler: Handler of the topic's messages.
+    """
 
-    def _answer_from(self, fut: "Future[bytes]", sender: str, answer: AnswerCallback) -> None:
-        """Answer with the result of a future that is done."""
+    def __init__(self, *, topic: str, handler: Handler | AsyncHandler) -> None:
+        self._topic = topic
+        self._handler = handler
+
+    def put(self, sender: str, body: bytes, answer: AnswerCallback) -> bool:
+        """Handle a message."""
+        _run_handler(self._topic, self._handler, sender, body, answer)
+        return True
+
+    def close(self) -> None:
+        """Do nothing, as there are no queued messages."""
+
+
+def _run_handler(
+    topic: str, handler: Handler | AsyncHandler, sender: str, body: bytes, answer: AnswerCallback
+) -> None:
+    """Run a handler, and answer with its result now or when its future is done."""
+
+    def answer_from(fut: "Future[bytes]") -> None:
         try:
             reply = fut.result()
         except Exception as exc:
-            self._fail(sender, exc, answer)
+            fail(exc)
         else:
             answer(FrameKind.ANSWER, reply)
 
-    def _fail(self, sender: str, exc: Exception, answer: AnswerCallback) -> None:
-        get_logger().error("handler_failed", topic=self._topic, peer=sender, error=repr(exc))
+    def fail(exc: Exception) -> None:
+        get_logger().error("handler_failed", topic=topic, peer=sender, error=repr(exc))
         answer(FrameKind.FAILED, repr(exc)[:200].encode("utf-8", "replace"))
+
+    try:
+        reply = handler(sender, body)
+    except Exception as exc:
+        fail(exc)
+        return
+    if isinstance(reply, Future):
+        reply.add_done_callback(answer_from)
+    else:
+        answer(FrameKind.ANSWER, reply or b"")
--- a/kumquatlift/transport/channel.py
+++ b/kumquatlift/transport/channel.py
@@ -72,3 +72,11 @@
             workers: Number of handlers that run concurrently; 1 handles messages in order, None
                 means the default.
         """
+
+    def handle_inline(self, topic: str, handler: Handler) -> None:
+        """Register a handler that runs in the thread of the channel, in the order of arrival.
+
+        Args:
+            topic: Name of the topic.
+            handler: Must not block, since it delays the messages of all topics.
+        """
--- a/kumquatlift/transport/tcp_channel.py
+++ b/kumquatlift/transport/tcp_channel.py
@@ -84,6 +84,10 @@
         """Register a handler that returns futures; it is called in the order of arrival."""
         self._topics.register(topic, handler, 1)
 
+    def handle_inline(self, topic: str, handler: Handler | AsyncHandler) -> None:
+        """Register a handler that runs in the thread of the channel; it must not block."""
+        self._topics.register_inline(topic, handler)
+
     def call(
         self, peer: str, topic: str, body: bytes, *, timeout_s: float
     ) -> Future[bytes | Failure]:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -50,6 +50,10 @@
     def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
         self._handlers[topic] = handler
 
+    def handle_inline(self, topic: str, handler: Handler) -> None:
+        """Register a handler like ``handle``."""
+        self.handle(topic, handler)
+
     def _exchange(self, peer: str, topic: str, body: bytes) -> bytes | Failure:
         self._network.sent += 1
         target = self._network.channels.get(peer)
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -96,6 +96,10 @@
     def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
         self.handlers[topic] = handler
 
+    def handle_inline(self, topic: str, handler: Handler) -> None:
+        """Register a handler like ``handle``."""
+        self.handle(topic, handler)
+
     def _post(self, target: "SimulatedChannel", topic: str, body: bytes, fut: Reply) -> None:
         def answer(data: bytes) -> None:
             if self.is_alive and not fut.done():
--- a/tests/test_channel_answers.py
+++ b/tests/test_channel_answers.py
@@ -347,6 +347,40 @@
         assert Reply.from_bytes(result).code is ResultCode.TIMED_OUT
 
 
+class TestInlineHandler:
+    """A topic whose handler runs in the thread of the channel."""
+
+    def test_messages_are_handled_in_order_and_answered(self, net: Net) -> None:
+        a, b = net.channel("a"), net.channel("b")
+        received: list[bytes] = []
+
+        def handle(_sender: str, body: bytes) -> "Future[bytes]":
+            received.append(body)
+            done: Future[bytes] = Future()
+            done.set_result(b"re" + body)
+            return done
+
+        b.handle_inline("t", handle)
+        bodies = [b"%d" % number for number in range(50)]
+        futs = [a.call("b", "t", body, timeout_s=WAIT_S) for body in bodies]
+        assert [fut.result(WAIT_S) for fut in futs] == [b"re" + body for body in bodies]
+        assert received == bodies
+
+    def test_an_error_fails_one_call_and_the_channel_goes_on(self, net: Net) -> None:
+        """Guards against one odd message that ends the thread of a channel."""
+        a, b = net.channel("a"), net.channel("b")
+
+        def handle(_sender: str, body: bytes) -> bytes:
+            return b"%d" % (1 // int(body))
+
+        b.handle_inline("t", handle)
+        b.handle("other", lambda _sender, body: body)
+        failed = a.call("b", "t", b"0", timeout_s=WAIT_S).result(WAIT_S)
+        assert code(failed) is ResultCode.TIMED_OUT
+        assert a.call("b", "t", b"1", timeout_s=WAIT_S).result(WAIT_S) == b"1"
+        assert a.call("b", "other", b"x", timeout_s=WAIT_S).result(WAIT_S) == b"x"
+
+
 class TestFaultOfTheLeader:
     """A request whose handling raises, on the leader."""
 
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -69,6 +69,10 @@
         """See ``Channel.handle``."""
         self.handlers[topic] = handler
 
+    def handle_inline(self, topic: str, handler: Handler) -> None:
+        """Register a handler like ``handle``."""
+        self.handle(topic, handler)
+
     def _run(self) -> None:
         while True:
             due, sender, topic, body, fut = self.inbox.get()
@@ -102,6 +106,10 @@
         """See ``Channel.handle``."""
         self.channel.handle(topic, handler, workers=workers)
 
+    def handle_inline(self, topic: str, handler: Handler) -> None:
+        """Register a handler like ``handle``."""
+        self.handle(topic, handler)
+
 
 def _delayed_channels(delay_s: float) -> dict[str, Channel]:
     peers: dict[str, DelayedChannel] = {}
--- a/tools/measure_register.py
+++ b/tools/measure_register.py
@@ -86,6 +86,10 @@
         """Register a handler."""
         self._network.handlers[self._name][topic] = handler
 
+    def handle_inline(self, topic: str, handler: Handler) -> None:
+        """Register a handler like ``handle``."""
+        self.handle(topic, handler)
+
 
 class StaticMembers:
     """A membership view in which all instances are live."""
