Let replies of the leader take the place of probes

Cause: each frontend asks the leader every 150 ms whether it still leads, also while the leader answers its requests.

Change: the leader is asked only after 150 ms without an answer of any kind. How soon a silent leader counts as lost stays the same.

--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -13,7 +13,7 @@
 from kumquatlift.timer import Timer
 from kumquatlift.transport.channel import AsyncHandler, Channel, Topic
 
-# Interval at which the known leader is probed, that is, asked whether it still leads.
+# A known leader that has not answered for this long is asked whether it still leads, by a probe.
 PROBE_INTERVAL_S = 0.15
 # Interval at which all instances are probed while no leader is known.
 SEARCH_INTERVAL_S = 0.1
@@ -159,7 +159,9 @@
         if not leader:
             return everyone
         targets: list[str] = []
-        if now - self._probed_at >= PROBE_INTERVAL_S:
+        # Replies to requests show that it leads as well. Without this rule, a leader of a hundred
+        # frontends answers 700 probes a second.
+        if now - max(self._probed_at, self._last_answer_at) >= PROBE_INTERVAL_S:
             self._probed_at = now
             targets.append(leader)
         if now - self._last_answer_at > SUSPECT_S:
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -23,6 +23,7 @@
         self.members = members
         self.unanswering: set[str] = set()
         self.called_peers: list[str] = []
+        self.probes = 0
         self.reply = Reply(ResultCode.ACCEPTED)
 
     def call(
@@ -32,6 +33,8 @@
         request = Request.from_bytes(body)
         if request.operation is not Operation.WHO_LEADS:
             self.called_peers.append(peer)
+        else:
+            self.probes += 1
         if peer in self.unanswering:
             return fut
         members = {"members": list(self.members)}
@@ -49,6 +52,10 @@
     def handle(self, topic: str, handler: Handler, *, workers: int | None = None) -> None:
         return
 
+    def handle_inline(self, topic: str, handler: Handler) -> None:
+        """Register a handler like ``handle``."""
+        self.handle(topic, handler)
+
 
 @pytest.fixture
 def timer() -> Iterator[Timer]:
@@ -64,6 +71,30 @@
     return client.leader
 
 
+class TestProbes:
+    """How often a client asks whether the leader still leads."""
+
+    def test_replies_take_the_place_of_probes(self, timer: Timer) -> None:
+        """Guards against a leader that answers seven probes a second of each busy frontend."""
+        channel = ScriptedChannel(leader="n1", members=("n1",))
+        client = LeaderClient(channel=channel, timer=timer, contacts=("n1",))
+        assert wait_for_leader(client) == "n1"
+        before = channel.probes
+        for _ in range(40):
+            time.sleep(client_module.PROBE_INTERVAL_S / 5)
+            assert isinstance(client.call(Request(Operation.PENDING, {}), timeout_s=1.0), Reply)
+        assert channel.probes - before <= 2
+
+    def test_a_quiet_client_goes_on_probing(self, timer: Timer) -> None:
+        channel = ScriptedChannel(leader="n1", members=("n1",))
+        client = LeaderClient(channel=channel, timer=timer, contacts=("n1",))
+        assert wait_for_leader(client) == "n1"
+        before = channel.probes
+        time.sleep(6 * client_module.PROBE_INTERVAL_S)
+        assert channel.probes - before >= 2
+        assert client.leader == "n1"
+
+
 class TestLeaderClient:
     """Finding the leader, and the outcome of requests when it is lost."""
 
