Maintain the offers of upstreams between passes of the scheduler

Cause: each pass built an offer for every upstream with room, and the load of admissions walked all upstreams every 20 ms. With hundreds of upstreams and a pass for a few events, hardly any of these has changed.

Change: OfferIndex keeps usable upstreams and offers by service. An upstream reports each change of an attribute that placement depends on, and backoffs that end are looked up by themselves.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -1,7 +1,8 @@
 """The leader's records of upstreams and of the runs on them."""
 
+from collections.abc import Callable
 from enum import Enum, auto
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from kumquatlift.authority._commands import TaskKey, UpstreamState
 from kumquatlift.authority._orders import UpstreamRef
@@ -26,6 +27,12 @@
 OVERDUE_S = 0.03
 
 
+# Attributes of an upstream that the placement of tasks depends on.
+_PLACEMENT_ATTRIBUTES = frozenset(
+    {"state", "free", "speed", "failures", "is_known", "unreachable_since", "backoff_until"}
+)
+
+
 class RunState(Enum):
     """State of a run as the leader knows it."""
 
@@ -127,9 +134,21 @@
         token: Fencing token of this leader for this incarnation.
         now: Current time.
         lease_s: Longest lease that it accepts, in seconds.
+        on_change: Is called with its identity when tasks may be placed differently on it: its free
+            resources, its speed, or whether it is usable has changed.
     """
 
-    def __init__(self, *, state: UpstreamState, token: int, now: float, lease_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        state: UpstreamState,
+        token: int,
+        now: float,
+        lease_s: float,
+        on_change: Callable[[str], None] = lambda upstream_id: None,
+    ) -> None:
+        self.upstream_id = state.upstream_id
+        self.on_change = on_change
         self.state = state
         self.token = token
         self._lease_s = lease_s
@@ -183,6 +202,12 @@
         # A reading that doesn't fit the earlier ones, and the leader's time when it arrived.
         self._doubted_clock: tuple[int, float] | None = None
 
+    def __setattr__(self, name: str, value: Any) -> None:
+        """Set an attribute, and report a change that the placement of tasks depends on."""
+        object.__setattr__(self, name, value)
+        if name in _PLACEMENT_ATTRIBUTES:
+            self.on_change(self.upstream_id)
+
     @property
     def has_clock(self) -> bool:
         """Whether a reading of its clock has arrived."""
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -16,6 +16,7 @@
 from kumquatlift.authority._estimates import Estimates
 from kumquatlift.authority._fleet import MAX_CLOCK_SLOWNESS, Run, Upstream
 from kumquatlift.authority._load import LoadMeter
+from kumquatlift.authority._offer_index import OfferIndex
 from kumquatlift.authority._orders import UpstreamGateway
 from kumquatlift.authority._poller import POLL_WAIT_SHARE, REMOVE_AFTER_S, Poller
 from kumquatlift.authority._progress import EXPIRY_FACTOR, Progress
@@ -101,9 +102,10 @@
         self._may_order = may_order
         self._section = section
         self.fleet: dict[str, Upstream] = {}
+        self._offer_index = OfferIndex(fleet=self.fleet)
         self.progress: dict[str, Progress] = {}
         self.estimates = Estimates()
-        self._meter = LoadMeter(fleet=self.fleet, progress=self.progress, clock=clock)
+        self._meter = LoadMeter(offer_index=self._offer_index, progress=self.progress, clock=clock)
         self._incarnations = 0
         self._arrivals = 0
         self._last_contact_at: dict[str, float] = {}
@@ -154,6 +156,7 @@
         self._ends.on_durable = self._poller.poll_if_due
         self._scheduler = Scheduler(
             fleet=self.fleet,
+            offer_index=self._offer_index,
             progress=self.progress,
             runs=self.runs,
             meter=self._meter,
@@ -302,7 +305,13 @@
         self._incarnations += 1
         token = self._term * INCARNATIONS_PER_TERM + self._incarnations
         now = self._clock.now()
-        upstream = Upstream(state=state, token=token, now=now, lease_s=self._limits.lease_s)
+        upstream = Upstream(
+            state=state,
+            token=token,
+            now=now,
+            lease_s=self._limits.lease_s,
+            on_change=self._offer_index.mark_changed,
+        )
         upstream.previous_runs = previous_runs or {}
         self.fleet[state.upstream_id] = upstream
         get_logger().info(
@@ -330,6 +339,7 @@
 
     def _remove(self, upstream_id: str) -> None:
         upstream = self.fleet.pop(upstream_id, None)
+        self._offer_index.mark_changed(upstream_id)
         if upstream is not None:
             self.runs.requeue_previous_runs(upstream, set())
         get_logger().info("upstream_removed", upstream=upstream_id)
--- a/kumquatlift/authority/_load.py
+++ b/kumquatlift/authority/_load.py
@@ -1,7 +1,10 @@
 """Measures the load of a service when a job is submitted."""
 
+from collections.abc import Collection
+
 from kumquatlift.authority._admission import Load
 from kumquatlift.authority._fleet import Upstream
+from kumquatlift.authority._offer_index import OfferIndex
 from kumquatlift.authority._progress import Progress
 from kumquatlift.clock import Clock
 
@@ -10,9 +13,6 @@
 SLOTS_CACHE_S = 0.1
 # The cache of slot counts is cleared when it holds this many entries.
 MAX_SLOT_COUNTS = 1000
-# The list of usable upstreams is rebuilt after this time: a pass over 176 upstreams takes 0.1 ms,
-# and up to 700 jobs a second are submitted.
-USABLE_CACHE_S = 0.02
 # Mean remaining time of a run in progress, as a share of its expected run time. It is added to the
 # backlog when no usable upstream has free resources for the job.
 MEAN_REMAINING_SHARE = 0.5
@@ -25,18 +25,17 @@
     """Measures the load of the services of one leader.
 
     Args:
-        fleet: Upstreams by identity.
+        offer_index: The usable upstreams.
         progress: Open jobs by identity.
         clock: Source of time.
     """
 
     def __init__(
-        self, *, fleet: dict[str, Upstream], progress: dict[str, Progress], clock: Clock
+        self, *, offer_index: OfferIndex, progress: dict[str, Progress], clock: Clock
     ) -> None:
-        self._fleet = fleet
+        self._offer_index = offer_index
         self._progress = progress
         self._clock = clock
-        self._usable_lists: dict[str, tuple[float, list[Upstream]]] = {}
         self._slot_counts: dict[tuple[str, int], tuple[float, float, float]] = {}
         self._fast_speeds: dict[str, tuple[float, float]] = {}
 
@@ -50,7 +49,7 @@
                 later are served after it and do not count.
         """
         now = self._clock.now()
-        usable = self._usable(service, now)
+        usable = self._offer_index.usable(service, now)
         slots, speed = self._slots(service, cpu_milli, usable, now)
         backlog_ms = 0.0
         for progress in self._progress.values():
@@ -76,26 +75,15 @@
         cached = self._fast_speeds.get(service)
         if cached is not None and now - cached[0] < SLOTS_CACHE_S:
             return cached[1]
-        speeds = sorted((each.speed for each in self._usable(service, now)), reverse=True)
+        speeds = sorted(
+            (each.speed for each in self._offer_index.usable(service, now)), reverse=True
+        )
         fast = speeds[int(FAST_SHARE * len(speeds))] if speeds else 0.0
         self._fast_speeds[service] = (now, fast)
         return fast
 
-    def _usable(self, service: str, now: float) -> list[Upstream]:
-        """Return the upstreams on which tasks of a service may start; cached for a short time."""
-        cached = self._usable_lists.get(service)
-        if cached is not None and now - cached[0] < USABLE_CACHE_S:
-            return cached[1]
-        usable = [
-            upstream
-            for upstream in self._fleet.values()
-            if upstream.state.service == service and upstream.is_usable(now)
-        ]
-        self._usable_lists[service] = (now, usable)
-        return usable
-
     def _slots(
-        self, service: str, cpu_milli: int, usable: list[Upstream], now: float
+        self, service: str, cpu_milli: int, usable: Collection[Upstream], now: float
     ) -> tuple[float, float]:
         """Return the number of slots for tasks of a size and the mean speed; cached."""
         key = (service, cpu_milli)
--- /dev/null
+++ b/kumquatlift/authority/_offer_index.py
@@ -0,0 +1,107 @@
+"""Keeps track of the upstreams on which tasks may start, and of their free resources."""
+
+from collections.abc import Collection
+
+from kumquatlift.authority._fleet import Upstream
+from kumquatlift.authority._placement import OffersBySpeed, UpstreamOffer
+
+
+class OfferIndex:
+    """The usable upstreams of a fleet and their offers, by service.
+
+    A busy leader places tasks several hundred times a second and decides on as many jobs. Between
+    two of these decisions hardly any of its hundreds of upstreams have changed, so each looks at
+    those that have, in place of a walk over all.
+
+    Args:
+        fleet: Upstreams by identity.
+    """
+
+    def __init__(self, *, fleet: dict[str, Upstream]) -> None:
+        self._fleet = fleet
+        self._usable: dict[str, dict[str, Upstream]] = {}
+        self._offers: dict[str, OffersBySpeed] = {}
+        # Service under which a usable upstream is listed, by identity.
+        self._service_of: dict[str, str] = {}
+        self._changed: set[str] = set()
+        # Upstreams that get no tasks until a time that is still to come.
+        self._resting: set[str] = set()
+        self._least_milli = 0
+
+    def mark_changed(self, upstream_id: str) -> None:
+        """Note that an upstream was added, has changed or was removed."""
+        self._changed.add(upstream_id)
+
+    def usable(self, service: str, now: float) -> Collection[Upstream]:
+        """Return the upstreams of a service on which tasks may start."""
+        self._refresh(now)
+        return self._usable.get(service, {}).values()
+
+    def offers(self, now: float, least_milli: int) -> dict[str, OffersBySpeed]:
+        """Return the present offers.
+
+        Args:
+            now: Current time, in seconds.
+            least_milli: Processor that the smallest waiting task needs, in thousandths of a core.
+                Upstreams with less free processor may be left out.
+
+        Returns:
+            The offers by service; they may be updated with the tasks that are placed.
+        """
+        self._refresh(now)
+        if least_milli < self._least_milli:
+            self._least_milli = least_milli
+            self._offers = {
+                service: OffersBySpeed(map(_offer_of, usable.values()), least_milli=least_milli)
+                for service, usable in self._usable.items()
+            }
+        return self._offers
+
+    def _refresh(self, now: float) -> None:
+        rested = {each for each in self._resting if self._has_rested(each, now)}
+        self._resting -= rested
+        changed, self._changed = self._changed | rested, set()
+        for upstream_id in changed:
+            self._update(upstream_id, now)
+
+    def _has_rested(self, upstream_id: str, now: float) -> bool:
+        upstream = self._fleet.get(upstream_id)
+        return upstream is None or now >= upstream.backoff_until
+
+    def _update(self, upstream_id: str, now: float) -> None:
+        upstream = self._fleet.get(upstream_id)
+        is_usable = upstream is not None and upstream.is_usable(now)
+        before = self._service_of.get(upstream_id)
+        if before is not None and (upstream is None or not is_usable):
+            self._remove(upstream_id)
+        if upstream is None:
+            return
+        if now < upstream.backoff_until:
+            self._resting.add(upstream_id)
+        if not is_usable:
+            return
+        service = upstream.state.service
+        if before is not None and before != service:
+            self._remove(upstream_id)
+        self._service_of[upstream_id] = service
+        self._usable.setdefault(service, {})[upstream_id] = upstream
+        if service not in self._offers:
+            self._offers[service] = OffersBySpeed(least_milli=self._least_milli)
+        self._offers[service].update(_offer_of(upstream))
+
+    def _remove(self, upstream_id: str) -> None:
+        service = self._service_of.pop(upstream_id)
+        del self._usable[service][upstream_id]
+        self._offers[service].remove(upstream_id)
+
+
+def _offer_of(upstream: Upstream) -> UpstreamOffer:
+    state = upstream.state
+    return UpstreamOffer(
+        state.upstream_id,
+        *upstream.free,
+        upstream.speed,
+        state.labels,
+        state.rack,
+        upstream.failures,
+    )
--- a/kumquatlift/authority/_placement.py
+++ b/kumquatlift/authority/_placement.py
@@ -7,8 +7,8 @@
 tasks.
 """
 
-from bisect import bisect_left
-from collections.abc import Iterable
+from bisect import bisect_left, insort
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 # Run times vary around their estimate, so an upstream counts as fast enough only if this multiple
@@ -149,30 +149,53 @@
 
     Args:
         offers: Upstreams on which tasks may start.
+        least_milli: Upstreams with less free processor than this are left out, in thousandths of a
+            core, because no waiting task fits there.
     """
 
-    def __init__(self, offers: Iterable[UpstreamOffer]) -> None:
-        self._offers = {offer.upstream_id: offer for offer in offers}
-        ordered = sorted(self._offers.values(), key=_effective_speed)
-        self._speeds = [_effective_speed(offer) for offer in ordered]
-        self._ids = [offer.upstream_id for offer in ordered]
+    def __init__(self, offers: Iterable[UpstreamOffer] = (), *, least_milli: int = 0) -> None:
+        self._least_milli = least_milli
+        self._offers = {each.upstream_id: each for each in offers if self._is_useful(each)}
+        self._order = sorted((_effective_speed(each), id) for id, each in self._offers.items())
 
     def __bool__(self) -> bool:
         return bool(self._offers)
 
+    def __contains__(self, upstream_id: str) -> bool:
+        return upstream_id in self._offers
+
     def __getitem__(self, upstream_id: str) -> UpstreamOffer:
         return self._offers[upstream_id]
 
+    def __iter__(self) -> Iterator[UpstreamOffer]:
+        return iter(self._offers.values())
+
+    def _is_useful(self, offer: UpstreamOffer) -> bool:
+        is_full = offer.cpu_milli <= 0 and offer.memory_mb <= 0
+        return not is_full and offer.cpu_milli >= self._least_milli
+
     def copy(self) -> "OffersBySpeed":
         """Return an independent copy."""
-        return OffersBySpeed(self._offers.values())
+        return OffersBySpeed(self._offers.values(), least_milli=self._least_milli)
 
     def update(self, offer: UpstreamOffer) -> None:
-        """Replace the offer of an upstream; one without processor and memory is removed."""
-        if offer.cpu_milli <= 0 and offer.memory_mb <= 0:
-            del self._offers[offer.upstream_id]
-        else:
-            self._offers[offer.upstream_id] = offer
+        """Add or replace the offer of an upstream; it is removed if no waiting task fits there."""
+        known = self._offers.get(offer.upstream_id)
+        if known is not None and _effective_speed(known) != _effective_speed(offer):
+            self.remove(offer.upstream_id)
+            known = None
+        if not self._is_useful(offer):
+            self.remove(offer.upstream_id)
+            return
+        if known is None:
+            insort(self._order, (_effective_speed(offer), offer.upstream_id))
+        self._offers[offer.upstream_id] = offer
+
+    def remove(self, upstream_id: str) -> None:
+        """Remove the offer of an upstream, if there is one."""
+        offer = self._offers.pop(upstream_id, None)
+        if offer is not None:
+            del self._order[bisect_left(self._order, (_effective_speed(offer), upstream_id))]
 
     def choose(
         self, task: WaitingTask, now: float, exclude: frozenset[str] = frozenset()
@@ -185,10 +208,10 @@
         min_speed = (
             task.expected_ms * SAFETY_FACTOR / remaining_ms if remaining_ms > 0 else float("inf")
         )
-        fast_enough = bisect_left(self._speeds, min_speed)
-        for index in (*range(fast_enough, len(self._ids)), *range(fast_enough - 1, -1, -1)):
-            offer = self._offers.get(self._ids[index])
-            if offer is not None and fits(task, offer) and offer.upstream_id not in exclude:
+        fast_enough = bisect_left(self._order, (min_speed, ""))
+        for index in (*range(fast_enough, len(self._order)), *range(fast_enough - 1, -1, -1)):
+            offer = self._offers[self._order[index][1]]
+            if fits(task, offer) and offer.upstream_id not in exclude:
                 return None if should_wait(task, offer, remaining_ms) else offer
         return None
 
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -5,6 +5,7 @@
 from kumquatlift.authority._commands import TaskKey
 from kumquatlift.authority._fleet import Resources, Upstream, size_of
 from kumquatlift.authority._load import LoadMeter
+from kumquatlift.authority._offer_index import OfferIndex
 from kumquatlift.authority._placement import (
     OffersBySpeed,
     QueuedJob,
@@ -31,6 +32,7 @@
 
     Args:
         fleet: Upstreams by identity.
+        offer_index: Their offers.
         progress: Open jobs by identity.
         runs: Runs of all tasks.
         meter: Provides the speed of the fast upstreams of a service.
@@ -42,6 +44,7 @@
         self,
         *,
         fleet: dict[str, Upstream],
+        offer_index: OfferIndex,
         progress: dict[str, Progress],
         runs: Runs,
         meter: LoadMeter,
@@ -49,6 +52,7 @@
         remote_factor: float,
     ) -> None:
         self._fleet = fleet
+        self._offer_index = offer_index
         self._meter = meter
         self._progress = progress
         self._runs = runs
@@ -60,8 +64,13 @@
         self._runs.needs_placing = False
         now = self._clock.now()
         waiting = [each for each in self._progress.values() if each.waiting and each.queue]
-        offers_by_service = self._offers(waiting, now) if waiting else {}
-        if not offers_by_service:
+        if not waiting:
+            return
+        least_milli = min(
+            size_of(step).cpu_milli for each in waiting for step in each.job.spec.steps
+        )
+        offers_by_service = self._offer_index.offers(now, least_milli)
+        if not any(offers_by_service.values()):
             return
         waiting.sort(key=lambda each: order_key(queued_job(each), now))
         skipped: Counter[str] = Counter()
@@ -83,29 +92,6 @@
             else:
                 skipped[service] += 1
 
-    def _offers(self, waiting: list[Progress], now: float) -> dict[str, OffersBySpeed]:
-        """Return the offers with enough processor for the smallest waiting task, by service."""
-        least_milli = min(
-            size_of(step).cpu_milli for each in waiting for step in each.job.spec.steps
-        )
-        found: dict[str, list[UpstreamOffer]] = {}
-        for upstream in self._fleet.values():
-            free = upstream.free
-            is_full = free.cpu_milli <= 0 and free.memory_mb <= 0
-            if is_full or free.cpu_milli < least_milli or not upstream.is_usable(now):
-                continue
-            state = upstream.state
-            offer = UpstreamOffer(
-                state.upstream_id,
-                *free,
-                upstream.speed,
-                state.labels,
-                state.rack,
-                upstream.failures,
-            )
-            found.setdefault(state.service, []).append(offer)
-        return {service: OffersBySpeed(offers) for service, offers in found.items()}
-
     def _place_job(self, progress: Progress, offers: OffersBySpeed, now: float) -> list[str]:
         """Start the tasks of a job that fit; return the upstreams on which they start."""
         placed: list[str] = []
