Keep a restarted upstream when the removal of its former incarnation comes late

What callers would see: an upstream that is back gets no tasks until the leader changes. Cause: the removal of an incarnation and the announcement of the next one are in the log in the wrong order, for instance when the leader gives up a silent upstream while it restarts. The replicated state compares the starts and keeps the new incarnation, but the leader removed it, or marked it as draining for good, since later announcements change nothing.

Change: the leader handles a removal only if the state holds no incarnation.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -153,7 +153,8 @@
                 known = self.state.upstreams.get(fields["upstream"][0])
                 if known is not None:
                     leader.on_upstream(known)
-            case CommandKind.UPSTREAM_LEFT:
+            case CommandKind.UPSTREAM_LEFT if fields["upstream"] not in self.state.upstreams:
+                # Otherwise a newer incarnation has been announced before.
                 leader.on_left(fields["upstream"])
             case CommandKind.CONFIG:
                 leader.on_config()
