Ask an upstream before its tasks start elsewhere because its address was announced

What callers would see: tasks of a stored job run twice at a time after one well-formed announcement that holds the address of a live upstream and a later start. Cause: the leader took the older upstream for ended and started its tasks again at once.

Change: the older upstream gets no tasks and is polled. If another one listens at its address, it denies to be the one that was meant, and the runs have ended; the upstream is then removed, also when a poll finds that out by itself. If it answers, everything goes on.

The model of the fleet now answers like another upstream where one has taken an address.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -151,6 +151,7 @@
             poll_wait_s=POLL_WAIT_SHARE * limits.lease_s,
             may_order=may_order,
             log_ends=self._ends.add,
+            on_ended=self._on_ended,
             section=section,
         )
         self._ends.on_durable = self._poller.poll_if_due
@@ -294,10 +295,8 @@
         for other in list(self.fleet.values()):
             has_same_address = other.state.address == state.address
             if has_same_address and other.state.started_at_ms < state.started_at_ms:
-                # A newer process listens at its address, so the older one has ended.
-                self.runs.requeue_all(other, "address_reused")
-                self._remove(other.state.upstream_id)
-                self._propose_removal(other.state)
+                # Probably a newer process listens at its address, which then denies to be this one.
+                self._poller.verify(other)
 
     def _add_upstream(
         self, state: UpstreamState, previous_runs: dict[TaskKey, Run] | None = None
@@ -337,6 +336,11 @@
         self.runs.requeue_all(upstream, "left")
         self._remove(upstream_id)
 
+    def _on_ended(self, upstream: Upstream) -> None:
+        """Remove an upstream at whose address another one has answered; its runs are removed."""
+        self._remove(upstream.state.upstream_id)
+        self._propose_removal(upstream.state)
+
     def _remove(self, upstream_id: str) -> None:
         upstream = self.fleet.pop(upstream_id, None)
         self._offer_index.mark_changed(upstream_id)
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -82,6 +82,7 @@
         poll_wait_s: Time that a poll waits for an end, in seconds.
         may_order: Returns whether this instance still leads with a lease.
         log_ends: Commits the new ends of an upstream.
+        on_ended: Is called with an upstream that has certainly ended, without runs.
         section: Section of the blackboard.
     """
 
@@ -98,6 +99,7 @@
         poll_wait_s: float,
         may_order: Callable[[], bool],
         log_ends: Callable[[Upstream, list[TaskEnd]], None],
+        on_ended: Callable[[Upstream], None],
         section: Section,
     ) -> None:
         self._find_job = find_job
@@ -109,6 +111,7 @@
         self._lease_s = lease_s
         self._may_order = may_order
         self._log_ends = log_ends
+        self._on_ended = on_ended
         self._section = section
         self._poll_wait_s = poll_wait_s
         runs.orders.on_change = self.poll_if_due
@@ -129,6 +132,12 @@
         elif upstream.acked_end < upstream.durable_end and now - upstream.durable_at > ACK_DELAY_S:
             self._poll(upstream, now, 0.0)
 
+    def verify(self, upstream: Upstream) -> None:
+        """Ask whether an upstream is still the one at its address; it gets no tasks until then."""
+        upstream.is_known = False
+        if self._may_order():
+            self._poll(upstream, self._clock.now(), 0.0)
+
     def _renew_lease(self, upstream: Upstream, now: float) -> None:
         if upstream.runs and now - upstream.leased_at > self._poll_wait_s:
             self._poll(upstream, now, 0.0)
@@ -240,6 +249,8 @@
             upstream.is_replaced = True
         if answer.result is OrderResult.OTHER_LIFE:
             self._runs.requeue_all(upstream, "other_life")
+            self._on_ended(upstream)
+            return
         if upstream.poll_failures == 1 and answer.result is OrderResult.UNKNOWN:
             # Perhaps only the connection was lost. The next poll opens a new one and shows whether
             # the upstream can be reached.
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -152,12 +152,13 @@
         cpu_milli: int = 16_000,
         clock_rate: float = 1.0,
         service: str = "s",
+        address: str = "",
     ) -> ModelUpstream:
-        """Add an upstream and announce it to the authority."""
+        """Add an upstream and announce it to the authority; it gets an address if none is given."""
         state = UpstreamState(
             name,
             int(self.clock.now() * 1000),
-            f"10.0.0.1:{self._ports.setdefault(name, len(self._ports) + 1)}",
+            address or f"10.0.0.1:{self._ports.setdefault(name, len(self._ports) + 1)}",
             service,
             "z",
             cpu_milli,
@@ -281,6 +282,9 @@
         def arrive() -> None:
             upstream = self._reachable(ref)
             if upstream is None:
+                if self._is_address_taken(ref):
+                    other_life = OrderAnswer(OrderResult.OTHER_LIFE)
+                    self.later(DELAY_S, self.loop.post, answer_once, other_life)
                 return
             answer = call(upstream)
             if ref.started_at_ms != upstream.state.started_at_ms:
@@ -324,6 +328,9 @@
             upstream = self._reachable(ref)
             if upstream is not None:
                 upstream.poll(ref.token, order, answer_from(upstream))
+            elif self._is_address_taken(ref):
+                other_life = PollAnswer(OrderResult.OTHER_LIFE)
+                self.later(DELAY_S, self.loop.post, answer_once, other_life)
 
         is_late = self.rng.random() < self.unanswered_share
         self.later(self.rng.uniform(2, 12) if is_late else DELAY_S, arrive)
@@ -334,6 +341,13 @@
         upstream = self.upstreams.get(ref.upstream_id)
         return upstream if upstream is not None and upstream.is_reachable else None
 
+    def _is_address_taken(self, ref: UpstreamRef) -> bool:
+        """Return whether another upstream than the named one listens at its address."""
+        return ref.upstream_id not in self.upstreams and any(
+            each.state.address == ref.address and each.is_reachable and each.can_reply
+            for each in self.upstreams.values()
+        )
+
     # Checks
 
     def check(self, holds: bool, text: str) -> None:
