Name the cause of a refusal: the leader, the upstreams, a recovery, or no upstream

Cause: a job that was refused because the leader's processor was full left the same log line and the same reason as one refused for want of free upstreams, and its caller was told that the queue is full.

Change: decide_admission, still a pure function, returns the cause: what would have to change for the job to be accepted. job_refused has it as reason, with the present time of an order; the caller reads it in the refusal. Which jobs are refused, and when callers should come back, stays as it was.

Result: the new test of six loads; no measured change is intended.

--- a/kumquatlift/authority/_admission.py
+++ b/kumquatlift/authority/_admission.py
@@ -5,6 +5,7 @@
 jobs are told at once when to try again.
 """
 
+from enum import StrEnum
 from typing import NamedTuple
 
 # A job is accepted if it is expected to complete by its objective plus this share of the time from
@@ -53,6 +54,16 @@
     is_idle: bool = False
 
 
+class RefusalCause(StrEnum):
+    """What would have to change for a refused job to be accepted."""
+
+    NONE = ""
+    NO_UPSTREAM = "no upstream is usable"
+    RECOVERY = "the leader is new and waits for earlier leases"
+    LEADER_BUSY = "the leader's processor is busy"
+    UPSTREAMS_BUSY = "the upstreams are busy"
+
+
 class LateShare:
     """Moving average of the share of accepted jobs that end late; determines the safety margin."""
 
@@ -93,11 +104,13 @@
         is_accepted: Whether the job is accepted.
         wait_ms: Time that it is expected to wait for free resources, in milliseconds.
         retry_after_ms: Time after which the caller should retry a refused job, in milliseconds.
+        cause: Why a job is refused.
     """
 
     is_accepted: bool
     wait_ms: float
     retry_after_ms: int = 0
+    cause: RefusalCause = RefusalCause.NONE
 
 
 def decide_admission(
@@ -116,7 +129,8 @@
         The decision.
     """
     if load.slots <= 0:
-        return AdmissionDecision(False, request.expiry_ms, retry_after(request.expiry_ms, jitter))
+        retry_ms = retry_after(request.expiry_ms, jitter)
+        return AdmissionDecision(False, request.expiry_ms, retry_ms, RefusalCause.NO_UPSTREAM)
     # Idle upstreams count as usual ones: without runs, a low speed that was learned during a fault
     # would be kept, and with it the refusals.
     speed = max(load.speed, USUAL_SPEED) if load.is_idle else load.speed
@@ -130,7 +144,13 @@
     if finish_ms <= limit_ms:
         return AdmissionDecision(True, wait_ms)
     excess_ms = finish_ms - request.objective_ms
-    return AdmissionDecision(False, wait_ms, retry_after(excess_ms, jitter))
+    cause = RefusalCause.UPSTREAMS_BUSY
+    if finish_ms - load.recovery_ms <= limit_ms:
+        cause = RefusalCause.RECOVERY
+    elif finish_ms - load.order_ms <= limit_ms:
+        # The upstreams have room in time, but orders and reports wait in the leader's own queue.
+        cause = RefusalCause.LEADER_BUSY
+    return AdmissionDecision(False, wait_ms, retry_after(excess_ms, jitter), cause)
 
 
 def retry_after(excess_ms: float, jitter: float) -> int:
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -24,6 +24,8 @@
 
 # No job is accepted while the leader holds this many, so that memory stays bounded.
 MAX_JOBS = 60_000
+TOO_MANY_JOBS = "the leader holds as many jobs as it may"
+WAITED_TOO_LONG = "no upstream became free in time"
 
 _DONE = Reply(ResultCode.ACCEPTED)
 
@@ -166,6 +168,7 @@
         decision = self._leader.decide_admission(queue, spec)
         is_full = len(self._state.jobs) + len(self._leader.unlogged) >= MAX_JOBS
         is_refused = is_full or not decision.is_accepted
+        reason = TOO_MANY_JOBS if is_full else decision.cause.value
         # A refusal says that the job has not run, which is not true of a job with orphaned runs.
         if is_refused and not self._leader.runs.orphans.has_started(job_id):
             get_logger().info(
@@ -175,11 +178,18 @@
                 queue=queue.name,
                 wait_ms=round(decision.wait_ms),
                 retry_after_ms=decision.retry_after_ms,
+                reason=reason,
+                order_ms=round(self._leader.runs.orders.answer_ms),
                 jobs=len(self._state.jobs),
                 config=self._state.routing.cfg.version,
             )
             self._section.count("jobs_refused")
-            answer(Reply(ResultCode.OVERLOADED, {"retry_after_ms": decision.retry_after_ms}))
+            answer(
+                Reply(
+                    ResultCode.OVERLOADED,
+                    {"retry_after_ms": decision.retry_after_ms, "reason": reason},
+                )
+            )
             return
         command = Command(
             CommandKind.JOB,
@@ -341,7 +351,8 @@
 def _result_reply(job: Job) -> Reply:
     """Return the reply to a submission of a job that has ended."""
     if job.state == JobState.REFUSED:
-        return Reply(ResultCode.OVERLOADED, {"retry_after_ms": MIN_RETRY_MS})
+        fields = {"retry_after_ms": MIN_RETRY_MS, "reason": WAITED_TOO_LONG}
+        return Reply(ResultCode.OVERLOADED, fields)
     # A submission is answered with one of two states, so a cancelled job has failed.
     state = job.state if job.state in RESULT_STATES else JobState.FAILED
     return Reply(ResultCode.ACCEPTED, {"state": state})
--- a/kumquatlift/platform/_frontend.py
+++ b/kumquatlift/platform/_frontend.py
@@ -184,7 +184,8 @@
                 return _refused(NO_LEADER_RETRY_MS, "no leader at present; the job has not run")
             case ResultCode.OVERLOADED if isinstance(reply, Reply):
                 retry_ms = int(reply.fields.get("retry_after_ms", 0))
-                return _refused(retry_ms, "the queue is full; the job has not run")
+                # Leaders of earlier versions give no reason.
+                return _refused(retry_ms, f"{reason or 'the queue is full'}; the job has not run")
             case ResultCode.UNKNOWN_SERVICE:
                 return ApiResponse.from_json(404, {"reason": "there is no such queue"})
             case ResultCode.MALFORMED:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -3,7 +3,12 @@
 import pytest
 
 from kumquatlift.authority import JobSpec, Step
-from kumquatlift.authority._admission import AdmissionRequest, Load, decide_admission
+from kumquatlift.authority._admission import (
+    AdmissionRequest,
+    Load,
+    RefusalCause,
+    decide_admission,
+)
 from kumquatlift.codes import ResultCode
 from tests.authority_world import answered_at_end, make
 from tools import fleet_model
@@ -31,6 +36,7 @@
         assert refusal.code is ResultCode.OVERLOADED
         # The remaining time of the longest lease, plus a jitter of up to half as much.
         assert 500 < refusal.fields["retry_after_ms"] < 1500
+        assert refusal.fields["reason"] == RefusalCause.RECOVERY
         assert not long.done()
         world.run(6.0)
         assert long.result(timeout=0).fields["state"] == "completed"
@@ -115,3 +121,29 @@
         world.run(1.0)
         codes = [reply.result(timeout=0).code for reply in replies]
         assert codes[-1] is ResultCode.ACCEPTED
+
+
+class TestCauses:
+    """A refusal names what would have to change, so that operators add the right thing.
+
+    Load: a burst that fills the leader's processor while the upstreams are half idle. Such
+    refusals looked as if the upstreams were full.
+    """
+
+    SHORT = AdmissionRequest(480.0, 60.0, 156.0, 468.0)
+
+    @pytest.mark.parametrize(
+        ("load", "cause"),
+        [
+            (Load(540, 1.0, 5_000.0, order_ms=10.0), RefusalCause.NONE),
+            (Load(540, 1.0, 5_000.0, order_ms=120.0), RefusalCause.LEADER_BUSY),
+            (Load(540, 1.0, 90_000.0, order_ms=10.0), RefusalCause.UPSTREAMS_BUSY),
+            (Load(540, 1.0, 90_000.0, order_ms=120.0), RefusalCause.UPSTREAMS_BUSY),
+            (Load(540, 1.0, 0.0, recovery_ms=600.0, order_ms=10.0), RefusalCause.RECOVERY),
+            (Load(0, 1.0, 0.0), RefusalCause.NO_UPSTREAM),
+        ],
+    )
+    def test_the_cause_is_what_would_admit_the_job(self, load: Load, cause: RefusalCause) -> None:
+        decision = decide_admission(self.SHORT, load, 0.5)
+        assert decision.cause is cause
+        assert decision.is_accepted == (cause is RefusalCause.NONE)
