Let the time of orders follow few answers as well

Load pattern: the burst of orders after a change of the leader. Cause: admission adds the moving average of answer times, which moved by 2% with each answer. While short jobs are refused because of it, few orders are sent, so it fell by a fifth in a second at ten answers a second, and the refusals lasted. It only decayed by itself without any answer.

Change: the weight of an answer grows with the time since the one before, up to a fifth. A busy leader, with an answer each few milliseconds, is not affected.

--- a/kumquatlift/authority/_run_orders.py
+++ b/kumquatlift/authority/_run_orders.py
@@ -1,5 +1,6 @@
 """Sends start and stop orders of runs, and repeats them until their outcome is known."""
 
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -25,9 +26,13 @@
 RESEND_S = 0.005
 # Interval at which a delayed order checks whether the upstream can be reached again.
 UNREACHABLE_RESEND_S = 0.1
-# Weight of the newest answer in the moving average of answer times, which thus reflects about the
-# last fifty.
+# Least weight of the newest answer in the moving average of answer times, which thus reflects about
+# the last fifty answers of a busy leader.
 ANSWER_WEIGHT = 0.02
+# Answers that are older than this count little, however few have followed. The largest weight keeps
+# a single slow answer of a leader with little to do from refusing jobs.
+ANSWER_MEMORY_S = 0.2
+MAX_ANSWER_WEIGHT = 0.2
 # After this time without an answer, in which a busy leader gets hundreds, the mean answer time
 # starts to decay; it falls to about 0 within the same time again.
 ANSWER_FADE_S = 0.5
@@ -130,7 +135,8 @@
         if not self._is_current(upstream, run) or run.state is not RunState.STARTING:
             return
         if answer.result is OrderResult.OK:
-            self.answer_ms += ANSWER_WEIGHT * ((now - sent_at) * 1000 - self.answer_ms)
+            weight = answer_weight(now - self._answered_at)
+            self.answer_ms += weight * ((now - sent_at) * 1000 - self.answer_ms)
             self._answered_at = now
             run.state = RunState.RUNNING
             run.confirmed_at = now
@@ -242,3 +248,17 @@
     def _stop_again(self, upstream: Upstream, run: Run) -> None:
         if self._is_current(upstream, run):
             self._send_stop(upstream, run)
+
+
+def answer_weight(since_last_s: float) -> float:
+    """Return the weight of an answer in the moving average of answer times.
+
+    Load pattern: orders wait for a moment, as in the burst after a change of the leader, and most
+    jobs are refused because of that. The few that are accepted get quick answers, but with the same
+    weight for each, the average and with it the refusals would last for seconds.
+
+    Args:
+        since_last_s: Time since the answer before, in seconds.
+    """
+    weight = 1 - math.exp(-since_last_s / ANSWER_MEMORY_S)
+    return min(MAX_ANSWER_WEIGHT, max(ANSWER_WEIGHT, weight))
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -88,6 +88,26 @@
         assert first.result(timeout=0).code is ResultCode.OVERLOADED
         assert second.result(timeout=0).code is ResultCode.ACCEPTED
 
+    def test_refusals_end_soon_after_a_burst_though_few_orders_are_answered(self) -> None:
+        """Guards against short jobs that are refused for seconds after orders were slow once.
+
+        Load: the burst of orders after a change of the leader, then the usual mix, of which only
+        the long jobs are accepted. Ten answers a second moved the mean by a fifth in a second.
+        """
+        world = make(upstreams=4)
+        leader = world.authority._leader
+        assert leader is not None
+        leader.runs.orders.answer_ms = 400.0
+        long = JobSpec("text", (Step(1, 1000, 64, 0, 1500),), answers_at_end=True)
+        for number in range(15):
+            world.submit(f"{number:016x}", long, work_ms=1500)
+            world.run(0.1)
+        assert leader.runs.orders.answer_ms < 20
+        short = JobSpec("text", (Step(1, 1000, 64, 0, 60),), answers_at_end=True)
+        reply = world.submit(f"{99:016x}", short, work_ms=60)
+        world.run(0.3)
+        assert reply.result(timeout=0).code is ResultCode.ACCEPTED
+
     def test_the_latency_of_orders_is_measured(self, monkeypatch: pytest.MonkeyPatch) -> None:
         monkeypatch.setattr(fleet_model, "DELAY_S", 0.01)
         world = make(upstreams=1)
