Share the odd answers of the two HTTP clients' tests, and place the stand-in

The tests of the pool and of the event loop's client play the same eleven ways to answer, which now stand once in tests/http_servers.py. The stand-in of measure_leader speaks the platform's protocol and so belongs to tools/users_platform.

--- a/tests/http_servers.py
+++ b/tests/http_servers.py
@@ -62,3 +62,41 @@
     def close(self) -> None:
         """Accept no more connections."""
         self._listener.close()
+
+
+def serve_odd_answers(sock: socket.socket, path: bytes) -> bool:
+    """Answer with the path, in one of eleven ways that the number at its end selects.
+
+    The answers of the ways 0, 5 and 7 are late, cut and interim, and no others may fail.
+    """
+    number = int(path.rpartition(b"/")[2])
+    body = path * (1 + number % 7)
+    match number % 11:
+        case 0:
+            threading.Event().wait(0.03)
+            sock.sendall(whole(body))
+        case 1:
+            sock.sendall(chunked(body))
+        case 2:
+            sock.sendall(whole(body, extra=b"Connection: close\r\n"))
+            return False
+        case 3:
+            sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" + whole(body))
+        case 4:
+            sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        case 5:
+            sock.sendall(whole(body)[:-1])
+            return False
+        case 6:
+            sock.sendall(whole(body) + whole(b"surplus"))
+        case 7:
+            sock.sendall(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+            threading.Event().wait(0.002)
+            sock.sendall(whole(body))
+        case 8:
+            sock.sendall(whole(body)[:-1])
+            threading.Event().wait(0.002)
+            sock.sendall(body[-1:])
+        case _:
+            sock.sendall(whole(body))
+    return True
--- a/tests/test_event_http.py
+++ b/tests/test_event_http.py
@@ -15,7 +15,13 @@
 from kumquatlift.transport._http_response import MAX_RESPONSE_BYTES
 from kumquatlift.transport.connection_pool import HttpResponse
 from kumquatlift.transport.event_http import ClientLimits, EventHttpClient
-from tests.http_servers import ScriptedServer, answer_head, chunked, whole
+from tests.http_servers import (
+    ScriptedServer,
+    answer_head,
+    chunked,
+    serve_odd_answers,
+    whole,
+)
 
 WAIT_S = 5.0
 CALLERS = 8
@@ -84,41 +90,7 @@
         self, start_server: StartServer, client: Client
     ) -> None:
         """Guards against crossed answers after late, surplus, cut, interim and odd answers."""
-
-        def serve(sock: socket.socket, path: bytes) -> bool:
-            number = int(path.rpartition(b"/")[2])
-            body = path * (1 + number % 7)
-            match number % 11:
-                case 0:
-                    threading.Event().wait(0.03)
-                    sock.sendall(whole(body))
-                case 1:
-                    sock.sendall(chunked(body))
-                case 2:
-                    sock.sendall(whole(body, extra=b"Connection: close\r\n"))
-                    return False
-                case 3:
-                    sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" + whole(body))
-                case 4:
-                    sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
-                case 5:
-                    sock.sendall(whole(body)[:-1])
-                    return False
-                case 6:
-                    sock.sendall(whole(body) + whole(b"surplus"))
-                case 7:
-                    sock.sendall(b"HTTP/1.1 103 Early Hints\r\n\r\n")
-                    threading.Event().wait(0.002)
-                    sock.sendall(whole(body))
-                case 8:
-                    sock.sendall(whole(body)[:-1])
-                    threading.Event().wait(0.002)
-                    sock.sendall(body[-1:])
-                case _:
-                    sock.sendall(whole(body))
-            return True
-
-        server = start_server(serve)
+        server = start_server(serve_odd_answers)
         counts = {"own": 0, "failed": 0, "crossed": 0}
 
         def call(caller: int, number: int) -> None:
@@ -418,78 +390,3 @@
         assert server.accepted == 2
         client.http.close_idle()
         assert (client.http.idle, client.http.connections) == (0, 0)
-
-
-class TestEventLoop:
-    """The loop that waits for sockets, timers and events of other threads at once."""
-
-    def test_events_of_other_threads_wake_the_loop(self) -> None:
-        loop = EventLoop(clock=MonotonicClock())
-        received: list[int] = []
-        runner = threading.Thread(target=loop.run)
-        runner.start()
-
-        def post(first: int) -> None:
-            for number in range(first, first + 500):
-                loop.post(received.append, number)
-                if not number % 50:
-                    time.sleep(0.002)
-
-        threads = [threading.Thread(target=post, args=(500 * each,)) for each in range(4)]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        started_at = time.monotonic()
-        loop.stop()
-        runner.join(WAIT_S)
-        assert not runner.is_alive()
-        assert time.monotonic() - started_at < 0.5
-        assert sorted(received) == list(range(2000))
-
-    def test_a_stale_event_does_not_reach_a_socket_with_the_same_number(self) -> None:
-        """Guards against a closed connection whose event is handled by the next one."""
-        loop = EventLoop(clock=MonotonicClock())
-        pairs = [socket.socketpair() for _ in range(2)]
-        replaced: list[socket.socket] = []
-        events: list[str] = []
-
-        def replace(number: int) -> Callable[[int], None]:
-            def on_ready(_mask: int) -> None:
-                other = pairs[1 - number][0]
-                events.append("ready")
-                if other.fileno() >= 0:
-                    loop.unwatch(other)
-                    other.close()
-                    replaced.extend(socket.socketpair())
-                    loop.watch(replaced[0], lambda _mask: events.append("stale"))
-
-            return on_ready
-
-        for number, (near, far) in enumerate(pairs):
-            near.setblocking(False)
-            loop.watch(near, replace(number))
-            far.send(b"x")
-        loop.run_pending()
-        assert events == ["ready"]
-        for sock in (*replaced, *(sock for pair in pairs for sock in pair)):
-            sock.close()
-
-    def test_a_failing_callback_of_a_socket_stops_no_other(self) -> None:
-        loop = EventLoop(clock=MonotonicClock())
-        near, far = socket.socketpair()
-        near.setblocking(False)
-        calls: list[int] = []
-
-        def fail(_mask: int) -> None:
-            near.recv(1)
-            raise ZeroDivisionError
-
-        loop.watch(near, fail)
-        far.send(b"x")
-        loop.post(calls.append, 1)
-        loop.run_pending()
-        assert calls == [1]
-        loop.unwatch(near)
-        near.close()
-        far.close()
--- a/tests/test_pool_answers.py
+++ b/tests/test_pool_answers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from kumquatlift.transport.connection_pool import ConnectionPool, HttpResponse, NotSentError
-from tests.http_servers import ScriptedServer, chunked, whole
+from tests.http_servers import ScriptedServer, chunked, serve_odd_answers, whole
 
 WAIT_S = 5.0
 CALLERS = 8
@@ -30,41 +30,7 @@
         self, start_server: Callable[..., ScriptedServer]
     ) -> None:
         """Guards against crossed answers after late, surplus, cut, interim and odd answers."""
-
-        def serve(sock: socket.socket, path: bytes) -> bool:
-            number = int(path.rpartition(b"/")[2])
-            body = path * (1 + number % 7)
-            match number % 11:
-                case 0:
-                    threading.Event().wait(0.03)
-                    sock.sendall(whole(body))
-                case 1:
-                    sock.sendall(chunked(body))
-                case 2:
-                    sock.sendall(whole(body, extra=b"Connection: close\r\n"))
-                    return False
-                case 3:
-                    sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" + whole(body))
-                case 4:
-                    sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
-                case 5:
-                    sock.sendall(whole(body)[:-1])
-                    return False
-                case 6:
-                    sock.sendall(whole(body) + whole(b"surplus"))
-                case 7:
-                    sock.sendall(b"HTTP/1.1 103 Early Hints\r\n\r\n")
-                    threading.Event().wait(0.002)
-                    sock.sendall(whole(body))
-                case 8:
-                    sock.sendall(whole(body)[:-1])
-                    threading.Event().wait(0.002)
-                    sock.sendall(body[-1:])
-                case _:
-                    sock.sendall(whole(body))
-            return True
-
-        server, pool = start_server(serve), ConnectionPool()
+        server, pool = start_server(serve_odd_answers), ConnectionPool()
 
         def call(caller: int) -> list[int]:
             counts = [0, 0, 0]
--- a/tools/measure_leader.py
+++ b/tools/measure_leader.py
@@ -38,7 +38,7 @@
 from kumquatlift.platform._upstream_client import UpstreamClient
 from kumquatlift.store import Entry, EventLoop
 from tools.experiment import KINDS, SLACK, SPEEDS, TARGET_MS, Kind
-from tools.upstream_process import run_upstreams
+from tools.users_platform import run_upstreams
 
 SIZES = (24, 176, 270, 540)
 # Fleet size that the rates of ``KINDS`` load to four fifths.
--- a/tools/users_platform/__init__.py
+++ b/tools/users_platform/__init__.py
@@ -13,6 +13,7 @@
     call,
     try_call,
 )
+from tools.users_platform._measured_upstreams import run_upstreams
 from tools.users_platform._program import Program
 from tools.users_platform._upstream import DRAIN_GRACE_S, StandInUpstream
 
@@ -29,6 +30,7 @@
     "Program",
     "StandInUpstream",
     "call",
+    "run_upstreams",
     "try_call",
     "wait_until",
 ]
