Kill the runner only after both jobs have started

Trace: the runner was killed within 6 ms of the submission of the second job, whose first task had just been sent to it (reset at 49.3496 s, the other entry process lost its connection at 49.3443 s). The outcome of that task was unknown, so the job ended with 4004, as it must for work that is not repeatable, and no runner had recorded a start. The scenario did not wait for that job at all.

Change: it waits until the second job has started. The checks are the same.

--- a/features/runners.feature
+++ b/features/runners.feature
@@ -3,6 +3,7 @@
   Scenario: A runner is killed while it runs a job
     When an "again" job of 24 tasks of 300 ms is submitted through north-1
     And a "once" job of 6 tasks of 700 ms is submitted through north-2
+    And it has started
     And runner north-a is killed while it runs a task of the "again" job
     Then the "again" job is complete, and no task has more starts than attempts
     And the "once" job is complete or its answer says that tasks may have run
