Simplify how an upstream moves between the lists of the index

Read-through: one lookup says whether an upstream is listed where it belongs, and a method that nothing used is gone. The differential test holds as before.

--- a/kumquatlift/authority/_offer_index.py
+++ b/kumquatlift/authority/_offer_index.py
@@ -87,18 +87,15 @@
     def _update(self, upstream_id: str, now: float) -> None:
         upstream = self._fleet.get(upstream_id)
         is_usable = upstream is not None and upstream.is_usable(now)
-        before = self._service_of.get(upstream_id)
-        if before is not None and (upstream is None or not is_usable):
+        service = upstream.state.service if upstream is not None and is_usable else None
+        if self._service_of.get(upstream_id, service) != service:
             self._remove(upstream_id)
         if upstream is None:
             return
         if now < upstream.backoff_until:
             self._resting.add(upstream_id)
-        if not is_usable:
+        if service is None:
             return
-        service = upstream.state.service
-        if before is not None and before != service:
-            self._remove(upstream_id)
         self._service_of[upstream_id] = service
         self._usable.setdefault(service, {})[upstream_id] = upstream
         if service not in self._offers:
--- a/kumquatlift/authority/_placement.py
+++ b/kumquatlift/authority/_placement.py
@@ -161,9 +161,6 @@
     def __bool__(self) -> bool:
         return bool(self._offers)
 
-    def __contains__(self, upstream_id: str) -> bool:
-        return upstream_id in self._offers
-
     def __getitem__(self, upstream_id: str) -> UpstreamOffer:
         return self._offers[upstream_id]
 
