Keep the trigger of an HTTP server open until its closing was announced

Cause, by the code: close queues the closing of the sockets and then writes to the trigger. A thread that has just written an answer may wake the loop between the two, which then closes the trigger. The write fails, or reaches another file that has the same number.

Change: the loop closes the sockets only after the trigger was pulled.

Result: the new test, in which another thread wakes the loop first, fails before.

--- a/kumquatlift/transport/server.py
+++ b/kumquatlift/transport/server.py
@@ -1,8 +1,10 @@
 """HTTP server that can drain: it completes all requests before it closes."""
 
+import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
+from functools import partial
 from typing import Any
 
 import waitress
@@ -147,11 +149,17 @@
     def close(self) -> None:
         """Stop the threads after their current requests, and close all sockets."""
         self._server.task_dispatcher.shutdown(cancel_pending=False, timeout=1)
-        # The sockets are closed in the thread of the I/O loop, which ends when none is left.
-        self._server.trigger.pull_trigger(self._close_sockets)
+        # The sockets are closed in the thread of the I/O loop, which ends when none is left. If
+        # another thread wakes the loop first, the trigger must stay open until it was pulled here.
+        is_pulled = threading.Event()
+        try:
+            self._server.trigger.pull_trigger(partial(self._close_sockets, is_pulled))
+        finally:
+            is_pulled.set()
         self._executor.shutdown(wait=False)
 
-    def _close_sockets(self) -> None:
+    def _close_sockets(self, is_pulled: threading.Event) -> None:
+        is_pulled.wait()
         for channel in list(self._server.active_channels.values()):
             channel.handle_close()
         self._server.close()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -225,6 +225,32 @@
         assert kept.sock.recv(1) == b""
         kept.close()
 
+    def test_a_wake_up_by_another_thread_does_not_close_the_trigger_early(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a write to a file descriptor that is closed, or used by another file.
+
+        A thread that had written an answer woke the loop after ``close`` had queued the closing
+        of the sockets and before it had written to the trigger.
+        """
+        server = HttpServer(
+            app=application(lambda _req: ApiResponse.from_json(200, {})),
+            address=Address("127.0.0.1", 0),
+            threads=THREADS,
+            name="closed",
+        )
+        server.start()
+        trigger: Any = server._server.trigger
+        pull = trigger._physical_pull
+
+        def pull_late() -> None:
+            pull()
+            time.sleep(0.2)
+            pull()
+
+        monkeypatch.setattr(trigger, "_physical_pull", pull_late)
+        server.close()
+
 
 class BlockingTask:
     """A request that runs until ``released`` is set."""
