--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -187,6 +187,18 @@
         assert not late.started.is_set()
 
 
+def start_server() -> HttpServer:
+    """Return a started server that answers each request with an empty object."""
+    server = HttpServer(
+        app=application(lambda _req: ApiResponse.from_json(200, {})),
+        address=Address("127.0.0.1", 0),
+        threads=THREADS,
+        name="closed",
+    )
+    server.start()
+    return server
+
+
 class TestClose:
     """Connections to a server after ``close``."""
 
@@ -196,13 +208,7 @@
         A frontend that had logged its stop kept its listening socket open for another 0.7 s, in
         which three requests arrived (soak test, seed 729).
         """
-        server = HttpServer(
-            app=application(lambda _req: ApiResponse.from_json(200, {})),
-            address=Address("127.0.0.1", 0),
-            threads=THREADS,
-            name="closed",
-        )
-        server.start()
+        server = start_server()
         port = server.address.port
         kept = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
         kept.request("GET", "/")
@@ -233,13 +239,7 @@
         A thread that had written an answer woke the loop after ``close`` had queued the closing
         of the sockets and before it had written to the trigger.
         """
-        server = HttpServer(
-            app=application(lambda _req: ApiResponse.from_json(200, {})),
-            address=Address("127.0.0.1", 0),
-            threads=THREADS,
-            name="closed",
-        )
-        server.start()
+        server = start_server()
         trigger: Any = server._server.trigger
         pull = trigger._physical_pull
 
