--- a/review/stand.py
+++ b/review/stand.py
@@ -643,7 +643,7 @@
             target = self.controls[index % 3]
             status, _ = http_call(target, "POST", "/api/config/replace", body, timeout_s=1)
             if status == 200:
-                names = ",".join(row["name"] for row in routes)
+                names = ",".join(row["name"] for row in routes)[:40]
                 self.record(
                     "operator", f"version {self.version} ({names}) acknowledged by {target}"
                 )
