Take a list of ends for complete only if it was not cut

Cause: an upstream lists at most 500 unacknowledged ends at a time, and the leader took each list for all of them. A task that was neither among the running ones nor among the listed ends counted as never run. Four decisions rested on that: the end of recovery when each upstream has answered once, the end of recovery when the earlier leases are over although an upstream is still listing under a new lease, the comparison of the leader's records with a list ("not_listed"; no change of the leader needed), and the runs that an incarnation has started on orders for its predecessor.

Ruled out: a lost lease (the ends were acknowledged tens of milliseconds after the second start, under a live lease), orders of the lost leader that are carried out late (the repeated starts carry the new leader's run numbers), and ends that were listed but not committed (they block their tasks).

Change: the codec marks a list of 500 or more ends as one that may be cut. Until a list that isn't cut has arrived, the upstream is not known, no absent run is queued again, and recovery goes on as long as the upstream may list more: while it can be reached, or until its lease is over. The next part is asked for when the commit of the part before allows its acknowledgement, not in between. A list that is older than one already read no longer makes an upstream known. Each cut list leaves a line, `list_of_ends_cut`.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -171,8 +171,10 @@
         self.speed_samples = 0
         # Time of the newest run from which the speed was learned.
         self.speed_at = now
-        # Whether this leader knows all its runs, from the answer to a poll.
+        # Whether this leader knows all its runs, from answers to polls that list all its ends.
         self.is_known = False
+        # Whether the newest list of ends may have been cut, so that other runs may have ended.
+        self.has_unlisted_ends = False
         # Whether a newer incarnation has answered in its place.
         self.is_replaced = False
         # Polls of the current round without an answer; a new round begins when ends are listed.
@@ -374,6 +376,14 @@
         """Whether all leases that leaders have sent to it have certainly ended."""
         return not self._lease_end_ms or self.clock_ms(now) > self._lease_end_ms
 
+    def may_list_more_ends(self, now: float) -> bool:
+        """Whether tasks that it has not listed may have been done there.
+
+        Ends that it lists after its lease is over don't count.
+        """
+        is_lost = self.unreachable_since is not None and self.is_lease_over(now)
+        return self.has_unlisted_ends and not is_lost
+
     def learn_speed(self, expected_ms: float, run_ms: float, now: float) -> None:
         """Update the speed from the run time of a task that succeeded.
 
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -347,7 +347,7 @@
         upstream = self.fleet.pop(upstream_id, None)
         self._offer_index.mark_changed(upstream_id)
         if upstream is not None:
-            self.runs.requeue_previous_runs(upstream, set())
+            self.runs.requeue_previous_runs(upstream)
         get_logger().info("upstream_removed", upstream=upstream_id)
 
     def _propose_removal(self, state: UpstreamState) -> None:
@@ -392,8 +392,10 @@
         self.runs.orders.fade_answers(now - self._ticked_at)
         self._ticked_at = now
         if self._recovery.is_open:
-            is_known = bool(self.fleet) and all(each.is_known for each in self.fleet.values())
-            if self._recovery.is_over(now, is_fleet_known=is_known):
+            upstreams = self.fleet.values()
+            is_known = bool(self.fleet) and all(each.is_known for each in upstreams)
+            is_listing = any(each.may_list_more_ends(now) for each in upstreams)
+            if self._recovery.is_over(now, is_fleet_known=is_known, is_fleet_listing=is_listing):
                 self._end_recovery()
         for progress in self.runs.recurring():
             self.runs.release(progress)
--- a/kumquatlift/authority/_orders.py
+++ b/kumquatlift/authority/_orders.py
@@ -150,6 +150,7 @@
         reason: One line for the log.
         tasks_without_run: Tasks that run there under a number that could not be read.
         unread_ends: Number of listed ends that could not be read.
+        may_have_more_ends: Whether the upstream may hold later ends that it has not listed.
     """
 
     result: OrderResult
@@ -159,6 +160,7 @@
     reason: str = ""
     tasks_without_run: frozenset[TaskKey] = frozenset()
     unread_ends: int = 0
+    may_have_more_ends: bool = False
 
 
 class UpstreamGateway(Protocol):
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -141,12 +141,16 @@
         now = self._clock.now()
         if upstream.open_polls or now < upstream.next_poll_at or not self._may_order():
             return
-        if upstream.unreachable_since is not None or not upstream.is_known:
+        is_commit_open = upstream.listed_end > upstream.durable_end
+        has_listed = upstream.is_known or upstream.has_unlisted_ends
+        if upstream.unreachable_since is not None:
             self._poll(upstream, now, 0.0)
-        elif upstream.listed_end > upstream.durable_end:
-            # Ends that are not committed can't be acknowledged, so a poll that waits would be
-            # answered at once with the same ends.
+        elif is_commit_open and has_listed:
+            # Ends that are not committed can't be acknowledged, so a poll would be answered at once
+            # with the same ends.
             self._renew_lease(upstream, now)
+        elif not upstream.is_known:
+            self._poll(upstream, now, 0.0)
         elif upstream.runs:
             self._poll(upstream, now, self._poll_wait_s)
         elif upstream.acked_end < upstream.durable_end and now - upstream.durable_at > ACK_DELAY_S:
@@ -173,8 +177,9 @@
             is_unreachable = upstream.unreachable_since is not None
             if is_unreachable and upstream.runs and upstream.is_lease_over(now):
                 self._runs.requeue_all(upstream, "lease_over")
-            if upstream.previous_runs and now - upstream.added_at > PREVIOUS_RUNS_S:
-                self._runs.requeue_previous_runs(upstream, set())
+            is_over = now - upstream.added_at > PREVIOUS_RUNS_S
+            if upstream.previous_runs and is_over and not upstream.may_list_more_ends(now):
+                self._runs.requeue_previous_runs(upstream)
         for upstream in list(self._fleet.values()):
             for run in list(upstream.runs.values()):
                 orphan = self._runs.orphans.find(run.task, upstream)
@@ -254,23 +259,51 @@
         upstream.listed_at = now
         upstream.newest_list_at = max(upstream.newest_list_at, listed_at)
         self._record_ends(upstream, answer, (ended_after, listed_at))
-        if clock_ms >= upstream.lists_clock_ms:
+        is_newest = clock_ms >= upstream.lists_clock_ms
+        if is_newest:
             upstream.lists_clock_ms = clock_ms
+            self._record_completeness(upstream, sent, answer)
             self._reconcile_runs(upstream, answer, sent.at, now)
         # A run that this incarnation started on an order for the previous one may have ended.
         settled = {
             end.task for _, end in answer.ends if end.reason in (EndReason.DONE, EndReason.FAILED)
         }
         listed = settled.union((row.task for row in answer.running), answer.tasks_without_run)
-        self._runs.requeue_previous_runs(upstream, listed)
-        if not upstream.is_known:
-            upstream.is_known = True
-            self._runs.needs_placing = True
+        self._runs.keep_previous_runs(upstream, listed)
+        if is_newest and not upstream.has_unlisted_ends:
+            self._on_complete_list(upstream)
         if answer.unread_ends:
             # They are listed until a later end is acknowledged, so each poll is answered at once.
             upstream.next_poll_at = now + MIN_RETRY_S
         self.poll_if_due(upstream)
 
+    def _record_completeness(self, upstream: Upstream, sent: SentPoll, answer: PollAnswer) -> None:
+        """Record whether the upstream may hold ends beyond those in its newest list.
+
+        A list without an end that is yet to be acknowledged counts as complete, since the upstream
+        would list the same ends for ever.
+        """
+        has_new_end = bool(answer.ends) and answer.ends[-1][0] > sent.acked_end
+        upstream.has_unlisted_ends = answer.may_have_more_ends and has_new_end
+        if upstream.has_unlisted_ends:
+            self._section.count("cut_lists")
+            get_logger().info(
+                "list_of_ends_cut",
+                upstream=upstream.state.upstream_id,
+                ends=len(answer.ends),
+                newest=answer.ends[-1][0],
+                acked=sent.acked_end,
+                running=len(answer.running),
+                is_known=upstream.is_known,
+            )
+
+    def _on_complete_list(self, upstream: Upstream) -> None:
+        """Handle that all runs and ends of an upstream are known."""
+        self._runs.requeue_previous_runs(upstream)
+        if not upstream.is_known:
+            upstream.is_known = True
+            self._runs.needs_placing = True
+
     def _on_poll_failed(
         self, upstream: Upstream, sent: SentPoll, answer: PollAnswer, now: float
     ) -> None:
@@ -374,6 +407,9 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
                 run.confirmed_at = now
+        if upstream.has_unlisted_ends:
+            # A run that is not listed may have ended.
+            return
         for run in list(upstream.runs.values()):
             is_settled = run.state is not RunState.STARTING and 0 < run.confirmed_at < sent_at
             if is_settled and run.task not in listed:
--- a/kumquatlift/authority/_recovery.py
+++ b/kumquatlift/authority/_recovery.py
@@ -15,8 +15,8 @@
 class Recovery:
     """The period after an election in which runs of earlier leaders may be unknown.
 
-    It ends when all upstreams have listed their runs, or when all leases of earlier leaders are
-    over.
+    It ends when all upstreams have listed all their runs and ends, or when all leases of earlier
+    leaders are over and no upstream still lists its ends.
 
     Args:
         now: Time of the election.
@@ -40,6 +40,13 @@
             return 0.0
         return max(0.0, self._leases_end_at - now)
 
-    def is_over(self, now: float, *, is_fleet_known: bool) -> bool:
-        """Return whether recovery ends now: all upstreams are known or all leases are over."""
-        return is_fleet_known or now >= self._leases_end_at
+    def is_over(self, now: float, *, is_fleet_known: bool, is_fleet_listing: bool) -> bool:
+        """Return whether recovery ends now.
+
+        Args:
+            now: Current time.
+            is_fleet_known: Whether all upstreams have listed all their runs and ends.
+            is_fleet_listing: Whether an upstream that has listed a part of its ends, under a lease
+                of this leader, may list more.
+        """
+        return is_fleet_known or (now >= self._leases_end_at and not is_fleet_listing)
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -366,19 +366,24 @@
         del progress.running[run.task]
         self._requeue_task(progress, run.task, upstream.state.upstream_id, reason)
 
-    def requeue_previous_runs(self, upstream: Upstream, listed: set[TaskKey]) -> None:
-        """Queue the tasks of the previous incarnation again that this one has not started.
+    @staticmethod
+    def keep_previous_runs(upstream: Upstream, listed: set[TaskKey]) -> None:
+        """Count runs of the previous incarnation as runs of this one, which has started them.
 
         Args:
             upstream: The present incarnation.
             listed: Tasks that run on it, or whose end on it waits for its commit.
         """
+        for task in listed & upstream.previous_runs.keys():
+            del upstream.previous_runs[task]
+
+    def requeue_previous_runs(self, upstream: Upstream) -> None:
+        """Queue the tasks of the previous incarnation again that this one has not started."""
         previous_runs, upstream.previous_runs = upstream.previous_runs, {}
         for task, run in previous_runs.items():
-            if task not in listed:
-                self.orphans.remove(task, upstream, run.number)
+            self.orphans.remove(task, upstream, run.number)
             progress = self._progress.get(task.job)
-            if task in listed or progress is None:
+            if progress is None:
                 continue
             if progress.running.get(task) == upstream.state.upstream_id:
                 del progress.running[task]
--- a/kumquatlift/platform/_wire.py
+++ b/kumquatlift/platform/_wire.py
@@ -54,6 +54,8 @@
 MAX_PAYLOAD_BYTES = 4000
 MAX_TASKS = 10_000
 MAX_STEPS = 200
+# An upstream lists this many ends at a time; it lists later ones after these are acknowledged.
+MAX_LISTED_ENDS = 500
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _STATES = ("ready", "draining")
 # Fields of a heartbeat that this product doesn't use.
@@ -326,7 +328,8 @@
             _log_odd_row("running_row_malformed", row, exc)
     ends: list[tuple[int, TaskEnd]] = []
     unread_ends = 0
-    for row in _list(fields, "finished"):
+    end_rows = _list(fields, "finished")
+    for row in end_rows:
         try:
             ends.append(_read_end(row))
         except WireError as exc:
@@ -339,6 +342,7 @@
         tuple(sorted(ends, key=lambda row: row[0])),
         tasks_without_run=frozenset(tasks_without_run),
         unread_ends=unread_ends,
+        may_have_more_ends=len(end_rows) >= MAX_LISTED_ENDS,
     )
 
 
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -186,6 +186,13 @@
         assert [row.task.number for row in answer.running] == [17]
         assert [(number, end.reason) for number, end in answer.ends] == [(58, EndReason.DONE)]
 
+    @pytest.mark.parametrize(("ends", "may_be_cut"), [(0, False), (499, False), (500, True)])
+    def test_full_list_of_ends_may_be_cut(self, ends: int, may_be_cut: bool) -> None:
+        """Guards against taking the first 500 unacknowledged ends for all of them."""
+        rows = [[58 + number, f"a.0.1.{number}", 1, "done", ""] for number in range(ends)]
+        body = json.dumps({"running": [], "finished": rows}).encode()
+        assert read_poll_answer(200, body, 5).may_have_more_ends == may_be_cut
+
     @pytest.mark.parametrize("odd", ODD_VALUES)
     @pytest.mark.parametrize("place", range(5))
     def test_odd_end_does_not_cost_the_others(self, odd: str, place: int) -> None:
--- a/tools/model_upstream.py
+++ b/tools/model_upstream.py
@@ -21,6 +21,8 @@
 from kumquatlift.clock import Clock
 
 MAX_LEASE_MS = 1000
+# Most ends that the answer to a poll lists.
+MAX_LISTED_ENDS = 500
 
 
 class ModelWorld(Protocol):
@@ -100,6 +102,7 @@
         # Open polls that wait for an end: the time at which each is answered without one, and its
         # callback.
         self._waiting: list[tuple[float, Callable[[PollAnswer], None]]] = []
+        self.max_listed_ends = MAX_LISTED_ENDS
         self.is_reachable = True
         self.can_reply = True
         self.is_hanging = False
@@ -215,7 +218,14 @@
             RunningTask(run.task, run.run, "", 0 if self.is_hanging else self._percent(run, now))
             for run in self.runs.values()
         )
-        return PollAnswer(OrderResult.OK, self.clock_ms, running, tuple(self._ends[:500]))
+        ends = tuple(self._ends[: self.max_listed_ends])
+        return PollAnswer(
+            OrderResult.OK,
+            self.clock_ms,
+            running,
+            ends,
+            may_have_more_ends=len(ends) >= self.max_listed_ends,
+        )
 
     @staticmethod
     def _percent(run: ModelRun, now: float) -> int:
