Keep an upstream that leaves until its runs and ends are known

In simulation, tasks ran twice at the same time, or again after they were done, if an upstream reported its departure just after a change of the leader (rule TWICE).

Cause: the leader kept a departed upstream only while its own records held runs there. A new leader has none until it has read the upstream's lists, so it removed the upstream at once, counted the fleet as known, ended recovery, and started the tasks again elsewhere, while they still ran or their ends were still to be listed.

Change: a departed upstream stays, draining, also while it has not answered a leader that is recovering, and while it may list more ends. Both are bounded by the leases.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -330,7 +330,7 @@
         upstream = self.fleet.get(upstream_id)
         if upstream is None:
             return
-        if upstream.runs and not upstream.is_lease_over(self._clock.now()):
+        if self._may_hold_runs(upstream, self._clock.now()):
             # It may have reported its shutdown before its last tasks ended. It stays, draining,
             # until it has listed their ends or its lease is over.
             upstream.state = upstream.state._replace(is_draining=True)
@@ -338,6 +338,14 @@
         self.runs.requeue_all(upstream, "left")
         self._remove(upstream_id)
 
+    def _may_hold_runs(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream may hold runs, or ends of runs, that still count."""
+        if self._recovery.is_open and not upstream.has_clock:
+            # It has not answered yet, and an earlier leader may have started runs there.
+            return True
+        holds_runs = bool(upstream.runs) and not upstream.is_lease_over(now)
+        return holds_runs or upstream.may_list_more_ends(now)
+
     def _on_ended(self, upstream: Upstream) -> None:
         """Remove an upstream at whose address another one has answered; its runs are removed."""
         self._remove(upstream.state.upstream_id)
@@ -357,7 +365,8 @@
     def _remove_unreachable(self, now: float) -> None:
         for upstream in list(self.fleet.values()):
             upstream_id = upstream.state.upstream_id
-            is_gone = upstream_id not in self._state.upstreams and not upstream.runs
+            has_left = upstream_id not in self._state.upstreams
+            is_gone = has_left and not upstream.runs and not self._may_hold_runs(upstream, now)
             unreachable_since = upstream.unreachable_since
             last_contact_at = self._last_contact_at.get(upstream_id, now)
             if is_gone:
--- a/tests/test_partial_lists.py
+++ b/tests/test_partial_lists.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from kumquatlift.authority import PollAnswer, PollOrder, UpstreamRef
+from kumquatlift.authority import Operation, PollAnswer, PollOrder, Request, UpstreamRef
 from kumquatlift.authority._poller import SentPoll
 from tests.authority_world import answered_at_end, job, make
 from tools import fleet_model
@@ -214,3 +214,63 @@
         assert world.starts == TASKS
         assert world.violations == []
         assert world.state_of(JOB) == "completed"
+
+
+class TestDepartures:
+    """An upstream may report its departure before a new leader has read all its ends."""
+
+    @pytest.mark.parametrize("commit_s", [0.015, 0.2])
+    def test_an_upstream_that_leaves_lists_its_remaining_ends_first(
+        self, monkeypatch: pytest.MonkeyPatch, commit_s: float
+    ) -> None:
+        """Guards against a second run of tasks that are done on an upstream that leaves.
+
+        A new leader has none of their runs in its records, so it removed the upstream at once and
+        counted its ends as lost.
+        """
+        world = make_with_short_lists(2)
+        submit(world)
+        world.run(0.2)
+        world.change_leader(gap_s=0.3)
+        world.run(0.31)
+        for name in ("u0", "u1"):
+            world.send_request(Request(Operation.LEAVE, {"upstream": name}))
+        with monkeypatch.context() as patch:
+            patch.setattr(fleet_model, "COMMIT_S", commit_s)
+            world.add_upstream("u2")
+            world.run(2.0)
+        world.run(3.0)
+        assert world.violations == []
+        assert world.starts == TASKS
+        assert world.state_of(JOB) == "completed"
+
+    def test_runs_on_an_upstream_that_leaves_unheard_end_before_their_tasks_start_again(
+        self,
+    ) -> None:
+        """Guards against two runs of a task at a time, after a change of the leader.
+
+        The upstream leaves before it has answered the new leader, while its tasks still run.
+        """
+        world = make(upstreams=1)
+        world.submit(JOB, job(2, cpu_milli=100, estimate_ms=300), work_ms=600)
+        world.run(0.2)
+        world.upstreams["u0"].can_reply = False
+        world.change_leader(gap_s=0.1)
+        world.run(0.15)
+        world.add_upstream("u1")
+        world.send_request(Request(Operation.LEAVE, {"upstream": "u0"}))
+        world.run(5.0)
+        assert world.violations == []
+        assert world.state_of(JOB) == "completed"
+
+    def test_an_upstream_that_has_left_is_removed(self) -> None:
+        """Guards against a departed upstream that stays in the fleet because it was never heard."""
+        world = make(upstreams=2)
+        world.upstreams["u0"].is_reachable = False
+        world.change_leader(gap_s=0.1)
+        world.run(0.15)
+        world.send_request(Request(Operation.LEAVE, {"upstream": "u0"}))
+        world.run(2.0)
+        leader = world.authority._leader
+        assert leader is not None
+        assert list(leader.fleet) == ["u1"]
