Let the upstreams of the leases' fuzzer list few ends at a time

Each world now draws 1, 2, 5 or 500 ends a list, with a random source of its own, so that the seeds' other choices stay as they were.

--- a/tests/test_fuzz_leases.py
+++ b/tests/test_fuzz_leases.py
@@ -5,7 +5,16 @@
 
 import pytest
 
-from kumquatlift.authority import Reply, _attempts, _fleet, _leader, _orphans, _recovery, _requests
+from kumquatlift.authority import (
+    Reply,
+    _attempts,
+    _fleet,
+    _leader,
+    _orphans,
+    _poller,
+    _recovery,
+    _requests,
+)
 from kumquatlift.authority._work import Job, JobState
 from kumquatlift.codes import ResultCode
 from tools.fuzz_leases import run
@@ -41,6 +50,18 @@
             for seed in SEEDS:
                 run(seed=seed, steps=STEPS)
 
+    def test_cut_lists_that_count_as_complete_are_detected(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The fault of docs/incidents/cut-lists-of-ends.md."""
+
+        def ignore_cuts(poller: _poller.Poller, upstream: _fleet.Upstream, *_args: Any) -> None:
+            upstream.has_unlisted_ends = False
+
+        monkeypatch.setattr(_poller.Poller, "_record_completeness", ignore_cuts)
+        with pytest.raises(AssertionError, match=r"runs twice|after it was done"):
+            run(seed=1, steps=STEPS)
+
     def test_doubled_capacity_is_detected(self, monkeypatch: pytest.MonkeyPatch) -> None:
         capacity = _fleet.Upstream.capacity.fget
         assert capacity is not None
--- a/tools/fuzz_leases.py
+++ b/tools/fuzz_leases.py
@@ -1,13 +1,13 @@
 """Fuzzes the leader's leases with random schedules of faults, on model upstreams.
 
 Each world runs the real leader on a manual clock with a few model upstreams, which follow the
-protocol and have drifting clocks of their own. Upstreams become unreachable, lose their answers,
-crash and restart, hang, and fail tasks; orders get no answer and are carried out seconds later;
-leaders change; callers leave, submit again and cancel. At every step, no task may run twice at a
-time and no capacity may be exceeded; no task of a logged job may start after an end that was
-acknowledged. Each submission must be told how its job ended. In the end, every logged job must have
-ended, every submission whose caller waits must be answered, and jobs for which nobody waits must
-not run.
+protocol, have drifting clocks of their own and list as few as one end in an answer. Upstreams
+become unreachable, lose their answers, crash and restart, hang, and fail tasks; orders get no
+answer and are carried out seconds later; leaders change; callers leave, submit again and cancel. At
+every step, no task may run twice at a time and no capacity may be exceeded; no task of a logged job
+may start after an end that was acknowledged. Each submission must be told how its job ended. In the
+end, every logged job must have ended, every submission whose caller waits must be answered, and
+jobs for which nobody waits must not run.
 
     python -m tools.fuzz_leases --steps 200000 --seed 1
 """
@@ -55,6 +55,8 @@
 OVERTAKEN_SHARE = 0.2
 # Time after the last fault for the latest delayed order, a lease, and the remaining jobs.
 SETTLE_S = 25.0
+# Most ends that the upstreams of a world list in one answer.
+LISTED_ENDS = (1, 2, 5, 500)
 QUEUE = Queue("q", "h", "/q/", "s", 0, 3, 1.6, 60)
 UNANSWERED_SHARES = (0.0, 0.02, 0.1, 0.3)
 # Relative frequencies of the actions.
@@ -98,6 +100,7 @@
         self.world = FleetModel(seed=seed)
         self.counts: Counter[str] = Counter()
         self._rng = random.Random(f"schedule {seed}")
+        self._listed_ends = random.Random(f"lists {seed}").choice(LISTED_ENDS)
         self._specs: dict[str, tuple[JobSpec, float]] = {}
         # Jobs that were cancelled or refused; the final check leaves them out.
         self._exempt_jobs: set[str] = set()
@@ -139,7 +142,10 @@
                 self._rng.uniform(0.98, 1.02),
             ),
         )
-        self.world.add_upstream(name, speed=speed, cpu_milli=cpu_milli, clock_rate=clock_rate)
+        upstream = self.world.add_upstream(
+            name, speed=speed, cpu_milli=cpu_milli, clock_rate=clock_rate
+        )
+        upstream.max_listed_ends = self._listed_ends
 
     def _step(self) -> None:
         self._run()
