Bound the time for which one upstream may keep a recovery open

Cause: since lists of ends may be cut, a recovery goes on while an upstream that can be reached lists more. An upstream that lists new ends for ever would have kept all jobs waiting.

Change: 10 s after a leader has added an upstream, the lease of one that has never listed all its ends is no longer renewed. Its runs lapse, ends that it lists later do not count, and recovery ends when the lease is over.

Evidence: test_an_upstream_that_never_lists_all_its_ends_does_not_block_the_jobs; if the lease is renewed all the same, it fails.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -28,6 +28,9 @@
 # Share of the charged failures that remains after a run that is done. An upstream that fails two
 # runs in five still rests, although it never fails many in a row.
 CHARGE_KEPT_SHARE = 0.8
+# A new leader waits this long for an upstream to list all its ends; a slow disk delays each part by
+# seconds. The recovery of all jobs must not depend on an upstream that lists new ends for ever.
+MAX_LISTING_S = 10.0
 # A run is overdue after this multiple of its expected time plus a constant. Estimates are wrong by
 # 40%, so an earlier poll would mostly find the task still running.
 OVERDUE_FACTOR = 1.3
@@ -381,8 +384,13 @@
 
         Ends that it lists after its lease is over don't count.
         """
-        is_lost = self.unreachable_since is not None and self.is_lease_over(now)
-        return self.has_unlisted_ends and not is_lost
+        is_given_up = self.unreachable_since is not None or self.is_listing_too_long(now)
+        return self.has_unlisted_ends and not (is_given_up and self.is_lease_over(now))
+
+    def is_listing_too_long(self, now: float) -> bool:
+        """Whether a complete list has not come for so long that its lease must end."""
+        has_listed_all = self.is_known or not self.has_unlisted_ends
+        return not has_listed_all and now - self.added_at > MAX_LISTING_S
 
     def learn_speed(self, expected_ms: float, run_ms: float, now: float) -> None:
         """Update the speed from the run time of a task that succeeded.
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -218,8 +218,9 @@
         upstream.polled_at = now
         # An unreachable upstream may receive polls although its answers are lost. Its lease must
         # end, so that its tasks can start elsewhere, and so that it reports ends after that time as
-        # lapsed.
-        needs_lease = bool(upstream.runs) and upstream.unreachable_since is None
+        # lapsed. The same holds for one that never lists all its ends.
+        is_given_up = upstream.unreachable_since is not None or upstream.is_listing_too_long(now)
+        needs_lease = bool(upstream.runs) and not is_given_up
         lease_end_ms = 0
         if needs_lease and upstream.has_clock:
             lease_end_ms = upstream.extend_lease(self._lease_s(), now)
--- a/tests/test_partial_lists.py
+++ b/tests/test_partial_lists.py
@@ -1,11 +1,22 @@
 """Upstreams that hold more unacknowledged ends than they list in one answer."""
 
+import itertools
+import math
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
-from kumquatlift.authority import Operation, PollAnswer, PollOrder, Request, UpstreamRef
+from kumquatlift.authority import (
+    EndReason,
+    Operation,
+    PollAnswer,
+    PollOrder,
+    Request,
+    TaskEnd,
+    TaskKey,
+    UpstreamRef,
+)
 from kumquatlift.authority._poller import SentPoll
 from tests.authority_world import answered_at_end, job, make
 from tools import fleet_model
@@ -86,6 +97,31 @@
         assert world.violations == []
         assert world.state_of(JOB) == "completed"
 
+    def test_an_upstream_that_never_lists_all_its_ends_does_not_block_the_jobs(self) -> None:
+        """Guards against a recovery without end because of one upstream."""
+        world = make(upstreams=2)
+        world.submit(OTHER_JOB, job(3, cpu_milli=6800, estimate_ms=60_000), work_ms=60_000)
+        world.run(0.2)
+        endless = next(each for each in world.upstreams.values() if len(each.runs) == 1)
+        answer_whole = endless._poll_answer
+        numbers = itertools.count(1)
+        unknown = TaskKey("c" * 16, 0, 0, 0)
+
+        def answer_cut() -> PollAnswer:
+            ends = ((next(numbers), TaskEnd(unknown, 1, EndReason.STOPPED)),)
+            return answer_whole()._replace(ends=ends, may_have_more_ends=True)
+
+        endless._poll_answer = answer_cut  # type: ignore[method-assign]
+        world.change_leader(gap_s=0.3)
+        world.run(9.0)
+        leader = world.authority._leader
+        assert leader is not None
+        assert leader.runs.recovered_at == math.inf
+        world.run(4.0)
+        assert leader.runs.recovered_at < math.inf
+        assert not endless.runs
+        assert world.violations == []
+
     def test_a_job_that_only_its_leader_knew_is_not_run_again(self) -> None:
         """Guards against a second run of tasks of a job that its caller submits again."""
         world = make_with_short_lists()
