--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,7 @@
 """Tests of the soak: its checks detect violations, and a short seeded run passes."""
 
+import socket
+import threading
 import time
 from pathlib import Path
 from unittest.mock import Mock
@@ -8,7 +10,7 @@
 
 from tools.soak import Soak, is_expected_end
 from tools.soak_faults import FaultSchedule
-from tools.users_platform import History
+from tools.users_platform import CONNECTION_LOST, UNREADABLE, History, PersistentConnections
 
 MUTANT_RUN_S = 6.0
 MAX_SEEDS = 40
@@ -103,6 +105,39 @@
         assert not is_expected_end("running", is_cancel_sent=True)
 
 
+class TestAnswers:
+    """Callers of the soak tell a success that they can't read from a connection without answer."""
+
+    @pytest.mark.parametrize(
+        ("answer", "expected"),
+        [
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n", (200, UNREADABLE)),
+            (b'HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n{"state": ', (200, UNREADABLE)),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstate", (200, UNREADABLE)),
+            (b"HTTP/1.1 503 X\r\nContent-Length: 22\r\n\r\n", (CONNECTION_LOST, None)),
+            (b"", (CONNECTION_LOST, None)),
+        ],
+        ids=["no body", "cut body", "no JSON", "cut refusal", "no answer"],
+    )
+    def test_cut_success_is_no_lost_connection(
+        self, answer: bytes, expected: tuple[int, object]
+    ) -> None:
+        """Guards against a soak that takes half an answer for a broken connection."""
+        with socket.create_server(("127.0.0.1", 0)) as server:
+
+            def serve() -> None:
+                conn = server.accept()[0]
+                with conn:
+                    conn.recv(65536)
+                    conn.sendall(answer)
+
+            thread = threading.Thread(target=serve)
+            thread.start()
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            assert PersistentConnections().try_call(address, "GET", "/q/1") == expected
+            thread.join()
+
+
 class TestFaults:
     """Faults are injected in any state of the programs."""
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,6 +24,7 @@
     CONNECTION_LOST,
     NO_ANSWER,
     SUBMIT_TIMEOUT_S,
+    UNREADABLE,
     Cluster,
     JobRequest,
     PersistentConnections,
@@ -239,6 +240,8 @@
         )
         if status == CONNECTION_LOST:
             self._check_unanswered(frontend_index, job.number, sent_at)
+        elif body == UNREADABLE:
+            self._report_violation(f"job {job.number:016x} got a success that can't be read")
         elif status == 200 and not job.is_logged:
             state = body.get("state") if isinstance(body, dict) else None
             self.checked[f"submissions told {state}"] += 1
@@ -278,7 +281,9 @@
     ) -> None:
         """Query a job on the connection of its only submission; the answer must be its own."""
         status, body = self._cluster.query(job, frontend_index, conns)
-        if status == 200:
+        if body == UNREADABLE:
+            self._report_violation(f"the state of job {job.number:016x} can't be read")
+        elif status == 200:
             self.checked["queries on kept connections"] += 1
             # A job that was answered at its end has ended for good.
             self._check_state(job, body.get("state"), allowed=JOB_STATES if job.is_logged else ())
@@ -306,7 +311,7 @@
         status, body = self._cluster.cancel(number, frontend_index)
         if status in (200, 410):
             self._cancelled[number] = time.monotonic()
-        if status == 200 and body.get("state") not in JOB_STATES:
+        if status == 200 and (body == UNREADABLE or body.get("state") not in JOB_STATES):
             self._report_violation(f"the cancel of job {number:016x} is told {body}")
 
     def _replace_configurations(self) -> None:
@@ -321,7 +326,9 @@
             time.sleep(0.4)
             other = self._cluster.cores[(version + 1) % len(self._cluster.cores)]
             status, answer = try_call(other.control, "GET", "/api/config/describe")
-            if status == 200:
+            if answer == UNREADABLE:
+                self._report_violation("a configuration can't be read")
+            elif status == 200:
                 self.checked["configurations read"] += 1
                 if answer["version"] < acknowledged_version:
                     self._report_violation(
--- a/tools/users_platform/__init__.py
+++ b/tools/users_platform/__init__.py
@@ -9,6 +9,7 @@
 from tools.users_platform._http import (
     CONNECTION_LOST,
     NO_ANSWER,
+    UNREADABLE,
     PersistentConnections,
     call,
     try_call,
@@ -23,6 +24,7 @@
     "DRAIN_GRACE_S",
     "NO_ANSWER",
     "SUBMIT_TIMEOUT_S",
+    "UNREADABLE",
     "Cluster",
     "History",
     "JobRequest",
--- a/tools/users_platform/_http.py
+++ b/tools/users_platform/_http.py
@@ -2,13 +2,15 @@
 
 import json
 import select
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, IncompleteRead
 from typing import Any
 
 # Returned instead of an HTTP status. ``NO_ANSWER``: no connection, or no answer in time.
 # ``CONNECTION_LOST``: the connection ended after the request had been sent.
 NO_ANSWER = 0
 CONNECTION_LOST = -1
+# Returned as the body of a success that is cut or is no JSON.
+UNREADABLE = "(unreadable)"
 
 
 def call(
@@ -34,8 +36,14 @@
     data = None if body is None else json.dumps(body)
     conn.request(method, path, data, {"Host": host, "Content-Type": "application/json"})
     res = conn.getresponse()
-    text = res.read()
-    return res.status, json.loads(text) if text else None
+    try:
+        text = res.read()
+        return res.status, json.loads(text) if text else None
+    except (IncompleteRead, ValueError):
+        if not 200 <= res.status < 300:
+            raise
+        conn.close()
+        return res.status, UNREADABLE
 
 
 def try_call(*args: Any, **options: Any) -> tuple[int, Any]:
