--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -384,13 +384,14 @@
 
         Ends that it lists after its lease is over don't count.
         """
-        is_given_up = self.unreachable_since is not None or self.is_listing_too_long(now)
-        return self.has_unlisted_ends and not (is_given_up and self.is_lease_over(now))
-
-    def is_listing_too_long(self, now: float) -> bool:
-        """Whether a complete list has not come for so long that its lease must end."""
-        has_listed_all = self.is_known or not self.has_unlisted_ends
-        return not has_listed_all and now - self.added_at > MAX_LISTING_S
+        is_lost = self.is_given_up(now) and self.is_lease_over(now)
+        return self.has_unlisted_ends and not is_lost
+
+    def is_given_up(self, now: float) -> bool:
+        """Whether its lease must end, as it does not answer or never lists all its ends."""
+        is_incomplete = self.has_unlisted_ends and not self.is_known
+        is_listing_too_long = is_incomplete and now - self.added_at > MAX_LISTING_S
+        return self.unreachable_since is not None or is_listing_too_long
 
     def learn_speed(self, expected_ms: float, run_ms: float, now: float) -> None:
         """Update the speed from the run time of a task that succeeded.
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -142,6 +142,7 @@
         if upstream.open_polls or now < upstream.next_poll_at or not self._may_order():
             return
         is_commit_open = upstream.listed_end > upstream.durable_end
+        # One that is not known has listed nothing so far, or only a part of its ends.
         has_listed = upstream.is_known or upstream.has_unlisted_ends
         if upstream.unreachable_since is not None:
             self._poll(upstream, now, 0.0)
@@ -177,8 +178,8 @@
             is_unreachable = upstream.unreachable_since is not None
             if is_unreachable and upstream.runs and upstream.is_lease_over(now):
                 self._runs.requeue_all(upstream, "lease_over")
-            is_over = now - upstream.added_at > PREVIOUS_RUNS_S
-            if upstream.previous_runs and is_over and not upstream.may_list_more_ends(now):
+            have_ended = now - upstream.added_at > PREVIOUS_RUNS_S
+            if upstream.previous_runs and have_ended and not upstream.may_list_more_ends(now):
                 self._runs.requeue_previous_runs(upstream)
         for upstream in list(self._fleet.values()):
             for run in list(upstream.runs.values()):
@@ -219,8 +220,7 @@
         # An unreachable upstream may receive polls although its answers are lost. Its lease must
         # end, so that its tasks can start elsewhere, and so that it reports ends after that time as
         # lapsed. The same holds for one that never lists all its ends.
-        is_given_up = upstream.unreachable_since is not None or upstream.is_listing_too_long(now)
-        needs_lease = bool(upstream.runs) and not is_given_up
+        needs_lease = bool(upstream.runs) and not upstream.is_given_up(now)
         lease_end_ms = 0
         if needs_lease and upstream.has_clock:
             lease_end_ms = upstream.extend_lease(self._lease_s(), now)
