Keep the trigger of a runner stand-in open until its closing was announced

Closing queues the closing of the sockets and then writes to the trigger; a thread that wakes the loop in between has it close the trigger first.

Change: both servers close through one function, which waits until the trigger was pulled.

Evidence: the new test, in which another thread wakes the loop first, failed before.

--- a/kumquatlift/transport/server.py
+++ b/kumquatlift/transport/server.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
-from functools import partial
 from typing import Any
 
 import waitress
@@ -175,17 +174,27 @@
     def close(self) -> None:
         """Stop the threads after their current requests, and close all sockets."""
         self._server.task_dispatcher.shutdown(cancel_pending=False, timeout=1)
-        # The sockets are closed in the thread of the I/O loop, which ends when none is left. If
-        # another thread wakes the loop first, the trigger must stay open until it was pulled here.
-        is_pulled = threading.Event()
-        try:
-            self._server.trigger.pull_trigger(partial(self._close_sockets, is_pulled))
-        finally:
-            is_pulled.set()
+        close_sockets(self._server)
         self._executor.shutdown(wait=False)
 
-    def _close_sockets(self, is_pulled: threading.Event) -> None:
+
+def close_sockets(server: Any) -> None:
+    """Close all sockets of a waitress server in the thread of its I/O loop, which ends then.
+
+    If another thread wakes the loop first, the trigger must stay open until it was pulled here.
+
+    Args:
+        server: The server that ``waitress.create_server`` returned.
+    """
+    is_pulled = threading.Event()
+
+    def close() -> None:
         is_pulled.wait()
-        for channel in list(self._server.active_channels.values()):
+        for channel in list(server.active_channels.values()):
             channel.handle_close()
-        self._server.close()
+        server.close()
+
+    try:
+        server.trigger.pull_trigger(close)
+    finally:
+        is_pulled.set()
--- a/kumquatlift/upstreams/runner_stand_in.py
+++ b/kumquatlift/upstreams/runner_stand_in.py
@@ -11,6 +11,7 @@
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.jobs.identity import new_incarnation
+from kumquatlift.transport.server import close_sockets
 from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
 from kumquatlift.upstreams.announcer import Announcer
 from kumquatlift.upstreams.runner_mode import Fault, Mode
@@ -96,16 +97,10 @@
     def close(self) -> None:
         """Close the server with its connections and stop announcing."""
         self._announcer.stop()
-        # The server's loop is not thread-safe, so its own thread has to close the sockets.
-        self._server.trigger.pull_trigger(self._close_sockets)
+        close_sockets(self._server)
         self._executor.shutdown()
         self._server.task_dispatcher.shutdown(cancel_pending=False, timeout=1)
 
-    def _close_sockets(self) -> None:
-        for channel in list(self._server.active_channels.values()):
-            channel.handle_close()
-        self._server.close()
-
     def _announcement(self) -> dict[str, Any]:
         return {
             **self._identity._asdict(),
--- a/tests/test_runner_stand_in.py
+++ b/tests/test_runner_stand_in.py
@@ -21,11 +21,16 @@
         time.sleep(0.005)
 
 
-@pytest.fixture
-def stand_in() -> Iterator[RunnerStandIn]:
+def start_runner() -> RunnerStandIn:
     identity = RunnerIdentity("r1", "s", "z", "w1", slots=2, connections=8)
     runner = RunnerStandIn(identity=identity, host="127.0.0.1", port=0, entries=())
     runner.start()
+    return runner
+
+
+@pytest.fixture
+def stand_in() -> Iterator[RunnerStandIn]:
+    runner = start_runner()
     yield runner
     runner.close()
 
@@ -42,6 +47,29 @@
         conn.close()
 
 
+class TestClose:
+    """The stand-in closes its sockets in the thread of its server's loop."""
+
+    def test_a_wake_up_by_another_thread_does_not_close_the_trigger_early(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a write to a file descriptor that is closed, or used by another file.
+
+        A thread that had written an answer woke the loop between the two steps of the closing.
+        """
+        runner = start_runner()
+        trigger: Any = runner._server.trigger
+        pull = trigger._physical_pull
+
+        def pull_late() -> None:
+            pull()
+            time.sleep(0.2)
+            pull()
+
+        monkeypatch.setattr(trigger, "_physical_pull", pull_late)
+        runner.close()
+
+
 class TestRunnerStandIn:
     """Guards against a stand-in that exceeds a limit but records that it kept it."""
 
