Show that a job whose cancelling was acknowledged runs on under a new leader

Cause: a job that isn't stored is known to its leader only. The next leader answers its cancelling with 410 and forgets it; the frontend that waits for the job's answer then hands the job in again, and it runs to its end.

Nothing of the product changes.

--- a/review/stand2.py
+++ b/review/stand2.py
@@ -273,6 +273,7 @@
         run = Run(task=task, number=number, work=work)
         self.runs[task] = run
         self.world.note(self.name, f"starts {task} run {number}; {self.used} of {self.cpu} in use")
+        self.world.starts.append((self.world.now(), task, self.name))
         if work.get("gang"):
             self.world.join_gang(run, self)
         elif not work.get("lasts"):
@@ -381,9 +382,9 @@
         self.runners: list[Runner] = []
         # Members and number of members of each gang's run.
         self.gangs: dict[tuple[str, int], dict[str, tuple[Run, Runner]]] = {}
+        # Time, task and runner of each start; time, task, run, way and runner of each end.
+        self.starts: list[tuple[float, str, str]] = []
         self.ended: list[tuple[float, str, int, str, str]] = []
-        # Intervals in which a task ran are derived from starts and ends; last time by job.
-        self.last_run_at: dict[str, float] = {}
         self.is_closed = False
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.commands = {
@@ -422,7 +423,6 @@
         """Record the end of a run."""
         self.note(runner.name, f"ends {run.task} run {run.number}: {how}")
         self.ended.append((self.now(), run.task, run.number, how, runner.name))
-        self.last_run_at[run.task.split(".")[0]] = self.now()
 
     def ends_of(self, job: str, how: str) -> int:
         """Return how many runs of a job have ended in a way."""
