Expect new jobs to wait for the next ends of runs, not for all of them

Cause: while no upstream had room, admission added half of the expected time of all runs in progress to the backlog and divided it by the slots, so every new job was expected to wait for about half of a mean run. On 176 upstreams a run ends every few milliseconds, and short jobs are served first.

Change: the wait is the number of tasks divided by the rate at which runs make room for one of them. A run that has taken longer than expected counts as one that lasts as long again.

--- a/kumquatlift/authority/_admission.py
+++ b/kumquatlift/authority/_admission.py
@@ -38,8 +38,9 @@
     Args:
         slots: Number of tasks of the job's size that the usable upstreams can run at a time.
         speed: Mean speed of the usable upstreams.
-        backlog_ms: Run time at speed 1 of all tasks that wait before the new job, and the remaining
-            run time of those that run if no upstream has enough free resources, in milliseconds.
+        backlog_ms: Run time at speed 1 of all tasks that wait before the new job, in milliseconds.
+        start_ms: Expected time until running tasks have freed the resources for the job, in
+            milliseconds; 0 if they are free.
         recovery_ms: Time until a new leader may start tasks, in milliseconds; 0 after recovery.
         order_ms: Current latency of the start order and the completion report of one run, in
             milliseconds.
@@ -52,6 +53,7 @@
     slots: float
     speed: float
     backlog_ms: float
+    start_ms: float = 0.0
     recovery_ms: float = 0.0
     order_ms: float = 0.0
     is_idle: bool = False
@@ -173,7 +175,7 @@
     # Idle upstreams count as usual ones: without runs, a low speed that was learned during a fault
     # would be kept, and with it the refusals.
     speed = max(load.speed, USUAL_SPEED) if load.is_idle else load.speed
-    queue_ms = load.backlog_ms / (load.slots * speed)
+    queue_ms = load.backlog_ms / (load.slots * speed) + load.start_ms
     wait_ms = load.recovery_ms + queue_ms
     finish_ms = wait_ms + load.order_ms + request.critical_path_ms / speed
     limit_ms = request.objective_ms + ACCEPTED_LATENESS_SHARE * (
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -196,7 +196,9 @@
         objective_ms = queue.slack_factor * longest_step_ms + queue.target_ms
         work = sum(step.tasks * ms for step, ms in zip(spec.steps, expected, strict=True))
         cpu = max((step.cpu_milli for step in spec.steps), default=0)
-        load = self._meter.load(queue.service, cpu, now + (objective_ms - longest_step_ms) / 1000)
+        start_by = now + (objective_ms - longest_step_ms) / 1000
+        tasks = max((step.tasks for step in spec.steps), default=1)
+        load = self._meter.load(queue.service, cpu, start_by, tasks)
         late_share = self.runs.late_share
         load = load._replace(
             late_jobs_age_s=now - (late_share.recorded_at or now),
--- a/kumquatlift/authority/_load.py
+++ b/kumquatlift/authority/_load.py
@@ -14,9 +14,9 @@
 CAPACITY_CACHE_S = 0.1
 # The cache of capacities is cleared when it holds this many entries.
 MAX_CAPACITIES = 1000
-# Mean remaining time of a run in progress, as a share of its expected run time. It is added to the
-# backlog when no usable upstream has free resources for the job.
-MEAN_REMAINING_SHARE = 0.5
+# Longest expected time until the resources for a job are freed, in milliseconds. It bounds the
+# estimate when hardly anything runs where the job fits.
+MAX_START_MS = 10_000.0
 # Share of the usable upstreams that counts as fast. Tasks wait for the slowest speed among them, so
 # that no task waits for the one upstream with the highest estimate.
 FAST_SHARE = 0.2
@@ -40,7 +40,7 @@
         self._capacities: dict[tuple[str, int], _Capacity] = {}
         self._fast_speeds: dict[str, tuple[float, float]] = {}
 
-    def load(self, service: str, cpu_milli: int, start_by: float) -> Load:
+    def load(self, service: str, cpu_milli: int, start_by: float, tasks: int = 1) -> Load:
         """Return the load of a service for a new job.
 
         Args:
@@ -48,6 +48,7 @@
             cpu_milli: Processor that its largest task needs, in thousandths of a core.
             start_by: Time by which the job must start, in seconds; waiting jobs that must start
                 later are served after it and do not count.
+            tasks: Number of tasks of its largest step.
         """
         now = self._clock.now()
         usable = self._offer_index.usable(service, now)
@@ -58,17 +59,15 @@
                 latest_start = progress.objective_at - progress.critical_path_ms / 1000
                 if latest_start <= start_by and progress.expires_at > now:
                     backlog_ms += progress.waiting_ms
-        if not any(upstream.free.cpu_milli >= cpu_milli for upstream in usable):
-            backlog_ms += sum(
-                MEAN_REMAINING_SHARE * run.expected_ms
-                for upstream in usable
-                for run in upstream.runs.values()
-            )
+        # A wider job starts with as many tasks as there is room for.
+        first_tasks = int(min(tasks, capacity.slots))
+        start_ms = _time_to_free_ms(usable, cpu_milli, first_tasks, now)
         is_idle = not backlog_ms and not any(upstream.runs for upstream in usable)
         return Load(
             capacity.slots,
             capacity.speed,
             backlog_ms,
+            start_ms=start_ms,
             is_idle=is_idle,
             speed_age_s=now - capacity.speed_at,
         )
@@ -110,6 +109,38 @@
         return capacity
 
 
+def _time_to_free_ms(usable: Collection[Upstream], cpu_milli: int, tasks: int, now: float) -> float:
+    """Return the expected time until resources for some tasks are free, in milliseconds.
+
+    It is 0 if one of them can start at once. Runs end one after the other, so the first of hundreds ends after a few milliseconds, although
+    each of them has hundreds left.
+
+    Args:
+        usable: Upstreams on which the tasks may start.
+        cpu_milli: Processor that each task needs, in thousandths of a core.
+        tasks: Number of tasks.
+        now: Current time, in seconds.
+    """
+    if any(upstream.free.cpu_milli >= cpu_milli for upstream in usable):
+        return 0.0
+    freed_per_s = sum(_freed_per_s(upstream, cpu_milli, now) for upstream in usable)
+    return min(MAX_START_MS, 1000 * tasks / freed_per_s) if freed_per_s else MAX_START_MS
+
+
+def _freed_per_s(upstream: Upstream, cpu_milli: int, now: float) -> float:
+    """Return how many tasks of a size the runs of an upstream make room for in a second.
+
+    A run that has taken longer than expected is likely to take as long again.
+    """
+    free_milli = max(0, upstream.free.cpu_milli)
+    return sum(
+        min(1.0, (free_milli + run.size.cpu_milli) / max(1, cpu_milli))
+        / max(run.expected_ms / 1000 / upstream.speed, now - run.decided_at)
+        for run in upstream.runs.values()
+        if run.expected_ms > 0
+    )
+
+
 class _Capacity(NamedTuple):
     """Capacity of the usable upstreams for tasks of one size.
 
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -346,6 +346,7 @@
         "limit_ms": round(estimate.limit_ms),
         "slots": round(load.slots),
         "backlog_ms": round(load.backlog_ms),
+        "start_ms": round(load.start_ms),
         "speed": round(estimate.speed, 2),
         "speed_age_ms": round(1000 * load.speed_age_s),
         "safety_margin": round(estimate.safety_margin, 2),
