Share a full service among its queues and zones of callers

Cause: under overload a job is accepted if the queue as a whole would finish it in time, so who comes first wins, and nothing remembers what each queue and each zone of callers got. Late jobs of one queue also raised the safety margin for all.

The safety margin is kept for each queue.

--- a/kumquatlift/authority/_admission.py
+++ b/kumquatlift/authority/_admission.py
@@ -5,9 +5,12 @@
 jobs are told at once when to try again.
 """
 
+import math
 from enum import StrEnum
 from typing import NamedTuple
 
+from kumquatlift.authority._shares import Usage
+
 # A job is accepted if it is expected to complete by its objective plus this share of the time from
 # its objective to its expiry. At 0, no job that is expected to be late is accepted; a share of 0.6
 # doubles the number of late jobs in a burst.
@@ -28,6 +31,11 @@
 # The time to retry varies by up to this share, so that refused callers do not return together.
 RETRY_JITTER = 0.5
 MIN_RETRY_MS = 100
+# A flow that uses more than its share takes what the others leave, but does not fill the queue in
+# which they wait: its jobs are accepted if they wait for at most this share of their slack.
+OVER_SHARE_SLACK = 0.25
+# Usage of a flow in a service whose capacity is not shared.
+UNSHARED = Usage(0.0, 0.0, math.inf)
 # Speed of a usual upstream, to which estimates of run times refer.
 USUAL_SPEED = 1.0
 
@@ -39,6 +47,7 @@
         slots: Number of tasks of the job's size that the usable upstreams can run at a time.
         speed: Mean speed of the usable upstreams.
         backlog_ms: Run time at speed 1 of all tasks that wait before the new job, in milliseconds.
+        queued_ms: The same of all tasks that wait, in milliseconds.
         start_ms: Expected time until running tasks have freed the resources for the job, in
             milliseconds; 0 if they are free.
         recovery_ms: Time until a new leader may start tasks, in milliseconds; 0 after recovery.
@@ -53,6 +62,7 @@
     slots: float
     speed: float
     backlog_ms: float
+    queued_ms: float = 0.0
     start_ms: float = 0.0
     recovery_ms: float = 0.0
     order_ms: float = 0.0
@@ -69,6 +79,7 @@
     RECOVERY = "the leader is new and waits for earlier leases"
     LEADER_BUSY = "the leader's processor is busy"
     UPSTREAMS_BUSY = "the upstreams are busy"
+    OVER_SHARE = "the upstreams are busy, and the queue uses more than its share of them"
 
 
 class LateShare:
@@ -125,6 +136,7 @@
         speed: Speed of the upstreams that the estimate assumes.
         safety_margin: Share of the objective that is taken off the limit while jobs end late.
         load: Load of the service.
+        usage: What the job's flow uses, and its share.
     """
 
     finish_ms: float
@@ -132,6 +144,7 @@
     speed: float
     safety_margin: float
     load: Load
+    usage: Usage
 
 
 class AdmissionDecision(NamedTuple):
@@ -153,7 +166,11 @@
 
 
 def decide_admission(
-    request: AdmissionRequest, load: Load, jitter: float, safety_margin: float = 0.0
+    request: AdmissionRequest,
+    load: Load,
+    jitter: float,
+    safety_margin: float = 0.0,
+    usage: Usage = UNSHARED,
 ) -> AdmissionDecision:
     """Decide whether a job is accepted.
 
@@ -163,13 +180,14 @@
         jitter: Random number from 0 to 1 that varies the time to retry.
         safety_margin: Share of its objective by which the job must be expected to complete early;
             bounded by a multiple of its expected time in the queue.
+        usage: What the job's flow uses, and its share.
 
     Returns:
         The decision.
     """
     if load.slots <= 0:
         wait_ms = request.expiry_ms
-        estimate = Estimate(wait_ms, request.objective_ms, 0.0, safety_margin, load)
+        estimate = Estimate(wait_ms, request.objective_ms, 0.0, safety_margin, load, usage)
         retry_ms = retry_after(wait_ms, jitter)
         return AdmissionDecision(False, wait_ms, estimate, retry_ms, RefusalCause.NO_UPSTREAM)
     # Idle upstreams count as usual ones: without runs, a low speed that was learned during a fault
@@ -177,12 +195,17 @@
     speed = max(load.speed, USUAL_SPEED) if load.is_idle else load.speed
     queue_ms = load.backlog_ms / (load.slots * speed) + load.start_ms
     wait_ms = load.recovery_ms + queue_ms
-    finish_ms = wait_ms + load.order_ms + request.critical_path_ms / speed
+    run_ms = load.order_ms + request.critical_path_ms / speed
+    finish_ms = wait_ms + run_ms
     limit_ms = request.objective_ms + ACCEPTED_LATENESS_SHARE * (
         request.expiry_ms - request.objective_ms
     )
     limit_ms -= safety_margin * min(request.objective_ms, MAX_MARGIN_PER_WAIT * queue_ms)
-    estimate = Estimate(finish_ms, limit_ms, speed, safety_margin, load)
+    estimate = Estimate(finish_ms, limit_ms, speed, safety_margin, load, usage)
+    slack_ms = request.objective_ms - run_ms
+    if usage.is_over_share and _whole_wait_ms(load, speed) > OVER_SHARE_SLACK * slack_ms:
+        retry_ms = retry_after(1000 * usage.return_s, jitter)
+        return AdmissionDecision(False, wait_ms, estimate, retry_ms, RefusalCause.OVER_SHARE)
     if finish_ms <= limit_ms:
         return AdmissionDecision(True, wait_ms, estimate)
     excess_ms = finish_ms - request.objective_ms
@@ -191,6 +214,15 @@
     return AdmissionDecision(False, wait_ms, estimate, retry_after(excess_ms, jitter), cause)
 
 
+def _whole_wait_ms(load: Load, speed: float) -> float:
+    """Return the expected wait behind all jobs that wait, in milliseconds; 0 with free resources.
+
+    A job of a flow over its share counts those that are served after it as well, which it would
+    delay.
+    """
+    return load.queued_ms / (load.slots * speed) + load.start_ms if load.start_ms else 0.0
+
+
 def _cause(recovery_ms: float, order_ms: float, upstreams_ms: float) -> RefusalCause:
     """Return which of three parts of a job's expected time is the longest."""
     longest_ms = max(recovery_ms, order_ms, upstreams_ms)
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from kumquatlift.authority._admission import AdmissionDecision, AdmissionRequest, decide_admission
+from kumquatlift.authority._admission import (
+    UNSHARED,
+    AdmissionDecision,
+    AdmissionRequest,
+    Load,
+    decide_admission,
+)
 from kumquatlift.authority._commands import (
     Command,
     CommandKind,
@@ -24,6 +30,7 @@
 from kumquatlift.authority._runs import Runs
 from kumquatlift.authority._scheduler import Scheduler
 from kumquatlift.authority._serving import Queue
+from kumquatlift.authority._shares import FairShares, Flow, Usage
 from kumquatlift.authority._state import State
 from kumquatlift.authority._work import Job, JobSpec, JobState
 from kumquatlift.blackboard import Section
@@ -49,12 +56,15 @@
         retention_s: Time for which the state of an ended job is kept, in seconds.
         resubmit_s: Time after which a caller whose connection broke submits its job again, in
             seconds.
+        has_fair_shares: Whether the queues and zones of callers of a service get fair shares of it
+            while it is full.
     """
 
     lease_s: float = 1.0
     remote_factor: float = 2.0
     retention_s: float = 150.0
     resubmit_s: float = 1.3
+    has_fair_shares: bool = False
 
 
 class Leader:
@@ -105,6 +115,7 @@
         self._offer_index = OfferIndex(fleet=self.fleet)
         self.progress: dict[str, Progress] = {}
         self.estimates = Estimates()
+        self._shares: dict[str, FairShares] = {}
         self._meter = LoadMeter(offer_index=self._offer_index, progress=self.progress, clock=clock)
         self._incarnations = 0
         self._arrivals = 0
@@ -188,8 +199,14 @@
 
     # Jobs
 
-    def decide_admission(self, queue: Queue, spec: JobSpec) -> AdmissionDecision:
-        """Decide whether a submitted job is accepted."""
+    def decide_admission(self, queue: Queue, spec: JobSpec, zone: str = "") -> AdmissionDecision:
+        """Decide whether a submitted job is accepted.
+
+        Args:
+            queue: Its queue.
+            spec: The job.
+            zone: Availability zone of its caller.
+        """
         now = self._clock.now()
         expected = self._expected(queue.key, spec)
         longest_step_ms = max(expected, default=0.0)
@@ -199,7 +216,7 @@
         start_by = now + (objective_ms - longest_step_ms) / 1000
         tasks = max((step.tasks for step in spec.steps), default=1)
         load = self._meter.load(queue.service, cpu, start_by, tasks)
-        late_share = self.runs.late_share
+        late_share = self.runs.late_share(queue.key)
         load = load._replace(
             late_jobs_age_s=now - (late_share.recorded_at or now),
             recovery_ms=1000 * self._recovery.expected_wait_s(now),
@@ -209,7 +226,21 @@
         request = AdmissionRequest(
             work, longest_step_ms, objective_ms, EXPIRY_FACTOR * objective_ms
         )
-        return decide_admission(request, load, random.random(), late_share.safety_margin)
+        flow = Flow(queue.key, zone)
+        usage = self._record_offer(queue.service, flow, work, load)
+        decision = decide_admission(request, load, random.random(), late_share.safety_margin, usage)
+        if decision.is_accepted and usage is not UNSHARED:
+            self._shares[queue.service].record_acceptance(flow, work, now)
+        return decision
+
+    def _record_offer(self, service: str, flow: Flow, work_ms: float, load: Load) -> Usage:
+        """Record the work of a submitted job, and return what its flow uses."""
+        if not self._limits.has_fair_shares:
+            return UNSHARED
+        now = self._clock.now()
+        shares = self._shares.setdefault(service, FairShares())
+        shares.record_offer(flow, work_ms, now)
+        return shares.usage(flow, 1000 * load.slots * load.speed, now)
 
     def _expected(self, queue: str, spec: JobSpec) -> tuple[float, ...]:
         return tuple(self.estimates.expected_ms(queue, step.estimate_ms) for step in spec.steps)
--- a/kumquatlift/authority/_load.py
+++ b/kumquatlift/authority/_load.py
@@ -54,8 +54,10 @@
         usable = self._offer_index.usable(service, now)
         capacity = self._capacity(service, cpu_milli, usable, now)
         backlog_ms = 0.0
+        queued_ms = 0.0
         for progress in self._progress.values():
             if progress.waiting and progress.queue and progress.queue.service == service:
+                queued_ms += progress.waiting_ms
                 latest_start = progress.objective_at - progress.critical_path_ms / 1000
                 if latest_start <= start_by and progress.expires_at > now:
                     backlog_ms += progress.waiting_ms
@@ -67,6 +69,7 @@
             capacity.slots,
             capacity.speed,
             backlog_ms,
+            queued_ms=queued_ms,
             start_ms=start_ms,
             is_idle=is_idle,
             speed_age_s=now - capacity.speed_at,
@@ -112,8 +115,8 @@
 def _time_to_free_ms(usable: Collection[Upstream], cpu_milli: int, tasks: int, now: float) -> float:
     """Return the expected time until resources for some tasks are free, in milliseconds.
 
-    It is 0 if one of them can start at once. Runs end one after the other, so the first of hundreds ends after a few milliseconds, although
-    each of them has hundreds left.
+    It is 0 if one of them can start at once. Runs end one after the other, so the first of hundreds
+    ends after a few milliseconds, although each of them has hundreds left.
 
     Args:
         usable: Upstreams on which the tasks may start.
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from kumquatlift.authority._admission import MIN_RETRY_MS, Estimate
+from kumquatlift.authority._admission import MIN_RETRY_MS, Estimate, RefusalCause
 from kumquatlift.authority._api import Operation, Reply, Request
 from kumquatlift.authority._attempts import Attempts, ReplyCallback
 from kumquatlift.authority._commands import (
@@ -165,7 +165,7 @@
             self._waiters.setdefault(open_index, []).append(answer)
             return
         spec = JobSpec.from_plain(fields["spec"])
-        decision = self._leader.decide_admission(queue, spec)
+        decision = self._leader.decide_admission(queue, spec, fields["zone"])
         is_full = len(self._state.jobs) + len(self._leader.unlogged) >= MAX_JOBS
         is_refused = is_full or not decision.is_accepted
         reason = TOO_MANY_JOBS if is_full else decision.cause.value
@@ -185,6 +185,8 @@
                 config=self._state.routing.cfg.version,
             )
             self._section.count("jobs_refused")
+            if decision.cause is RefusalCause.OVER_SHARE:
+                self._section.count("jobs_refused_over_share")
             answer(
                 Reply(
                     ResultCode.OVERLOADED,
@@ -340,7 +342,8 @@
 
 def _estimate_fields(estimate: Estimate) -> dict[str, float]:
     """Return what a decision rests on, as fields of a log line."""
-    load = estimate.load
+    load, usage = estimate.load, estimate.usage
+    share = usage.share / 1000 if math.isfinite(usage.share) else -1.0
     return {
         "finish_ms": round(estimate.finish_ms),
         "limit_ms": round(estimate.limit_ms),
@@ -351,6 +354,8 @@
         "speed_age_ms": round(1000 * load.speed_age_s),
         "safety_margin": round(estimate.safety_margin, 2),
         "late_jobs_age_ms": round(1000 * load.late_jobs_age_s),
+        "used_slots": round(usage.accepted / 1000, 1),
+        "share_slots": round(share, 1),
     }
 
 
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -89,7 +89,8 @@
         )
         self._job_ms = section.histogram("job_ms", "time from acceptance to the end of a job")
         self._wait_ms = section.histogram("wait_ms", "time from acceptance to the first start")
-        self.late_share = LateShare()
+        # Late jobs of one queue are no evidence against the estimates of another one.
+        self._late_shares: dict[str, LateShare] = {}
         # Jobs accepted before the end of recovery don't count in the share of late jobs: the wait
         # may have made them late, not wrong estimates.
         self.recovered_at = math.inf
@@ -98,6 +99,10 @@
         # Jobs of earlier leaders whose tasks may run on upstreams that have not listed their runs.
         self.recovering_jobs: set[str] = set()
 
+    def late_share(self, queue: str) -> LateShare:
+        """Return the share of late jobs of a queue."""
+        return self._late_shares.setdefault(queue, LateShare())
+
     # Starts
 
     def start(self, progress: Progress, task: TaskKey, upstream: Upstream, run: int) -> None:
@@ -328,7 +333,7 @@
         is_measured = progress.accepted_at >= self.recovered_at
         if is_measured and job.state in (JobState.COMPLETED, JobState.REFUSED):
             is_late = job.state == JobState.REFUSED or progress.is_late_under_load(now)
-            self.late_share.record_end(is_late, now)
+            self.late_share(job.queue).record_end(is_late, now)
         if job.state == JobState.COMPLETED and now <= progress.objective_at:
             self._section.count("jobs_in_time")
 
--- a/kumquatlift/metrics.py
+++ b/kumquatlift/metrics.py
@@ -77,6 +77,12 @@
     *LOG_COUNTERS,
     Counter("kumquatlift.jobs.accepted", "authority", "jobs_accepted", "jobs taken"),
     Counter("kumquatlift.jobs.refused", "authority", "jobs_refused", "jobs that would be late"),
+    Counter(
+        "kumquatlift.jobs.refused_over_share",
+        "authority",
+        "jobs_refused_over_share",
+        "jobs refused because their queue and zone use more than their share",
+    ),
     Counter("kumquatlift.jobs.completed", "authority", "jobs_completed", "jobs completed"),
     Counter("kumquatlift.jobs.in_time", "authority", "jobs_in_time", "of these, in time"),
     Counter("kumquatlift.jobs.failed", "authority", "jobs_failed", "jobs failed"),
--- a/kumquatlift/platform/_settings.py
+++ b/kumquatlift/platform/_settings.py
@@ -58,6 +58,16 @@
     resubmit_ms: int = 1300
 
 
+class Admission(NamedTuple):
+    """How jobs are accepted while a service is full.
+
+    Args:
+        fair_shares: Whether the queues and zones of callers of a service get fair shares of it.
+    """
+
+    fair_shares: bool = False
+
+
 class PlatformSettings(NamedTuple):
     """Settings of one process.
 
@@ -72,6 +82,7 @@
         disk_mb: Size of the disk, in megabytes.
         listen: Addresses on which the process listens.
         bounds: Limits and guarantees of the platform.
+        admission: How jobs are accepted while a service is full.
     """
 
     name: str
@@ -84,6 +95,7 @@
     disk_mb: int
     listen: Listen
     bounds: Bounds
+    admission: Admission = Admission()
 
     @classmethod
     def from_text(cls, text: str) -> "PlatformSettings":
--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -269,7 +269,7 @@
         late_s = world.clock.now() - progress.objective_at
         # Without the waits of 0.48 s it would have been in time.
         assert 0.15 < late_s < 0.4
-        assert leader.runs.late_share._share > 0
+        assert leader.runs.late_share("h/q/")._share > 0
 
     def test_a_task_that_waits_while_a_later_step_is_released_counts_in_full(self) -> None:
         """Guards against a wait that is measured from the release of another step."""
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -227,7 +227,7 @@
         assert sum(fut.result(timeout=0).code is ResultCode.ACCEPTED for fut in late) > 4
         leader = world.authority._leader
         assert leader is not None
-        assert leader.runs.late_share.safety_margin == 0.0
+        assert leader.runs.late_share("h/q/").safety_margin == 0.0
 
     def test_jobs_that_are_late_because_answers_are_lost_do_not_increase_it(self) -> None:
         """Guards against refusals of all jobs while a part of the orders gets no answer.
@@ -242,7 +242,7 @@
         for number in range(150):
             replies.append(world.submit(f"{number:016x}", spec, work_ms=60))
             world.run(0.05)
-            assert leader.runs.late_share.safety_margin == 0.0
+            assert leader.runs.late_share("h/q/").safety_margin == 0.0
         world.run(3.0)
         assert all(reply.result(timeout=0).code is ResultCode.ACCEPTED for reply in replies)
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -206,7 +206,7 @@
         leader = world.authority._leader
         assert leader is not None
         for _ in range(200):
-            leader.runs.late_share.record_end(True, world.clock.now())
+            leader.runs.late_share("h/q/").record_end(True, world.clock.now())
         leader.fleet["u0"].speed = 0.25
         world.submit(f"{1:016x}", answered_at_end(2), work_ms=100)
         world.run(0.1)
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -95,9 +95,12 @@
         seed: Seed of all random choices.
         unanswered_share: Share of orders that are not answered in time and are carried out seconds
             later.
+        limits: Limits of the leader.
     """
 
-    def __init__(self, *, seed: int = 1, unanswered_share: float = 0.0) -> None:
+    def __init__(
+        self, *, seed: int = 1, unanswered_share: float = 0.0, limits: Limits | None = None
+    ) -> None:
         self.rng = random.Random(seed)
         self.clock = ManualClock(start=START_S)
         self.loop = EventLoop(clock=self.clock)
@@ -128,7 +131,7 @@
             gateway=self,
             loop=self.loop,
             clock=self.clock,
-            limits=Limits(),
+            limits=limits or Limits(),
             section=Blackboard().section("authority"),
             wall_clock=self.clock.now,
         )
@@ -193,6 +196,7 @@
         host: str = "h",
         path: str = "/q/",
         attempt: str = "",
+        zone: str = "z",
     ) -> "Future[Reply]":
         """Submit a job whose tasks run for ``work_ms`` at speed 1.
 
@@ -203,13 +207,14 @@
             host: Host that the caller names.
             path: Path of the queue.
             attempt: Identity of the submission, by which it can be withdrawn; empty for none.
+            zone: Availability zone of the caller.
         """
         self._work[job] = (work_ms, spec.steps[0].cpu_milli)
         fields = {
             "job": job,
             "attempt": attempt,
             "spec": spec.to_plain(),
-            "zone": "z",
+            "zone": zone,
             "host": host,
             "path": path + job,
         }
