--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -149,23 +149,38 @@
         return json.dumps(plain, separators=(",", ":")).encode()
 
     def restore(self, data: bytes) -> None:
-        """Replace the whole state; empty bytes stand for the initial state."""
+        """Replace the whole state; empty bytes stand for the initial state.
+
+        Raises:
+            ValueError: The bytes can't be read. The state is as it was before.
+        """
+        try:
+            routing, jobs, upstreams = self._read(data)
+        except (ArithmeticError, AttributeError, LookupError, RecursionError, TypeError) as exc:
+            raise ValueError(f"unreadable state: {exc!r}") from exc
         self._reset()
+        self.routing = routing
+        self.jobs = {job.job_id: job for job in jobs}
+        for upstream in upstreams:
+            self._add_upstream(upstream)
+
+    def _read(self, data: bytes) -> tuple[RoutingTable, list[Job], list[UpstreamState]]:
+        routing = RoutingTable(cfg=ServingConfig())
         if not data:
-            return
+            return routing, [], []
         plain = json.loads(data)
         if plain["config"]:
             try:
-                self.routing = RoutingTable(cfg=self._read_config(plain["config"]))
+                routing = RoutingTable(cfg=self._read_config(plain["config"]))
             except ValueError as exc:
-                # Without a configuration, the operator sends it again; an error here would end the
-                # process at each start.
+                # Without a configuration, the operator sends it again; an error here would set the
+                # jobs aside as well.
                 get_logger().error("config_not_restored", error=str(exc)[:300])
-        for row in plain["jobs"]:
-            job = Job.from_plain(row)
-            self.jobs[job.job_id] = job
-        for row in plain["upstreams"]:
-            self._add_upstream(UpstreamState(*row))
+        jobs = [Job.from_plain(row) for row in plain["jobs"]]
+        upstreams = [UpstreamState(*row) for row in plain["upstreams"]]
+        for upstream in upstreams:
+            tuple(upstream.labels)
+        return routing, jobs, upstreams
 
 
 def job_of(command: Command, term: int, *, is_logged: bool = True) -> Job:
--- a/tests/test_state_snapshots.py
+++ b/tests/test_state_snapshots.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -37,6 +38,7 @@
     st.tuples(st.just("cancel"), st.sampled_from((*JOBS, "c" * 16))),
     st.tuples(st.just("snapshot")),
 )
+ANY = "."  # The message may be that of the JSON parser.
 FINAL = ("completed", "failed", "cancelled")
 
 
@@ -96,3 +98,47 @@
                 shown[job.job_id] = job.state
                 is_done = len(job.done) == job.tasks
                 assert (job.state == "completed") == (is_done and job.state != "cancelled")
+
+
+class TestUnreadableState:
+    """Guards against a replica that goes on with an empty state after one that can't be read."""
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"{",
+            b"\xff",
+            b"[]",
+            b"null",
+            b"{}",
+            b'{"config":"","jobs":[[]],"upstreams":[]}',
+            b'{"config":"","jobs":[],"upstreams":[[1]]}',
+            b'{"config":"","jobs":[],"upstreams":[["u",1,"a","s","z",1,1,1,2,true]]}',
+            b'{"config":"","jobs":{"a":1},"upstreams":[]}',
+        ],
+    )
+    def test_the_state_stays_as_it_was(self, data: bytes) -> None:
+        state = new_state()
+        command = command_of(
+            ("submit", JOBS[0], JobSpec(payload="", steps=(Step(tasks=1),)), 1), 10
+        )
+        assert command is not None
+        state.apply(1, 1, command.to_bytes())
+        before, routing = state.snapshot(), state.routing
+        with pytest.raises(ValueError, match=ANY):
+            state.restore(data)
+        assert state.snapshot() == before
+        assert state.routing is routing
+
+    def test_every_cut_of_a_state_is_refused(self) -> None:
+        state = new_state()
+        command = command_of(
+            ("submit", JOBS[0], JobSpec(payload="", steps=(Step(tasks=1),)), 1), 10
+        )
+        assert command is not None
+        state.apply(1, 1, command.to_bytes())
+        data = state.snapshot()
+        for size in range(1, len(data)):
+            with pytest.raises(ValueError, match=ANY):
+                state.restore(data[:size])
+        assert state.snapshot() == data
