--- a/kumquatlift/store/_journal.py
+++ b/kumquatlift/store/_journal.py
@@ -16,6 +16,8 @@
 _HEADER = struct.Struct("<III")
 _SNAPSHOT = "snapshot"
 _JOURNAL = "journal-"
+# Folder for files that can't be read. While it is there, the data folder does not count as new.
+_UNREADABLE = "unreadable"
 # A record holds one entry, and callers' requests are far smaller. A larger size in a header means
 # that the header is damaged.
 MAX_RECORD_BYTES = 64 * 1024 * 1024
@@ -31,11 +33,15 @@
     Args:
         reason: Description of the error.
         is_transient: Whether the same operation may succeed later.
+        is_damaged: Whether the files were read, and what they hold is no journal.
     """
 
-    def __init__(self, reason: str, *, is_transient: bool = False) -> None:
+    def __init__(
+        self, reason: str, *, is_transient: bool = False, is_damaged: bool = False
+    ) -> None:
         super().__init__(reason)
         self.is_transient = is_transient
+        self.is_damaged = is_damaged
 
 
 class HardState(NamedTuple):
@@ -75,16 +81,26 @@
         hard: Newest hard state; None for a new folder, so also after the disk was lost.
         snapshot: Newest snapshot.
         entries: Entries after the snapshot.
+        is_set_aside: Whether the folder holds files that were set aside.
     """
 
     hard: HardState | None
     snapshot: Snapshot
     entries: list[Entry]
+    is_set_aside: bool = False
+
+    @property
+    def is_new(self) -> bool:
+        """Whether the folder has never held a log, as far as it shows."""
+        has_log = bool(self.snapshot.last_included_index or self.entries)
+        return self.hard is None and not has_log and not self.is_set_aside
 
 
 def open_journal(path: Path, *, wait_for_stop: Callable[[float], bool]) -> "Journal | None":
     """Open a journal; retry while the disk reports an error that may be transient.
 
+    A damaged journal is set aside. The replica then counts as one that has lost its disk.
+
     Args:
         path: Data folder.
         wait_for_stop: Waits for a number of seconds; returns True once the process has been
@@ -98,7 +114,7 @@
     """
     while True:
         try:
-            return Journal(path=path)
+            return _open_or_set_aside(path)
         except JournalError as exc:
             if not exc.is_transient:
                 raise
@@ -107,6 +123,47 @@
             return None
 
 
+def _open_or_set_aside(path: Path) -> "Journal":
+    try:
+        return Journal(path=path)
+    except JournalError as exc:
+        if not exc.is_damaged:
+            raise
+        try:
+            _set_aside(path, reason=str(exc))
+        except OSError as error:
+            is_transient = error.errno in TRANSIENT_ERRNOS
+            raise JournalError(f"{path}: {error}", is_transient=is_transient) from error
+    return Journal(path=path)
+
+
+def _set_aside(path: Path, *, reason: str) -> None:
+    """Move snapshot and journals to a folder of their own, durably.
+
+    The snapshot is the last: without it, a journal of an earlier time would be read after a loss of
+    power, with a right to vote that it no longer has.
+    """
+    get_logger().error("journal_set_aside", folder=str(path / _UNREADABLE), reason=reason[:300])
+    aside = path / _UNREADABLE
+    aside.mkdir(exist_ok=True)
+    _sync_folder(path)
+    journals = sorted(each.name for each in path.iterdir() if each.name.startswith(_JOURNAL))
+    for names in (journals, [_SNAPSHOT]):
+        for name in names:
+            if (path / name).exists():
+                os.replace(path / name, aside / name)
+        _sync_folder(aside)
+        _sync_folder(path)
+
+
+def _sync_folder(path: Path) -> None:
+    fd = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
 def entry_record(index: int, entry: Entry) -> bytes:
     """Return the record of an entry.
 
@@ -146,11 +203,30 @@
         try:
             path.mkdir(parents=True, exist_ok=True)
             self.recovered = self._recover()
-        except OSError as exc:
-            if self._fd >= 0:
-                os.close(self._fd)
-            is_transient = exc.errno in TRANSIENT_ERRNOS
-            raise JournalError(f"{path}: {exc}", is_transient=is_transient) from exc
+        except (OSError, LookupError, TypeError, ValueError) as exc:
+            self._close()
+            is_damaged = not isinstance(exc, OSError)
+            is_transient = isinstance(exc, OSError) and exc.errno in TRANSIENT_ERRNOS
+            raise JournalError(
+                f"{path}: {exc}", is_transient=is_transient, is_damaged=is_damaged
+            ) from exc
+
+    def set_aside(self, reason: str) -> None:
+        """Set the files aside, as what they hold can't be used, and start without any.
+
+        Raises:
+            JournalError: The folder cannot be used.
+            OSError: The files can't be moved.
+        """
+        self._close()
+        _set_aside(self._path, reason=reason)
+        self._size = 0
+        self.recovered = self._recover()
+
+    def _close(self) -> None:
+        if self._fd >= 0:
+            os.close(self._fd)
+        self._fd = -1
 
     def append(self, records: list[bytes]) -> None:
         """Write records and return once they are durable.
@@ -186,9 +262,9 @@
         os.replace(self._path / f"{name}.new", self._path / name)
         self._write_synced(f"{_SNAPSHOT}.new", _record(head, snapshot.state))
         # The new journal's name must be durable before the snapshot that refers to it.
-        self._sync_folder()
+        _sync_folder(self._path)
         os.replace(self._path / f"{_SNAPSHOT}.new", self._path / _SNAPSHOT)
-        self._sync_folder()
+        _sync_folder(self._path)
         new_fd = os.open(self._path / name, os.O_RDWR)
         os.close(self._fd)
         self._fd, self._size = new_fd, len(data)
@@ -221,18 +297,18 @@
         os.fsync(self._fd)
         # A process that was killed before its last sync leaves names that a loss of power takes
         # back, and the file that they replaced must still be there then.
-        self._sync_folder()
+        _sync_folder(self._path)
         self._remove_others(name)
-        return RecoveredState(hard, snapshot, entries)
+        return RecoveredState(hard, snapshot, entries, (self._path / _UNREADABLE).exists())
 
     def _read_snapshot(self) -> Snapshot:
         try:
             data = (self._path / _SNAPSHOT).read_bytes()
         except FileNotFoundError:
             return Snapshot()
-        found = _read_record(data, 0)
+        found = _read_record(data, 0, max_bytes=len(data))
         if found is None:
-            raise JournalError(f"{self._path / _SNAPSHOT} is damaged: bad length or checksum")
+            raise ValueError(f"{_SNAPSHOT} is damaged: bad length or checksum")
         head, state, _ = found
         return Snapshot(head["index"], head["term"], tuple(head["voters"]), state)
 
@@ -241,13 +317,6 @@
             if path.name.startswith(_JOURNAL) and path.name != name:
                 path.unlink()
 
-    def _sync_folder(self) -> None:
-        fd = os.open(self._path, os.O_RDONLY)
-        try:
-            os.fsync(fd)
-        finally:
-            os.close(fd)
-
 
 def _replay(data: bytes, base: int) -> tuple[HardState | None, list[Entry], int]:
     """Return the hard state and entries of a journal, and the size of its intact part in bytes."""
@@ -261,21 +330,23 @@
             continue
         position = head["index"] - base - 1
         if not 0 <= position <= len(entries):
-            raise JournalError(f"entry {head['index']} does not follow entry {base + len(entries)}")
+            raise ValueError(f"entry {head['index']} does not follow entry {base + len(entries)}")
         del entries[position:]
         voters = head["voters"]
         entries.append(Entry(head["term"], command, None if voters is None else tuple(voters)))
     return hard, entries, at
 
 
-def _read_record(data: bytes, at: int) -> tuple[dict[str, Any], bytes, int] | None:
+def _read_record(
+    data: bytes, at: int, *, max_bytes: int = MAX_RECORD_BYTES
+) -> tuple[dict[str, Any], bytes, int] | None:
     """Return the head, data and end offset of the record at an offset; None if it is not intact."""
     if len(data) - at < _HEADER.size:
         return None
     head_size, data_size, checksum = _HEADER.unpack_from(data, at)
     start = at + _HEADER.size
     end = start + head_size + data_size
-    if not head_size or data_size > MAX_RECORD_BYTES or end > len(data):
+    if not head_size or data_size > max_bytes or end > len(data):
         return None
     line = data[start : start + head_size]
     command = data[start + head_size : end]
--- a/kumquatlift/store/_raft.py
+++ b/kumquatlift/store/_raft.py
@@ -55,6 +55,10 @@
 DEFAULT_TIMING = Timing()
 
 
+class UnreadableStateError(Exception):
+    """The state machine can't read the snapshot of the data folder."""
+
+
 class StateMachine(Protocol):
     """State machine that committed entries are applied to, in the thread of the replica."""
 
@@ -65,7 +69,11 @@
         """Return the whole state."""
 
     def restore(self, state: bytes) -> None:
-        """Replace the whole state; empty bytes are the initial state."""
+        """Replace the whole state; empty bytes are the initial state.
+
+        Raises:
+            ValueError: The bytes can't be read. The state is as it was before.
+        """
 
     def on_role(self, role: Role, term: int) -> None:
         """Handle a change of role: this replica became the leader or stepped down."""
@@ -90,6 +98,9 @@
             has answered no leader before, so the first election timeout counts from it.
         timing: Timeouts.
         rng: Source of the random election timeouts.
+
+    Raises:
+        UnreadableStateError: The state machine can't read the snapshot of the data folder.
     """
 
     def __init__(
@@ -134,11 +145,16 @@
         self._status_asked_at = 0.0
         self._schedule_election(self._leader_contact_at)
         if self._log.base.state:
-            machine.restore(self._log.base.state)
+            try:
+                machine.restore(self._log.base.state)
+            except ValueError as exc:
+                raise UnreadableStateError(
+                    f"snapshot {self._log.base.last_included_index}"
+                ) from exc
 
     def _load(self, recovered: RecoveredState, initial_voters: tuple[str, ...]) -> None:
         hard = recovered.hard
-        if hard is None and self.name in initial_voters:
+        if hard is None and self.name in initial_voters and recovered.is_new:
             hard = HardState(0, "", True)
             self._log = Log(base=Snapshot(0, 0, initial_voters, b""), entries=[])
             self._pending_sync.records.append(hard_record(hard))
--- a/kumquatlift/store/_replica.py
+++ b/kumquatlift/store/_replica.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from kumquatlift.clock import seconds_since_boot
 from kumquatlift.histogram import Histogram
@@ -10,7 +11,7 @@
 from kumquatlift.store._event_loop import EventLoop
 from kumquatlift.store._journal import RETRY_S, Journal, Snapshot
 from kumquatlift.store._messages import Message
-from kumquatlift.store._raft import Raft, StateMachine
+from kumquatlift.store._raft import Raft, StateMachine, UnreadableStateError
 from kumquatlift.transport.channel import Channel, Topic
 
 # Interval between calls of ``Raft.tick``, which sends heartbeats and checks timeouts.
@@ -61,15 +62,20 @@
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="disk")
         self._is_writing = False
         self._unsaved_snapshot: tuple[Snapshot, list[bytes]] | None = None
-        self.raft = Raft(
+        new_raft = partial(
+            Raft,
             name=name,
-            recovered=journal.recovered,
             initial_voters=initial_voters,
             machine=machine,
             send=self._send,
             now=seconds_since_boot,
             started_at=started_at,
         )
+        try:
+            self.raft = new_raft(recovered=journal.recovered)
+        except UnreadableStateError as exc:
+            journal.set_aside(f"{exc}: {exc.__cause__!r}")
+            self.raft = new_raft(recovered=journal.recovered)
         channel.handle_inline(Topic.LOG, self._on_message)
 
     def start(self) -> None:
