--- a/kumquatlift/store/_followers.py
+++ b/kumquatlift/store/_followers.py
@@ -5,7 +5,7 @@
 from kumquatlift.log import get_logger
 from kumquatlift.store._log import Log
 from kumquatlift.store._messages import Message, MessageKind
-from kumquatlift.store._snapshot_chunks import snapshot_chunk
+from kumquatlift.store._snapshot_chunks import OutgoingSnapshot
 from kumquatlift.store._voters import ReplicaProgress
 
 # Data of the entries in one message; a follower that is far behind gets several messages.
@@ -29,7 +29,7 @@
         "match_index",
         "next_index",
         "sent_at",
-        "snapshot_offset",
+        "transfer",
     )
 
     def __init__(self, *, next_index: int, now: float) -> None:
@@ -40,8 +40,8 @@
         self.sent_at = 0.0
         self.last_contact_at = now
         self.can_vote = False
-        # Offset of the snapshot chunk to send; None while entries are sent.
-        self.snapshot_offset: int | None = None
+        # The snapshot that is sent; None while entries are sent.
+        self.transfer: OutgoingSnapshot | None = None
 
 
 class Followers:
@@ -55,6 +55,7 @@
         log: The leader's log.
         send: Sends a message to a replica, without guarantee of delivery.
         now: Clock of the leader, in seconds.
+        chunk_bytes: Size of the chunks of a snapshot.
     """
 
     def __init__(
@@ -67,7 +68,9 @@
         log: Log,
         send: Callable[[str, Message], None],
         now: Callable[[], float],
+        chunk_bytes: int,
     ) -> None:
+        self._chunk_bytes = chunk_bytes
         self._term = term
         self._term_start_index = term_start_index
         self._log = log
@@ -132,7 +135,7 @@
     def send_new_entries(self, commit_index: int) -> None:
         """Send each follower the entries that were not sent to it yet."""
         for name, follower in self._followers.items():
-            if follower.snapshot_offset is None and follower.next_index <= self._log.last_index:
+            if follower.transfer is None and follower.next_index <= self._log.last_index:
                 self._send_entries(name, follower, commit_index)
 
     def send_heartbeats(
@@ -153,9 +156,9 @@
             if now - follower.last_contact_at > contact_timeout_s:
                 # What was sent since may have been lost with the connection.
                 follower.next_index = follower.match_index + 1
-                follower.snapshot_offset = None
-            if follower.snapshot_offset is not None:
-                self._send_snapshot_chunk(name, follower)
+                follower.transfer = None
+            if follower.transfer is not None:
+                self._send_snapshot_chunk(name, follower, follower.transfer)
             else:
                 self._send_entries(name, follower, commit_index, is_heartbeat=True)
 
@@ -174,17 +177,18 @@
             follower.next_index = max(1, min(follower.next_index - 1, message.fields["match"] + 1))
             # A replica that lost its disk has less than it has acknowledged before.
             follower.match_index = min(follower.match_index, follower.next_index - 1)
-            self._send_entries(name, follower, commit_index, is_heartbeat=True)
-        if follower.snapshot_offset is not None and "have" in message.fields:
-            self._continue_snapshot(name, follower, message)
+            if follower.transfer is None:
+                self._send_entries(name, follower, commit_index, is_heartbeat=True)
+        if follower.transfer is not None:
+            self._continue_snapshot(name, follower, follower.transfer, message)
 
     def _send_entries(
         self, name: str, follower: Follower, commit_index: int, *, is_heartbeat: bool = False
     ) -> None:
         if follower.next_index <= self._log.base.last_included_index:
             get_logger().info("snapshot_sent", peer=name, index=self._log.base.last_included_index)
-            follower.snapshot_offset = 0
-            self._send_snapshot_chunk(name, follower)
+            follower.transfer = OutgoingSnapshot(base=self._log.base, chunk_bytes=self._chunk_bytes)
+            self._send_snapshot_chunk(name, follower, follower.transfer)
             return
         entries = self._log.entries_from(
             follower.next_index,
@@ -204,20 +208,17 @@
         follower.next_index += len(entries)
         self._send(name, Message(MessageKind.APPEND, self._term, fields, entries))
 
-    def _send_snapshot_chunk(self, name: str, follower: Follower) -> None:
+    def _send_snapshot_chunk(
+        self, name: str, follower: Follower, transfer: OutgoingSnapshot
+    ) -> None:
         follower.sent_at = self._now()
-        message = snapshot_chunk(
-            self._log.base,
-            follower.snapshot_offset or 0,
-            term=self._term,
-            sent_at=follower.sent_at,
-        )
-        self._send(name, message)
+        self._send(name, transfer.chunk(term=self._term, sent_at=follower.sent_at))
 
-    def _continue_snapshot(self, name: str, follower: Follower, message: Message) -> None:
-        if message.fields["match"] >= self._log.base.last_included_index:
-            follower.snapshot_offset = None
-            follower.next_index = max(follower.next_index, message.fields["match"] + 1)
-        else:
-            follower.snapshot_offset = message.fields["have"]
-            self._send_snapshot_chunk(name, follower)
+    def _continue_snapshot(
+        self, name: str, follower: Follower, transfer: OutgoingSnapshot, message: Message
+    ) -> None:
+        if follower.match_index >= transfer.base.last_included_index:
+            # The log may have been compacted further meanwhile; another snapshot follows then.
+            follower.transfer = None
+        elif "have" in message.fields and transfer.advance(message):
+            self._send_snapshot_chunk(name, follower, transfer)
--- a/kumquatlift/store/_messages.py
+++ b/kumquatlift/store/_messages.py
@@ -48,10 +48,11 @@
 
     With ``ok``, the log matches the leader's up to ``match``; otherwise ``match`` is the last index
     at which it may match. ``sent_at`` is that of the message, ``member`` tells whether the replica
-    may vote, and ``have`` is the number of bytes of the snapshot received in order.
+    may vote. In the answer to a chunk, ``snapshot`` names index and term of the snapshot's last
+    entry, and ``have`` is the number of its bytes received in order.
     """
     SNAPSHOT = "snapshot"
-    """A leader sends one chunk of its snapshot; see ``snapshot_chunk`` for the fields."""
+    """A leader sends one chunk of its snapshot; see ``OutgoingSnapshot.chunk`` for the fields."""
     STATUS = "status"
     """A replica without state asks the others for their terms and voters."""
     STATUS_ANSWER = "status-answer"
--- a/kumquatlift/store/_pending_sync.py
+++ b/kumquatlift/store/_pending_sync.py
@@ -23,18 +23,23 @@
         self._syncing_index = 0
         # Index of the last durable entry.
         self.synced_index = 0
+        # Whether the next sync, and the running one, writes a snapshot.
+        self._is_snapshot_queued = False
+        self._is_snapshot_syncing = False
 
     def start_sync(self, last_index: int) -> list[bytes]:
         """Return the records to write before ``on_synced`` is called; empty if there are none."""
         records, self.records = self.records, []
         self._syncing_messages, self._queued_messages = self._queued_messages, []
         self._syncing_index = last_index
+        self._is_snapshot_syncing, self._is_snapshot_queued = self._is_snapshot_queued, False
         return records
 
     def on_synced(self, last_index: int) -> None:
         """Mark the last records as durable and send the messages that depend on them."""
         # Entries that conflict with a new leader's may have been dropped while the sync ran.
         self.synced_index = min(self._syncing_index, last_index)
+        self._is_snapshot_syncing = False
         waiting, self._syncing_messages = self._syncing_messages, []
         for to, message in waiting:
             self._send(to, message)
@@ -45,8 +50,14 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no record waits for a sync and no message waits for the running sync."""
-        return not self.records and not self._syncing_messages
+        """Whether nothing waits for a sync, and no message or snapshot for the running one."""
+        has_snapshot = self._is_snapshot_queued or self._is_snapshot_syncing
+        return not self.records and not self._syncing_messages and not has_snapshot
+
+    def queue_snapshot(self) -> None:
+        """Record that the next sync writes a snapshot, which takes the place of all records."""
+        self.records = []
+        self._is_snapshot_queued = True
 
     def truncate(self, last_index: int) -> None:
         """Lower the durable index to ``last_index``, since all later entries were dropped."""
@@ -54,5 +65,5 @@
         self._syncing_index = min(self._syncing_index, last_index)
 
     def reset_synced(self, index: int) -> None:
-        """Treat the log up to an index as durable, as after a start or a received snapshot."""
+        """Treat the log up to an index as durable, as after a start."""
         self.synced_index = self._syncing_index = index
--- a/kumquatlift/store/_raft.py
+++ b/kumquatlift/store/_raft.py
@@ -17,7 +17,7 @@
 from kumquatlift.store._log import Log
 from kumquatlift.store._messages import Entry, Message, MessageKind
 from kumquatlift.store._pending_sync import PendingSync
-from kumquatlift.store._snapshot_chunks import IncomingSnapshot
+from kumquatlift.store._snapshot_chunks import SNAPSHOT_CHUNK_BYTES, ChunkKey, IncomingSnapshot
 from kumquatlift.store._voters import DiskRecovery, next_voters
 
 # Period of the STATUS and JOIN requests of a replica that may not vote or is not among the voters.
@@ -25,6 +25,9 @@
 # A voter without a message from a leader for this long sends the same requests when it starts an
 # election.
 LEADER_SILENCE_S = 1.5
+# Time for which no chunk is asked for after a snapshot that could not be installed, so that a
+# snapshot that can never be read does not fill the link.
+SNAPSHOT_RETRY_S = 1.0
 
 
 class Role(Enum):
@@ -98,6 +101,7 @@
             has answered no leader before, so the first election timeout counts from it.
         timing: Timeouts.
         rng: Source of the random election timeouts.
+        chunk_bytes: Size of the chunks in which a snapshot is sent.
 
     Raises:
         UnreadableStateError: The state machine can't read the snapshot of the data folder.
@@ -115,7 +119,9 @@
         started_at: float | None = None,
         timing: Timing = DEFAULT_TIMING,
         rng: random.Random | None = None,
+        chunk_bytes: int = SNAPSHOT_CHUNK_BYTES,
     ) -> None:
+        self._chunk_bytes = chunk_bytes
         self.name = name
         self._machine = machine
         self._send_now = send
@@ -142,6 +148,7 @@
         self._is_transferring = False
         self._recovery = DiskRecovery(name=name)
         self._incoming_snapshot = IncomingSnapshot()
+        self._snapshot_wanted_at = 0.0
         self._status_asked_at = 0.0
         self._schedule_election(self._leader_contact_at)
         if self._log.base.state:
@@ -367,6 +374,7 @@
             log=self._log,
             send=self._send_now,
             now=self._now,
+            chunk_bytes=self._chunk_bytes,
         )
         get_logger().info("leadership_won", term=self.term, last=self.last_index)
         self._machine.on_role(Role.LEADER, self.term)
@@ -424,10 +432,10 @@
         prev = message.fields["prev"]
         if prev < self._log.base.last_included_index:
             # Entries that the snapshot covers are committed, so they match without a comparison.
+            # A message that ends before it matches too: the leader holds all that is committed.
             matched = self._log.base.last_included_index
-            skip = self._log.base.last_included_index - prev
-            entries = message.entries[skip:]
-            is_match = len(message.entries) >= skip
+            entries = message.entries[matched - prev :]
+            is_match = True
         else:
             matched, entries = prev, message.entries
             is_match = self._log.term_at(prev) == message.fields["prev_term"]
@@ -521,36 +529,80 @@
 
     def all_records(self) -> list[bytes]:
         """Return the records of hard state and all entries; they replace the pending records."""
-        self._pending_sync.records = []
+        self._pending_sync.queue_snapshot()
         return [hard_record(self._hard), *self._log.records()]
 
     def _on_snapshot(self, sender: str, message: Message) -> Snapshot | None:
-        """Add a chunk; return the snapshot once it is complete and has to be saved."""
+        """Add a chunk; return the snapshot once it is complete, installed and has to be saved."""
         if not self._accept_leader(sender, message):
             return None
         fields = message.fields
-        have = self._incoming_snapshot.add(fields["at"], message.blob)
-        is_complete = fields["is_last"] and have == fields["at"] + len(message.blob)
-        answer = {
-            "ok": True,
-            "match": fields["index"] if is_complete else 0,
-            "have": have,
-            "sent_at": fields["sent_at"],
-            "member": self._is_vote_durable,
-        }
-        reply = Message(MessageKind.APPEND_ANSWER, self.term, answer)
-        if not is_complete or fields["index"] <= self.last_applied:
-            self._send_now(sender, reply)
+        index = fields["index"]
+        if index <= self.last_applied or self._log.term_at(index) == fields["index_term"]:
+            # All entries up to this one are here. Those that follow it may be acknowledged.
+            self.commit_index = max(self.commit_index, index)
+            self._answer_chunk(sender, message, have=0, match=index)
+            return None
+        if self._now() < self._snapshot_wanted_at:
+            self._answer_chunk(sender, message)
             return None
+        key = ChunkKey.of(sender, message)
+        have = self._incoming_snapshot.add(key, fields["at"], message.blob)
+        if not fields["is_last"] or have != fields["at"] + len(message.blob):
+            self._answer_chunk(sender, message, have=have)
+            return None
+        try:
+            base = self._install(message)
+        except ValueError as exc:
+            get_logger().error("snapshot_rejected", peer=sender, index=index, error=repr(exc)[:300])
+            self._snapshot_wanted_at = self._now() + SNAPSHOT_RETRY_S
+            self._answer_chunk(sender, message)
+            return None
+        finally:
+            self._incoming_snapshot.clear()
+        self._pending_sync.send_later(sender, self._chunk_answer(message, have=have, match=index))
+        return base
+
+    def _install(self, message: Message) -> Snapshot:
+        """Replace log and state by the snapshot whose last chunk is in a message.
+
+        Raises:
+            ValueError: It is not whole or can't be read. Log and state are as they were before.
+        """
+        fields = message.fields
         state = self._incoming_snapshot.state()
+        self._machine.restore(state)
         base = Snapshot(fields["index"], fields["index_term"], tuple(fields["voters"]), state)
+        # The disk holds the former log until the snapshot is saved.
+        self._pending_sync.truncate(self.commit_index)
         self._log.replace(base)
-        self._pending_sync.reset_synced(base.last_included_index)
         self.commit_index = self.last_applied = base.last_included_index
-        self._machine.restore(state)
-        self._pending_sync.send_later(sender, reply)
+        get_logger().info("snapshot_installed", index=base.last_included_index, bytes=len(state))
         return base
 
+    def _answer_chunk(
+        self, sender: str, message: Message, *, have: int | None = None, match: int = 0
+    ) -> None:
+        reply = self._chunk_answer(message, have=have, match=match)
+        if match > self._pending_sync.synced_index:
+            self._send_when_synced(sender, reply)
+        else:
+            self._send_now(sender, reply)
+
+    def _chunk_answer(self, message: Message, *, have: int | None, match: int) -> Message:
+        """Return the answer to a chunk; without ``have``, the leader sends no other one at once."""
+        fields = message.fields
+        answer = {
+            "ok": True,
+            "match": match,
+            "snapshot": [fields["index"], fields["index_term"]],
+            "sent_at": fields["sent_at"],
+            "member": self._is_vote_durable,
+        }
+        if have is not None:
+            answer["have"] = have
+        return Message(MessageKind.APPEND_ANSWER, self.term, answer)
+
     # Recovery of a lost disk, and membership changes
 
     def _maybe_regain_vote(self, message: Message, matched: int) -> bool:
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -434,7 +434,9 @@
         raft = Raft(
             name="a",
             recovered=RecoveredState(
-                HardState(1, "", True), Snapshot(5, 1, ("a", "b", "c"), b"state"), []
+                HardState(1, "", True),
+                Snapshot(5, 1, ("a", "b", "c"), ListMachine().snapshot()),
+                [],
             ),
             initial_voters=(),
             machine=ListMachine(),
--- a/tools/fuzz_store.py
+++ b/tools/fuzz_store.py
@@ -12,6 +12,10 @@
 was acknowledged, and as many of their disks as may be lost: 1 of 3, 2 of 6 or 2 of 8 replicas. This
 strikes several times, also while voters are replaced, and while disks that were lost before are
 being restored.
+
+Every eighth schedule sends snapshots in many chunks. Meanwhile the leader replaces its journal,
+loses its lease, is cut off, killed or replaced, and the follower restarts or has a slow disk. Then
+the follower has to lead.
 """
 
 import math
@@ -43,6 +47,10 @@
 POWER_LOSSES_PER_WORLD = 4
 MAX_ACK_WAIT_S = 8.0
 SLOW_SYNC_S = 0.4
+# Snapshots that a schedule has sent, and the longest time before an event of a transfer.
+TRANSFERS_PER_WORLD = 3
+MAX_TRANSFER_STEPS = 40
+TRANSFER_EVENTS = ("replace", "lease", "silence", "kill", "hand over", "restart", "slow disk")
 
 
 class Schedule:
@@ -62,6 +70,7 @@
         self._number = 0
         self._lease_starts: dict[int, float] = {}
         self._shown: list[bytes] = []
+        self._states: dict[int, bytes] = {}
 
     def run(self) -> None:
         """Inject the faults, heal them and check the result.
@@ -88,6 +97,7 @@
         check_lease(self.world)
         check_previous_lease(self.world, self._lease_starts)
         self.counts["served"] += check_served(self.world, self._shown)
+        check_states(self.world, self._states)
         if self._rng.random() < PROPOSE_CHANCE:
             self.world.propose(b"c%d" % self._number)
             self._number += 1
@@ -145,6 +155,7 @@
         self._lease_starts: dict[int, float] = {}
         self._leaders: dict[int, str] = {}
         self._shown: list[bytes] = []
+        self._states: dict[int, bytes] = {}
         self._number = 0
 
     def run(self) -> None:
@@ -277,6 +288,132 @@
         check_previous_lease(self.world, self._lease_starts)
         check_leaders(self.world, self._leaders)
         self.counts["served"] += check_served(self.world, self._shown)
+        check_states(self.world, self._states)
+        if propose:
+            self.world.propose(b"c%d" % self._number)
+            self._number += 1
+
+
+class TransferSchedule:
+    """Snapshots that are sent to a replica while the leader and its snapshot change.
+
+    Args:
+        seed: Seed of all random choices.
+    """
+
+    def __init__(self, *, seed: int) -> None:
+        self.world = World(count=3, seed=seed)
+        self.counts: Counter[str] = Counter()
+        self._rng = self.world.rng
+        self._lease_starts: dict[int, float] = {}
+        self._leaders: dict[int, str] = {}
+        self._shown: list[bytes] = []
+        self._states: dict[int, bytes] = {}
+        self._number = 0
+
+    def run(self) -> None:
+        """Send snapshots, disturb each transfer, and let the receiver lead.
+
+        Raises:
+            AssertionError: An invariant failed.
+        """
+        self._run(3.0)
+        for _ in range(TRANSFERS_PER_WORLD):
+            behind = self._begin_transfer()
+            for event in self._rng.choices(TRANSFER_EVENTS, k=self._rng.randrange(1, 5)):
+                self._run(self._rng.randrange(MAX_TRANSFER_STEPS) * STEP_S)
+                self.counts[f"{event} in a transfer"] += self._is_sending(behind)
+                self._disturb(event, behind)
+            self._heal()
+            self._let_lead(behind)
+        settle(self.world)
+        check_agreement(self.world)
+
+    def _begin_transfer(self) -> Replica:
+        """Restart a follower that needs a snapshot, and run until the first chunk is sent."""
+        world = self.world
+        followers = [each for each in world.replicas.values() if each is not world.leader]
+        behind = self._rng.choice(followers)
+        behind.crash(wipe=self._rng.random() < 0.5)
+        self._run(self._rng.uniform(1.0, 3.0), propose=0.8)
+        for replica in world.replicas.values():
+            if replica is not behind and self._rng.random() < 0.8:
+                replica.compact()
+                self._run(self._rng.choice([0.0, 0.3]))
+        if world.leader is not None:
+            world.leader.compact()
+        started_at = world.clock.now()
+        behind.start()
+        while not self._is_sending(behind) and world.clock.now() < started_at + 2.0:
+            self._step(propose=True)
+        return behind
+
+    def _is_sending(self, to: Replica) -> bool:
+        receiver, at = self.world.newest_chunk
+        return receiver == to.name and self.world.clock.now() - at < 3 * STEP_S
+
+    def _disturb(self, event: str, behind: Replica) -> None:
+        world, rng = self.world, self._rng
+        leader = world.leader
+        if leader is None or leader is behind:
+            return
+        if event == "replace" or rng.random() < 0.5:
+            leader.compact()
+        match event:
+            case "lease":
+                other = next(
+                    each for each in world.replicas.values() if each not in (leader, behind)
+                )
+                self._cut(rng.choice([{leader.name, other.name}, {leader.name}]))
+            case "silence":
+                self._cut({leader.name, behind.name})
+            case "kill":
+                leader.crash()
+                self._run(rng.choice([0.1, 0.5]))
+                leader.start()
+            case "hand over":
+                leader.raft.transfer_leadership()
+            case "restart":
+                behind.crash()
+                behind.start()
+            case "slow disk":
+                behind.sync_s = SLOW_SYNC_S
+
+    def _cut(self, names: set[str]) -> None:
+        """Cut the link between two replicas, or all links of one, for a while."""
+        self.world.cut = lambda sender, to: names <= {sender, to}
+        for _ in range(int(self._rng.uniform(0.1, 0.8) / STEP_S)):
+            self._step(propose=self._rng.random() < PROPOSE_CHANCE)
+            if self._rng.random() < 0.02 and self.world.leader is not None:
+                self.world.leader.compact()
+        self.world.cut = lambda sender, to: False
+
+    def _heal(self) -> None:
+        for replica in self.world.replicas.values():
+            replica.sync_s = SYNC_S
+        self._run(CATCH_UP_S)
+
+    def _let_lead(self, behind: Replica) -> None:
+        """Stop each of the others in turn, so that the receiver has to vote, and leads mostly."""
+        for other in [each for each in self.world.replicas.values() if each is not behind]:
+            other.crash()
+            self._run(1.5)
+            self.counts["receiver leads"] += self.world.leader is behind
+            other.start()
+            self._run(1.5)
+
+    def _run(self, seconds: float, *, propose: float = PROPOSE_CHANCE) -> None:
+        for _ in range(int(seconds / STEP_S)):
+            self._step(propose=self._rng.random() < propose)
+
+    def _step(self, *, propose: bool = False) -> None:
+        self.world.step()
+        self.counts["steps"] += 1
+        check_lease(self.world)
+        check_previous_lease(self.world, self._lease_starts)
+        check_leaders(self.world, self._leaders)
+        self.counts["served"] += check_served(self.world, self._shown)
+        check_states(self.world, self._states)
         if propose:
             self.world.propose(b"c%d" % self._number)
             self._number += 1
@@ -348,6 +485,22 @@
     return len(serving)
 
 
+def check_states(world: World, states: dict[int, bytes]) -> None:
+    """Check that all replicas that count themselves at one index have the same state there.
+
+    Args:
+        world: The replicas.
+        states: Digest of the state by index; updated by this call.
+    """
+    for each in world.replicas.values():
+        if each.is_up:
+            digest = each.machine.digest
+            index = each.raft.last_applied
+            assert (
+                states.setdefault(index, digest) == digest
+            ), f"{each.name} has another state at index {index}"
+
+
 def check_agreement(world: World) -> None:
     """Check that all replicas hold the same commands, including every acknowledged one."""
     logs = [replica.machine.commands for replica in world.replicas.values()]
@@ -376,8 +529,10 @@
     while counts["steps"] < steps:
         world_seed = seed + counts["worlds"]
         with_joiners = bool(world_seed % 2) if has_joiners is None else has_joiners
-        schedule: Schedule | PowerLossSchedule
-        if world_seed % 4 == 0:
+        schedule: Schedule | PowerLossSchedule | TransferSchedule
+        if world_seed % 8 == 2:
+            schedule = TransferSchedule(seed=world_seed)
+        elif world_seed % 4 == 0:
             schedule = PowerLossSchedule(seed=world_seed)
         else:
             schedule = Schedule(seed=world_seed, has_joiners=with_joiners)
--- a/tools/replica_world.py
+++ b/tools/replica_world.py
@@ -1,5 +1,6 @@
 """Simulated cluster of replicas on a manual clock, with a lossy network and failing disks."""
 
+import hashlib
 import random
 from collections.abc import Callable
 from typing import Any
@@ -7,31 +8,57 @@
 from kumquatlift.clock import ManualClock
 from kumquatlift.store import Entry, Message, Raft, Role, Timing
 from kumquatlift.store._journal import HardState, RecoveredState, Snapshot, _replay
+from kumquatlift.store._messages import MessageKind
 
 STEP_S = 0.01
 # Duration of a sync of a sound disk.
 SYNC_S = 0.02
 # Mean delay of a message.
 DELAY_S = 0.005
+# Small, so that a transfer of a snapshot takes many messages.
+CHUNK_BYTES = 256
+
+
+class MixedStateError(AssertionError):
+    """A state to be restored is not whole, or its parts belong to different snapshots."""
 
 
 class ListMachine:
-    """State machine that stores every command in a list."""
+    """State machine that stores every command in a list.
+
+    Each line of a snapshot names the number of commands in the whole. A state that mixes two
+    snapshots is therefore seen whichever parts it has, also where an older part would fit.
+    """
 
     def __init__(self) -> None:
         self.commands: list[bytes] = []
+        self.digest = b""
 
     def apply(self, _index: int, entry: Entry) -> None:
         """Store a command."""
         self.commands.append(entry.data)
+        self.digest = hashlib.sha256(self.digest + entry.data).digest()
 
     def snapshot(self) -> bytes:
         """Return all commands."""
-        return b"\n".join(self.commands) + b"\n"
+        stamp = b"%08d" % len(self.commands)
+        return b"".join(b"%s %s\n" % (stamp, line) for line in [b"", *self.commands])
 
     def restore(self, state: bytes) -> None:
-        """Replace the commands by those of a snapshot."""
-        self.commands = state.split(b"\n")[:-1] if state else []
+        """Replace the commands by those of a snapshot.
+
+        Raises:
+            MixedStateError: The parts do not match. A replica must compare them before, so this is
+                no ``ValueError``.
+        """
+        *lines, rest = state.split(b"\n")
+        rows = [line.partition(b" ") for line in lines]
+        stamps = {stamp for stamp, _, _ in rows}
+        if state and (rest or stamps != {b"%08d" % (len(rows) - 1)}):
+            raise MixedStateError(f"{len(rows)} lines of snapshots {sorted(stamps)}, rest {rest!r}")
+        self.commands, self.digest = [], b""
+        for _, _, command in rows[1:]:
+            self.apply(0, Entry(0, command))
 
     def on_role(self, _role: Role, _term: int) -> None:
         """Do nothing; ``World`` reads the roles from the replicas."""
@@ -44,12 +71,23 @@
     def __init__(self) -> None:
         self.snapshot = Snapshot()
         self.synced = b""
+        # The contents for which ``last_index`` was read last, and the result.
+        self._known = self.snapshot, self.synced, 0
 
     def recover(self) -> RecoveredState:
         """Return the state that a restart reads from this disk."""
         hard, entries, _ = _replay(self.synced, self.snapshot.last_included_index)
         return RecoveredState(hard, self.snapshot, entries)
 
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry that a restart reads from this disk."""
+        snapshot, synced, index = self._known
+        if snapshot is not self.snapshot or synced is not self.synced:
+            index = self.snapshot.last_included_index + len(self.recover().entries)
+            self._known = self.snapshot, self.synced, index
+        return index
+
 
 class Replica:
     """A replica that can crash and restart, with its disk."""
@@ -84,6 +122,7 @@
             started_at=self.world.clock.now() - startup_s,
             timing=Timing(),
             rng=self.world.rng,
+            chunk_bytes=CHUNK_BYTES,
         )
         self.is_up = True
         self.sync_done_at = None
@@ -173,6 +212,8 @@
         self.loss = 0.0
         self.cut: Callable[[str, str], bool] = lambda sender, to: False
         self._in_flight: list[tuple[float, str, str, bytes]] = []
+        # Receiver and time of the newest chunk of a snapshot.
+        self.newest_chunk = ("", 0.0)
         self.replicas: dict[str, Replica] = {}
         for name in self.names:
             self.replicas[name] = Replica(self, name, self.names)
@@ -185,7 +226,16 @@
         return self.replicas[name]
 
     def send(self, sender: str, to: str, message: Message) -> None:
-        """Deliver a message after a delay, unless the link is cut or the message is lost."""
+        """Deliver a message after a delay, unless the link is cut or the message is lost.
+
+        Raises:
+            AssertionError: It acknowledges what the sender's disk does not hold.
+        """
+        if message.kind is MessageKind.SNAPSHOT:
+            self.newest_chunk = (to, self.clock.now())
+        if message.kind is MessageKind.APPEND_ANSWER and message.fields["ok"]:
+            held, match = self.replicas[sender].disk.last_index, message.fields["match"]
+            assert match <= held, f"{sender} acknowledges {match} and holds {held}"
         if self.cut(sender, to) or self.rng.random() < self.loss or to not in self.replicas:
             return
         at = self.clock.now() + DELAY_S * (0.5 + self.rng.random())
