Answer the requests that are open when a core is stopped

A core ended 0.5 s after SIGTERM, whatever was open. The core now waits up to 1 s for the requests that are open after the hand-over; without any, it ends as before.

Measured: TestStopOfACore fails without the wait (the loop is stopped while the request is open) and passes with it; test_stop.py 3 passed.

--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -21,6 +21,7 @@
 from kumquatlift.metrics import AUTHORITY_COUNTERS, FRONTEND_COUNTERS, Counter, Metrics
 from kumquatlift.platform._control import Control
 from kumquatlift.platform._frontend import Frontend
+from kumquatlift.platform._open_requests import OpenRequests
 from kumquatlift.platform._settings import PlatformSettings, SettingsError, locate
 from kumquatlift.platform._upstream_client import UpstreamClient
 from kumquatlift.platform._wire import read_config
@@ -49,6 +50,9 @@
 # Time for which a stopping leader continues to serve. A follower needs two round trips to take over
 # the leadership.
 HAND_OVER_S = 0.5
+# Longer than a request of an operator or an upstream may wait for the leader. Those that are open
+# after the hand-over still get their answers.
+OPEN_REQUESTS_S = 1.0
 # The journal is replaced by a snapshot when it fills this share of the disk. The disk has to hold
 # two journals and the snapshots at the same time.
 JOURNAL_SHARE = 0.2
@@ -173,7 +177,8 @@
     channel.handle_inline(Topic.AUTHORITY, authority_handler(authority.handle_request))
     client = LeaderClient(channel=channel, timer=timer, contacts=cfg.contacts)
     control = Control(client=client, control_port=Address.parse(cfg.listen.control).port)
-    _serve(control.handle, cfg.listen.control, CONTROL_THREADS, "control")
+    requests = OpenRequests(handler=control.handle)
+    _serve(requests.handle, cfg.listen.control, CONTROL_THREADS, "control")
     _serve_metrics(cfg, board, AUTHORITY_COUNTERS)
     get_logger().info(
         "started",
@@ -183,15 +188,16 @@
         last=replica.raft.last_index,
         member=replica.raft.can_vote,
     )
-    threading.Thread(target=_stop_core, args=(stop, loop, replica), daemon=True).start()
+    threading.Thread(target=_stop_core, args=(stop, loop, replica, requests), daemon=True).start()
     loop.run()
 
 
-def _stop_core(stop: StopSignal, loop: EventLoop, replica: Replica) -> None:
+def _stop_core(stop: StopSignal, loop: EventLoop, replica: Replica, requests: OpenRequests) -> None:
     stop.wait()
     get_logger().info("stopping", role="core")
     loop.post(replica.raft.transfer_leadership)
     time.sleep(HAND_OVER_S)
+    requests.wait_for_present(timeout_s=OPEN_REQUESTS_S)
     loop.stop()
 
 
