--- a/kumquatlift/store/_followers.py
+++ b/kumquatlift/store/_followers.py
@@ -1,8 +1,10 @@
 """Log replication from a leader to the other replicas."""
 
 from collections.abc import Callable, Iterable
+from zlib import crc32
 
 from kumquatlift.log import get_logger
+from kumquatlift.store._journal import Snapshot
 from kumquatlift.store._log import Log
 from kumquatlift.store._messages import Message, MessageKind
 from kumquatlift.store._snapshot_chunks import OutgoingSnapshot
@@ -71,6 +73,9 @@
         chunk_bytes: int,
     ) -> None:
         self._chunk_bytes = chunk_bytes
+        # The snapshot that was sent last, and its checksum.
+        self._summed_base: Snapshot | None = None
+        self._checksum = 0
         self._term = term
         self._term_start_index = term_start_index
         self._log = log
@@ -187,7 +192,7 @@
     ) -> None:
         if follower.next_index <= self._log.base.last_included_index:
             get_logger().info("snapshot_sent", peer=name, index=self._log.base.last_included_index)
-            follower.transfer = OutgoingSnapshot(base=self._log.base, chunk_bytes=self._chunk_bytes)
+            follower.transfer = self._new_transfer()
             self._send_snapshot_chunk(name, follower, follower.transfer)
             return
         entries = self._log.entries_from(
@@ -208,6 +213,15 @@
         follower.next_index += len(entries)
         self._send(name, Message(MessageKind.APPEND, self._term, fields, entries))
 
+    def _new_transfer(self) -> OutgoingSnapshot:
+        # A replica that is down is sent the first chunk again and again.
+        if self._summed_base is not self._log.base:
+            self._summed_base = self._log.base
+            self._checksum = crc32(self._log.base.state)
+        return OutgoingSnapshot(
+            base=self._log.base, checksum=self._checksum, chunk_bytes=self._chunk_bytes
+        )
+
     def _send_snapshot_chunk(
         self, name: str, follower: Follower, transfer: OutgoingSnapshot
     ) -> None:
--- a/kumquatlift/store/_snapshot_chunks.py
+++ b/kumquatlift/store/_snapshot_chunks.py
@@ -17,12 +17,13 @@
 
     Args:
         base: The snapshot.
+        checksum: CRC-32 of its state.
         chunk_bytes: Size of a chunk.
     """
 
     __slots__ = ("_checksum", "_chunk_bytes", "base", "chunk_sent_at", "offset", "started_at")
 
-    def __init__(self, *, base: Snapshot, chunk_bytes: int) -> None:
+    def __init__(self, *, base: Snapshot, checksum: int, chunk_bytes: int) -> None:
         self.base = base
         # Offset of the chunk to send.
         self.offset = 0
@@ -30,7 +31,7 @@
         self.started_at: float | None = None
         self.chunk_sent_at = 0.0
         self._chunk_bytes = chunk_bytes
-        self._checksum = crc32(base.state)
+        self._checksum = checksum
 
     def chunk(self, *, term: int, sent_at: float) -> Message:
         """Return the message with the next chunk.
