Empty an availability zone and take it back on an operator's order

The calls POST /api/evacuations/ZONE/start and /stop were answered with 404. The order is now a command of the replicated log: upstreams of an emptied zone get no start orders from its commit on, under each later leader, and starts there that aren't confirmed are barred with a stop. Upstreams that say that they are cold are placed last, and their run times teach no speed.

--- a/kumquatlift/authority/_api.py
+++ b/kumquatlift/authority/_api.py
@@ -20,6 +20,8 @@
     READ_CONFIG = "read-config"
     ANNOUNCE = "announce"
     LEAVE = "leave"
+    EVACUATE = "evacuate"
+    """Empty an availability zone, or take it back."""
     WHO_LEADS = "who-leads"
 
 
--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -158,6 +158,8 @@
                 leader.on_left(fields["upstream"])
             case CommandKind.CONFIG:
                 leader.on_config()
+            case CommandKind.EVACUATION:
+                leader.on_evacuations()
 
     def _on_closed(self, job: Job) -> None:
         if self._requests is not None:
@@ -257,6 +259,7 @@
             "jobs": len(self.state.jobs),
             "open_jobs": len(self._leader.progress) if self._leader else 0,
             "upstreams": len(self.state.upstreams),
+            "evacuated_zones": self.state.evacuations.zones,
         }
 
 
--- a/kumquatlift/authority/_commands.py
+++ b/kumquatlift/authority/_commands.py
@@ -111,6 +111,8 @@
     UPSTREAM = "upstream"
     UPSTREAM_LEFT = "upstream-left"
     FORGET = "forget"
+    EVACUATION = "evacuation"
+    """An operator empties an availability zone, or takes it back."""
 
 
 class Command(NamedTuple):
--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -20,6 +20,8 @@
 # the last five runs.
 SPEED_WEIGHT = 0.2
 MIN_SPEED = 0.05
+# Speed of a cold upstream that placement assumes, as a share of its speed once it is warm.
+COLD_SPEED_SHARE = 0.5
 MAX_SPEED = 8.0
 # Weight of the newest run in the share of runs that were done, and the share above which an
 # upstream is sound. One that fails all its runs is not sound after eleven of them.
@@ -39,7 +41,17 @@
 
 # Attributes of an upstream that the placement of tasks depends on.
 _PLACEMENT_ATTRIBUTES = frozenset(
-    {"state", "free", "speed", "failures", "is_known", "unreachable_since", "backoff_until"}
+    {
+        "state",
+        "free",
+        "speed",
+        "failures",
+        "is_known",
+        "unreachable_since",
+        "backoff_until",
+        "is_evacuated",
+        "cold_until",
+    }
 )
 
 
@@ -178,6 +190,10 @@
         self.is_known = False
         # Whether the newest list of ends may have been cut, so that other runs may have ended.
         self.has_unlisted_ends = False
+        # Whether an operator has emptied its availability zone.
+        self.is_evacuated = False
+        # Time until which it runs tasks slowly, as it has just started.
+        self.cold_until = 0.0
         # Whether a newer incarnation has answered in its place.
         self.is_replaced = False
         # Polls of the current round without an answer; a new round begins when ends are listed.
@@ -262,6 +278,7 @@
         return (
             self.is_known
             and not self.state.is_draining
+            and not self.is_evacuated
             and self.unreachable_since is None
             and now >= self.backoff_until
         )
@@ -393,6 +410,23 @@
         is_listing_too_long = is_incomplete and now - self.added_at > MAX_LISTING_S
         return self.unreachable_since is not None or is_listing_too_long
 
+    def offered_speed(self, now: float) -> float:
+        """Return the speed by which tasks are placed.
+
+        Load pattern: the upstreams of a zone come back cold, all at once. Their low speed is not
+        known yet, so without this they would get as many tasks as the warm ones.
+        """
+        return self.speed * (COLD_SPEED_SHARE if now < self.cold_until else 1.0)
+
+    def was_cold(self, run_ms: float, now: float) -> bool:
+        """Return whether it was cold in a part of a run that has just ended.
+
+        Args:
+            run_ms: Run time, in milliseconds.
+            now: Current time.
+        """
+        return now - run_ms / 1000 < self.cold_until
+
     def learn_speed(self, expected_ms: float, run_ms: float, now: float) -> None:
         """Update the speed from the run time of a task that succeeded.
 
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -109,6 +109,8 @@
         self._incarnations = 0
         self._arrivals = 0
         self._last_contact_at: dict[str, float] = {}
+        # Time until which an upstream runs tasks slowly, as it has just started.
+        self._cold_until: dict[str, float] = {}
         self._recovery = Recovery(
             now=clock.now(),
             lease_s=limits.lease_s / (1 - MAX_CLOCK_SLOWNESS),
@@ -180,7 +182,9 @@
             upstreams=len(self.fleet),
             open_jobs=len(self.progress),
             config=self._state.routing.cfg.version,
+            evacuated=",".join(self._state.evacuations.zones),
         )
+        self._section.put("evacuated_zones", len(self._state.evacuations))
 
     def close(self) -> None:
         """Send no more orders, as the term of this leader is over."""
@@ -281,15 +285,39 @@
 
     # Upstreams
 
-    def record_contact(self, upstream_id: str) -> None:
-        """Record that an upstream has announced itself now."""
-        self._last_contact_at[upstream_id] = self._clock.now()
+    def record_contact(self, upstream_id: str, cold_s: float = 0.0) -> None:
+        """Record that an upstream has announced itself now.
+
+        Args:
+            upstream_id: Its identity.
+            cold_s: Time for which it will still run tasks slowly, in seconds.
+        """
+        now = self._clock.now()
+        self._last_contact_at[upstream_id] = now
+        if cold_s <= 0 and now >= self._cold_until.get(upstream_id, 0.0):
+            return
+        self._cold_until[upstream_id] = now + cold_s
+        if upstream_id in self.fleet:
+            self.fleet[upstream_id].cold_until = now + cold_s
+
+    def on_evacuations(self) -> None:
+        """Start no more tasks in the zones that are emptied now; use those that are taken back."""
+        for upstream in self.fleet.values():
+            self._update_zone(upstream)
+        self._section.put("evacuated_zones", len(self._state.evacuations))
+        self.runs.needs_placing = True
+
+    def _update_zone(self, upstream: Upstream) -> None:
+        is_evacuated = upstream.state.zone in self._state.evacuations
+        if is_evacuated != upstream.is_evacuated:
+            upstream.is_evacuated = is_evacuated
 
     def on_upstream(self, state: UpstreamState) -> None:
         """Handle a committed announcement of a new or changed upstream."""
         known = self.fleet.get(state.upstream_id)
         if known is not None and known.state.started_at_ms == state.started_at_ms:
             known.update(state)
+            self._update_zone(known)
         else:
             # One that crashed before it listed its runs leaves those of its predecessors, too.
             previous_runs = {**known.previous_runs, **known.runs} if known is not None else {}
@@ -314,6 +342,8 @@
             on_change=self._offer_index.mark_changed,
         )
         upstream.previous_runs = previous_runs or {}
+        upstream.cold_until = self._cold_until.get(state.upstream_id, 0.0)
+        self._update_zone(upstream)
         self.fleet[state.upstream_id] = upstream
         get_logger().info(
             "upstream_added",
@@ -353,6 +383,7 @@
 
     def _remove(self, upstream_id: str) -> None:
         upstream = self.fleet.pop(upstream_id, None)
+        self._cold_until.pop(upstream_id, None)
         self._offer_index.mark_changed(upstream_id)
         if upstream is not None:
             self.runs.requeue_previous_runs(upstream)
--- a/kumquatlift/authority/_offer_index.py
+++ b/kumquatlift/authority/_offer_index.py
@@ -32,8 +32,8 @@
         # Service under which a usable upstream is listed, by identity.
         self._service_of: dict[str, str] = {}
         self._changed: set[str] = set()
-        # Upstreams that get no tasks until a time that is still to come.
-        self._resting: set[str] = set()
+        # Upstreams that rest or are cold until a time that is still to come, with that time.
+        self._resting: dict[str, float] = {}
         # Smallest free processor of the offers that are kept, in thousandths of a core.
         self._least_milli = 0
         self._built_at = 0.0
@@ -67,40 +67,38 @@
             self._built_at = now
             self._offers = {
                 service: OffersBySpeed(
-                    map(_offer_of, usable.values()), least_milli=self._least_milli
+                    (_offer_of(each, now) for each in usable.values()),
+                    least_milli=self._least_milli,
                 )
                 for service, usable in self._usable.items()
             }
         return self._offers
 
     def _refresh(self, now: float) -> None:
-        rested = {each for each in self._resting if self._has_rested(each, now)}
-        self._resting -= rested
+        rested = {each for each, until in self._resting.items() if now >= until}
         changed, self._changed = self._changed | rested, set()
         for upstream_id in changed:
             self._update(upstream_id, now)
 
-    def _has_rested(self, upstream_id: str, now: float) -> bool:
-        upstream = self._fleet.get(upstream_id)
-        return upstream is None or now >= upstream.backoff_until
-
     def _update(self, upstream_id: str, now: float) -> None:
         upstream = self._fleet.get(upstream_id)
         is_usable = upstream is not None and upstream.is_usable(now)
         service = upstream.state.service if upstream is not None and is_usable else None
         if self._service_of.get(upstream_id, service) != service:
             self._remove(upstream_id)
+        self._resting.pop(upstream_id, None)
         if upstream is None:
             return
-        if now < upstream.backoff_until:
-            self._resting.add(upstream_id)
+        times = [at for at in (upstream.backoff_until, upstream.cold_until) if now < at]
+        if times:
+            self._resting[upstream_id] = min(times)
         if service is None:
             return
         self._service_of[upstream_id] = service
         self._usable.setdefault(service, {})[upstream_id] = upstream
         if service not in self._offers:
             self._offers[service] = OffersBySpeed(least_milli=self._least_milli)
-        self._offers[service].update(_offer_of(upstream))
+        self._offers[service].update(_offer_of(upstream, now))
 
     def _remove(self, upstream_id: str) -> None:
         service = self._service_of.pop(upstream_id)
@@ -108,12 +106,12 @@
         self._offers[service].remove(upstream_id)
 
 
-def _offer_of(upstream: Upstream) -> UpstreamOffer:
+def _offer_of(upstream: Upstream, now: float) -> UpstreamOffer:
     state = upstream.state
     return UpstreamOffer(
         state.upstream_id,
         *upstream.free,
-        upstream.speed,
+        upstream.offered_speed(now),
         state.labels,
         state.rack,
         upstream.failures,
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -14,6 +14,7 @@
     CommandKind,
     UpstreamState,
 )
+from kumquatlift.authority._evacuation import evacuation_command
 from kumquatlift.authority._leader import Leader
 from kumquatlift.authority._serving import Queue
 from kumquatlift.authority._state import Applied, State, job_of
@@ -92,9 +93,12 @@
                 cfg = self._state.routing.cfg
                 answer(Reply(ResultCode.ACCEPTED, {"version": cfg.version, "source": cfg.source}))
             case Operation.ANNOUNCE:
-                self._announce(UpstreamState(*fields["upstream"]), answer)
+                cold_s = fields.get("cold_ms", 0) / 1000
+                self._announce(UpstreamState(*fields["upstream"]), cold_s, answer)
             case Operation.LEAVE:
                 self._leave(fields, answer)
+            case Operation.EVACUATE:
+                self._evacuate(fields, answer)
             case Operation.WHO_LEADS:
                 raise ValueError("each instance answers this operation itself")
 
@@ -287,7 +291,22 @@
         )
         self._commit(command, answer)
 
-    def _announce(self, upstream: UpstreamState, answer: ReplyCallback) -> None:
+    def _evacuate(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
+        """Empty a zone or take it back.
+
+        Each order is committed, also one that changes nothing: a committed state may be about to
+        change by an order that isn't committed yet.
+        """
+        zone, is_empty = fields["zone"], bool(fields["is_empty"])
+        upstreams = self._state.upstreams.values()
+        is_known = fields.get("is_known") or zone in self._state.evacuations
+        if not is_known and not any(each.zone == zone for each in upstreams):
+            answer(Reply(ResultCode.NOT_FOUND, {"reason": "there is no such zone"}))
+            return
+        get_logger().info("evacuation_proposed", zone=zone, is_empty=is_empty)
+        self._commit(evacuation_command(zone, is_empty=is_empty), answer)
+
+    def _announce(self, upstream: UpstreamState, cold_s: float, answer: ReplyCallback) -> None:
         upstream = upstream._replace(labels=tuple(upstream.labels))
         known = self._state.upstreams.get(upstream.upstream_id)
         latest_ms = self._state.wall_ms() + MAX_START_AHEAD_MS
@@ -304,7 +323,7 @@
             # A delayed announcement of a previous incarnation.
             answer(_DONE)
             return
-        self._leader.record_contact(upstream.upstream_id)
+        self._leader.record_contact(upstream.upstream_id, cold_s)
         if (
             known is not None
             and upstream.started_at_ms == known.started_at_ms
--- a/kumquatlift/authority/_run_orders.py
+++ b/kumquatlift/authority/_run_orders.py
@@ -117,6 +117,9 @@
         if not self._may_order():
             self._call_later(UNREACHABLE_RESEND_S, partial(self._resend, upstream, run))
             return
+        if upstream.is_evacuated:
+            self._withdraw(upstream, run)
+            return
         now = self._clock.now()
         order = StartOrder(
             run.task,
@@ -129,6 +132,18 @@
         run.attempts += 1
         self._gateway.start(ref_of(upstream), order, partial(self._on_started, upstream, run, now))
 
+    def _withdraw(self, upstream: Upstream, run: Run) -> None:
+        """Give up a start that isn't confirmed, as the zone of its upstream is emptied.
+
+        The task could begin there long after the zone was emptied, by another order or by one that
+        is on its way, so a stop bars the number of the run.
+        """
+        self._section.count("starts_withdrawn")
+        if run.may_have_started:
+            self.stop(upstream, run, "zone_evacuated")
+        else:
+            self._on_not_run(upstream, run, "zone_evacuated")
+
     def _on_started(
         self, upstream: Upstream, run: Run, sent_at: float, answer: OrderAnswer
     ) -> None:
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -191,7 +191,7 @@
                 run_ms: float | None = (now - run.decided_at) * 1000
                 if self._has_lost_answers(run, ended_within):
                     run_ms = _run_ms(upstream, run, *ended_within)
-                if run_ms is not None:
+                if run_ms is not None and not upstream.was_cold(run_ms, now):
                     upstream.learn_speed(run.expected_ms, run_ms, now)
                     self._estimates.observe(progress.job.queue, run_ms * upstream.speed)
             return
--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -1,4 +1,7 @@
-"""The replicated state: configuration, jobs and upstreams; only committed commands change it."""
+"""The replicated state: configuration, jobs, upstreams and emptied zones.
+
+Only committed commands change it.
+"""
 
 import json
 import time
@@ -13,6 +16,7 @@
     TaskKey,
     UpstreamState,
 )
+from kumquatlift.authority._evacuation import Evacuations
 from kumquatlift.authority._serving import ConfigReader, RoutingTable, ServingConfig
 from kumquatlift.authority._work import MAX_REPEATED_TASKS, Job, JobSpec, JobState
 from kumquatlift.log import get_logger
@@ -54,6 +58,7 @@
         self.routing = RoutingTable(cfg=ServingConfig())
         self.jobs: dict[str, Job] = {}
         self.upstreams: dict[str, UpstreamState] = {}
+        self.evacuations = Evacuations()
 
     def wall_ms(self) -> int:
         """Return the time of day in Unix milliseconds."""
@@ -99,6 +104,14 @@
                     del self.upstreams[known.upstream_id]
             case CommandKind.FORGET:
                 self._forget(fields["ended_before_ms"])
+            case CommandKind.EVACUATION:
+                if self.evacuations.apply(fields):
+                    get_logger().info(
+                        "evacuation_in_force",
+                        zone=fields["zone"],
+                        is_empty=fields["is_empty"],
+                        index=index,
+                    )
         return applied
 
     def _add_job(self, term: int, command: Command) -> Job:
@@ -141,11 +154,13 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state as JSON."""
-        plain = {
+        plain: dict[str, object] = {
             "config": self.routing.cfg.source,
             "jobs": [job.to_plain() for job in self.jobs.values()],
             "upstreams": list(self.upstreams.values()),
         }
+        if self.evacuations:
+            plain["evacuated_zones"] = self.evacuations.zones
         return json.dumps(plain, separators=(",", ":")).encode()
 
     def restore(self, data: bytes) -> None:
@@ -166,6 +181,7 @@
             self.jobs[job.job_id] = job
         for row in plain["upstreams"]:
             self._add_upstream(UpstreamState(*row))
+        self.evacuations.restore(plain.get("evacuated_zones", []))
 
 
 def job_of(command: Command, term: int, *, is_logged: bool = True) -> Job:
--- a/kumquatlift/metrics.py
+++ b/kumquatlift/metrics.py
@@ -83,6 +83,12 @@
     Counter("kumquatlift.jobs.cancelled", "authority", "jobs_cancelled", "jobs cancelled"),
     Counter("kumquatlift.starts", "authority", "starts", "tasks started"),
     Counter("kumquatlift.starts.unknown", "authority", "starts_unknown", "starts with no answer"),
+    Counter(
+        "kumquatlift.starts.withdrawn",
+        "authority",
+        "starts_withdrawn",
+        "starts given up as their zone is emptied",
+    ),
     Counter("kumquatlift.stops", "authority", "stops", "runs stopped"),
     Counter("kumquatlift.looks", "authority", "looks", "lists asked of upstreams"),
 )
--- a/kumquatlift/platform/_control.py
+++ b/kumquatlift/platform/_control.py
@@ -1,6 +1,7 @@
 """HTTP service for upstreams, which send heartbeats, and for operators, who configure routes."""
 
 import time
+from typing import Any
 from urllib.parse import unquote
 
 from kumquatlift.authority import LeaderClient, Operation, Reply, Request
@@ -8,7 +9,7 @@
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
 from kumquatlift.platform._fields import WireError, upstream_identity
-from kumquatlift.platform._wire import read_config, read_heartbeat
+from kumquatlift.platform._wire import read_cold_ms, read_config, read_heartbeat, read_zone
 from kumquatlift.settings import Address
 from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
 
@@ -21,6 +22,7 @@
 # other instances receive the heartbeats and forward them.
 MAX_DIRECT_UPSTREAMS = 500
 _INSTANCES = "/api/instances/"
+_EVACUATIONS = "/api/evacuations/"
 
 
 class Control:
@@ -29,11 +31,15 @@
     Args:
         client: Sends requests to the leader.
         control_port: Port of this service, the same on all instances.
+        zones: Availability zones of the settings; those of upstreams are known besides.
     """
 
-    def __init__(self, *, client: LeaderClient, control_port: int) -> None:
+    def __init__(
+        self, *, client: LeaderClient, control_port: int, zones: tuple[str, ...] = ()
+    ) -> None:
         self._client = client
         self._control_port = control_port
+        self._zones = zones
 
     def handle(self, req: ApiRequest) -> ApiResponse:
         """Route a request by its method and path, and return the response."""
@@ -43,6 +49,10 @@
                 return self._heartbeat(unquote(upstream_id), req)
             if action == "deregister":
                 return self._deregister(unquote(upstream_id))
+        if req.path.startswith(_EVACUATIONS):
+            zone, _, action = req.path.removeprefix(_EVACUATIONS).rpartition("/")
+            if action in ("start", "stop"):
+                return self._evacuate(zone, action, req)
         if (req.method, req.path) == ("POST", "/api/config/replace"):
             return self._replace_config(req)
         if (req.method, req.path) == ("GET", "/api/config/describe"):
@@ -55,7 +65,11 @@
         except WireError as exc:
             get_logger().warning("heartbeat_malformed", upstream=upstream_id, reason=str(exc))
             return ApiResponse.from_json(400, {"reason": str(exc)})
-        request = Request(Operation.ANNOUNCE, {"upstream": list(upstream)})
+        fields: dict[str, Any] = {"upstream": list(upstream)}
+        cold_ms = read_cold_ms(req.body)
+        if cold_ms:
+            fields["cold_ms"] = cold_ms
+        request = Request(Operation.ANNOUNCE, fields)
         reply = self._client.call(request, timeout_s=ANNOUNCE_TIMEOUT_S)
         if not isinstance(reply, Reply) or reply.code is not ResultCode.ACCEPTED:
             return self._unavailable("heartbeat_not_passed_on", upstream_id, reply)
@@ -106,6 +120,27 @@
             return ApiResponse.from_json(503, {"reason": "there is no configuration yet"})
         return ApiResponse(200, reply.fields["source"].encode())
 
+    def _evacuate(self, zone: str, action: str, req: ApiRequest) -> ApiResponse:
+        if req.method != "POST":
+            return ApiResponse.from_json(405, {"reason": "this call needs the method POST"})
+        try:
+            zone = read_zone(zone)
+            if req.body:
+                raise WireError("this call has no body")
+        except WireError as exc:
+            get_logger().warning("evacuation_refused", action=action, reason=str(exc)[:300])
+            return ApiResponse.from_json(400, {"reason": str(exc)[:300]})
+        is_empty = action == "start"
+        fields = {"zone": zone, "is_empty": is_empty, "is_known": zone in self._zones}
+        reply = self._client.call(Request(Operation.EVACUATE, fields), timeout_s=CONFIG_TIMEOUT_S)
+        if isinstance(reply, Reply) and reply.code is ResultCode.NOT_FOUND:
+            get_logger().warning("evacuation_refused", action=action, reason="unknown zone")
+            return ApiResponse.from_json(404, {"reason": "there is no such zone"})
+        if not isinstance(reply, Reply) or reply.code is not ResultCode.ACCEPTED:
+            return self._unavailable("evacuation_not_confirmed", zone, reply)
+        get_logger().info("evacuation_acknowledged", zone=zone, is_empty=is_empty)
+        return ApiResponse.from_json(200, {})
+
     @staticmethod
     def _unavailable(event: str, subject: str, reply: Reply | Failure) -> ApiResponse:
         get_logger().info(event, subject=subject, code=reply.code.label)
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -172,7 +172,11 @@
     loop.after_batch(replica.flush)
     channel.handle_inline(Topic.AUTHORITY, authority_handler(authority.handle_request))
     client = LeaderClient(channel=channel, timer=timer, contacts=cfg.contacts)
-    control = Control(client=client, control_port=Address.parse(cfg.listen.control).port)
+    control = Control(
+        client=client,
+        control_port=Address.parse(cfg.listen.control).port,
+        zones=cfg.zones,
+    )
     _serve(control.handle, cfg.listen.control, CONTROL_THREADS, "control")
     _serve_metrics(cfg, board, AUTHORITY_COUNTERS)
     get_logger().info(
--- a/kumquatlift/platform/_settings.py
+++ b/kumquatlift/platform/_settings.py
@@ -72,6 +72,7 @@
         disk_mb: Size of the disk, in megabytes.
         listen: Addresses on which the process listens.
         bounds: Limits and guarantees of the platform.
+        zones: All availability zones, in which upstreams may be.
     """
 
     name: str
@@ -84,6 +85,7 @@
     disk_mb: int
     listen: Listen
     bounds: Bounds
+    zones: tuple[str, ...] = ()
 
     @classmethod
     def from_text(cls, text: str) -> "PlatformSettings":
--- a/kumquatlift/platform/_wire.py
+++ b/kumquatlift/platform/_wire.py
@@ -56,6 +56,8 @@
 MAX_STEPS = 200
 # An upstream lists this many ends at a time; it lists later ones after these are acknowledged.
 MAX_LISTED_ENDS = 500
+# An upstream is warm some seconds after its start; a wrong number must not hold for longer.
+MAX_COLD_MS = 60_000
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _STATES = ("ready", "draining")
 # Fields of a heartbeat that this product doesn't use.
@@ -231,6 +233,24 @@
     )
 
 
+def read_cold_ms(body: bytes) -> int:
+    """Return how long the sender of a heartbeat will still run tasks slowly, in milliseconds.
+
+    Anything but a number of the protocol's range counts as 0.
+    """
+    value = decode_object(body).get("coldRemainingMs", 0)
+    return int(min(value, MAX_COLD_MS)) if is_finite_number(value) and value > 0 else 0
+
+
+def read_zone(value: str) -> str:
+    """Return the availability zone that a path of an operator's call names.
+
+    Raises:
+        WireError: It is no name.
+    """
+    return text(value, "zone")
+
+
 def write_start(order: StartOrder, token: int) -> bytes:
     """Encode a start order."""
     fields: dict[str, Any] = {
