Let no delayed order for a zone take effect, and take cold upstreams back step by step

An order that waited in a paused process or behind a cut could be applied after the operator had sent it again elsewhere and withdrawn it. It now names the number of the newest order, which the leader tells first, and is passed on only while its sender waits. A cold upstream offers half of its room besides its first task.

--- a/kumquatlift/authority/_evacuation.py
+++ b/kumquatlift/authority/_evacuation.py
@@ -4,6 +4,7 @@
 leader until the operator withdraws it.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from kumquatlift.authority._commands import Command, CommandKind
@@ -17,6 +18,8 @@
 
     def __init__(self) -> None:
         self._zones: set[str] = set()
+        # Index of the newest order in the log; 0 before the first.
+        self.number = 0
 
     def __contains__(self, zone: str) -> bool:
         return zone in self._zones
@@ -29,9 +32,13 @@
         """Names of the emptied zones, sorted."""
         return sorted(self._zones)
 
-    def apply(self, fields: dict[str, Any]) -> bool:
+    def apply(self, index: int, fields: dict[str, Any]) -> bool:
         """Apply the fields of a committed command; the last one for a zone counts.
 
+        Args:
+            index: Index of the command in the log.
+            fields: Its fields, see ``evacuation_command``.
+
         Returns:
             Whether the state has changed.
 
@@ -41,6 +48,7 @@
         zone = fields["zone"]
         if not isinstance(zone, str):
             raise TypeError("zone: a text is needed")
+        self.number = index
         if (zone in self._zones) == fields["is_empty"]:
             return False
         if not fields["is_empty"]:
@@ -51,9 +59,42 @@
         self._zones.add(zone)
         return True
 
-    def restore(self, zones: list[str]) -> None:
-        """Replace the emptied zones by those of a snapshot."""
-        self._zones = set(zones)
+    def to_plain(self) -> list[Any]:
+        """Return the state for a snapshot."""
+        return [self.number, self.zones]
+
+    @classmethod
+    def from_plain(cls, plain: list[Any]) -> "Evacuations":
+        """Return the state of a snapshot."""
+        restored = cls()
+        restored.number, zones = plain
+        restored._zones = set(zones)
+        return restored
+
+
+class OrderNumber:
+    """The number by which a leader tells a new order of an operator from one that was delayed.
+
+    Failure: an order waits in a process that is paused, or on a link that is cut. The operator
+    sends it again elsewhere, and withdraws it later; then the first message arrives. An order names
+    the number that its sender has just asked for, so the delayed one is found to be out of date.
+
+    Args:
+        evacuations: Returns the emptied zones of the replicated state.
+    """
+
+    def __init__(self, *, evacuations: Callable[[], Evacuations]) -> None:
+        self._evacuations = evacuations
+        self._proposed = 0
+
+    @property
+    def newest(self) -> int:
+        """Number of the newest order, committed or not."""
+        return max(self._proposed, self._evacuations().number)
+
+    def record(self, index: int | None) -> None:
+        """Record the log index of an order that is proposed; None if it was not."""
+        self._proposed = max(self._proposed, index or 0)
 
 
 def evacuation_command(zone: str, *, is_empty: bool) -> Command:
--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -20,8 +20,8 @@
 # the last five runs.
 SPEED_WEIGHT = 0.2
 MIN_SPEED = 0.05
-# Speed of a cold upstream that placement assumes, as a share of its speed once it is warm.
-COLD_SPEED_SHARE = 0.5
+# Share of its processor that a cold upstream gives to tasks, apart from its first one.
+COLD_SHARE = 0.5
 MAX_SPEED = 8.0
 # Weight of the newest run in the share of runs that were done, and the share above which an
 # upstream is sound. One that fails all its runs is not sound after eleven of them.
@@ -410,13 +410,17 @@
         is_listing_too_long = is_incomplete and now - self.added_at > MAX_LISTING_S
         return self.unreachable_since is not None or is_listing_too_long
 
-    def offered_speed(self, now: float) -> float:
-        """Return the speed by which tasks are placed.
+    def offered(self, now: float) -> Resources:
+        """Return the free resources that are offered to tasks; they may be negative.
 
-        Load pattern: the upstreams of a zone come back cold, all at once. Their low speed is not
-        known yet, so without this they would get as many tasks as the warm ones.
+        Load pattern: the upstreams of a zone come back cold, empty and all at once, while the
+        others are full. Without this, all that waits would start on them. One that is empty offers
+        all that it has, so that no task waits for long because it needs more than the share.
         """
-        return self.speed * (COLD_SPEED_SHARE if now < self.cold_until else 1.0)
+        if now >= self.cold_until or not self.runs:
+            return self.free
+        kept_milli = int(self.state.cpu_milli * (1 - COLD_SHARE))
+        return self.free._replace(cpu_milli=self.free.cpu_milli - kept_milli)
 
     def was_cold(self, run_ms: float, now: float) -> bool:
         """Return whether it was cold in a part of a run that has just ended.
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -294,7 +294,9 @@
         """
         now = self._clock.now()
         self._last_contact_at[upstream_id] = now
-        if cold_s <= 0 and now >= self._cold_until.get(upstream_id, 0.0):
+        is_warm = cold_s <= 0 and now >= self._cold_until.get(upstream_id, 0.0)
+        if is_warm or not self._state.evacuations.number:
+            # Where no zone was ever emptied, upstreams start one by one, and nothing changes.
             return
         self._cold_until[upstream_id] = now + cold_s
         if upstream_id in self.fleet:
--- a/kumquatlift/authority/_offer_index.py
+++ b/kumquatlift/authority/_offer_index.py
@@ -67,7 +67,7 @@
             self._built_at = now
             self._offers = {
                 service: OffersBySpeed(
-                    (_offer_of(each, now) for each in usable.values()),
+                    (offer_of(each, now) for each in usable.values()),
                     least_milli=self._least_milli,
                 )
                 for service, usable in self._usable.items()
@@ -98,7 +98,7 @@
         self._usable.setdefault(service, {})[upstream_id] = upstream
         if service not in self._offers:
             self._offers[service] = OffersBySpeed(least_milli=self._least_milli)
-        self._offers[service].update(_offer_of(upstream, now))
+        self._offers[service].update(offer_of(upstream, now))
 
     def _remove(self, upstream_id: str) -> None:
         service = self._service_of.pop(upstream_id)
@@ -106,12 +106,13 @@
         self._offers[service].remove(upstream_id)
 
 
-def _offer_of(upstream: Upstream, now: float) -> UpstreamOffer:
+def offer_of(upstream: Upstream, now: float) -> UpstreamOffer:
+    """Return what an upstream offers to tasks at a time."""
     state = upstream.state
     return UpstreamOffer(
         state.upstream_id,
-        *upstream.free,
-        upstream.offered_speed(now),
+        *upstream.offered(now),
+        upstream.speed,
         state.labels,
         state.rack,
         upstream.failures,
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -14,7 +14,7 @@
     CommandKind,
     UpstreamState,
 )
-from kumquatlift.authority._evacuation import evacuation_command
+from kumquatlift.authority._evacuation import OrderNumber, evacuation_command
 from kumquatlift.authority._leader import Leader
 from kumquatlift.authority._serving import Queue
 from kumquatlift.authority._state import Applied, State, job_of
@@ -64,6 +64,7 @@
         self._attempts = attempts
         # Log indexes of the submitted jobs that are not committed yet, by job.
         self._open_submits: dict[str, int] = {}
+        self._evacuation_number = OrderNumber(evacuations=lambda: state.evacuations)
 
     def handle(self, request: Request, answer: ReplyCallback) -> None:
         """Answer a request, either at once or after a commit or the end of a job.
@@ -292,10 +293,10 @@
         self._commit(command, answer)
 
     def _evacuate(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
-        """Empty a zone or take it back.
+        """Empty a zone or take it back, if the order names the number of the newest one.
 
-        Each order is committed, also one that changes nothing: a committed state may be about to
-        change by an order that isn't committed yet.
+        Otherwise the answer holds that number. Each order is committed, also one that changes
+        nothing: the state may be about to change by an order that isn't committed yet.
         """
         zone, is_empty = fields["zone"], bool(fields["is_empty"])
         upstreams = self._state.upstreams.values()
@@ -303,8 +304,13 @@
         if not is_known and not any(each.zone == zone for each in upstreams):
             answer(Reply(ResultCode.NOT_FOUND, {"reason": "there is no such zone"}))
             return
+        number = self._evacuation_number.newest
+        if fields.get("number") != number:
+            answer(Reply(ResultCode.ACCEPTED, {"number": number}))
+            return
         get_logger().info("evacuation_proposed", zone=zone, is_empty=is_empty)
-        self._commit(evacuation_command(zone, is_empty=is_empty), answer)
+        index = self._commit(evacuation_command(zone, is_empty=is_empty), answer)
+        self._evacuation_number.record(index)
 
     def _announce(self, upstream: UpstreamState, cold_s: float, answer: ReplyCallback) -> None:
         upstream = upstream._replace(labels=tuple(upstream.labels))
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -5,7 +5,7 @@
 from kumquatlift.authority._commands import TaskKey
 from kumquatlift.authority._fleet import Resources, Upstream, size_of
 from kumquatlift.authority._load import LoadMeter
-from kumquatlift.authority._offer_index import OfferIndex
+from kumquatlift.authority._offer_index import OfferIndex, offer_of
 from kumquatlift.authority._placement import (
     OffersBySpeed,
     QueuedJob,
@@ -173,7 +173,12 @@
         run: int,
     ) -> None:
         offers.update(_without(offer, step))
-        self._runs.start(progress, task, self._fleet[offer.upstream_id], run)
+        upstream = self._fleet[offer.upstream_id]
+        self._runs.start(progress, task, upstream, run)
+        now = self._clock.now()
+        if now < upstream.cold_until:
+            # It offers less room once it has a run.
+            offers.update(offer_of(upstream, now))
 
 
 def _without(offer: UpstreamOffer, step: Step) -> UpstreamOffer:
--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -105,7 +105,7 @@
             case CommandKind.FORGET:
                 self._forget(fields["ended_before_ms"])
             case CommandKind.EVACUATION:
-                if self.evacuations.apply(fields):
+                if self.evacuations.apply(index, fields):
                     get_logger().info(
                         "evacuation_in_force",
                         zone=fields["zone"],
@@ -159,8 +159,8 @@
             "jobs": [job.to_plain() for job in self.jobs.values()],
             "upstreams": list(self.upstreams.values()),
         }
-        if self.evacuations:
-            plain["evacuated_zones"] = self.evacuations.zones
+        if self.evacuations.number:
+            plain["evacuations"] = self.evacuations.to_plain()
         return json.dumps(plain, separators=(",", ":")).encode()
 
     def restore(self, data: bytes) -> None:
@@ -181,7 +181,7 @@
             self.jobs[job.job_id] = job
         for row in plain["upstreams"]:
             self._add_upstream(UpstreamState(*row))
-        self.evacuations.restore(plain.get("evacuated_zones", []))
+        self.evacuations = Evacuations.from_plain(plain.get("evacuations", [0, []]))
 
 
 def job_of(command: Command, term: int, *, is_logged: bool = True) -> Job:
--- a/kumquatlift/platform/_control.py
+++ b/kumquatlift/platform/_control.py
@@ -131,8 +131,7 @@
             get_logger().warning("evacuation_refused", action=action, reason=str(exc)[:300])
             return ApiResponse.from_json(400, {"reason": str(exc)[:300]})
         is_empty = action == "start"
-        fields = {"zone": zone, "is_empty": is_empty, "is_known": zone in self._zones}
-        reply = self._client.call(Request(Operation.EVACUATE, fields), timeout_s=CONFIG_TIMEOUT_S)
+        reply = self._send_evacuation(zone, is_empty, req)
         if isinstance(reply, Reply) and reply.code is ResultCode.NOT_FOUND:
             get_logger().warning("evacuation_refused", action=action, reason="unknown zone")
             return ApiResponse.from_json(404, {"reason": "there is no such zone"})
@@ -141,6 +140,25 @@
         get_logger().info("evacuation_acknowledged", zone=zone, is_empty=is_empty)
         return ApiResponse.from_json(200, {})
 
+    def _send_evacuation(self, zone: str, is_empty: bool, req: ApiRequest) -> Reply | Failure:
+        """Send an order with the number that the leader expects, which its first answer holds.
+
+        Failure: this process is paused before it reads the order, or between two messages. The
+        operator sends the order again elsewhere, and may withdraw it before this process goes on.
+        So the time is limited for all messages together, and the operator must still be there.
+        """
+        deadline = time.monotonic() + CONFIG_TIMEOUT_S
+        fields: dict[str, Any] = {"zone": zone, "is_empty": is_empty}
+        fields["is_known"] = zone in self._zones
+        while True:
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0 or req.is_client_disconnected():
+                return Failure(ResultCode.TIMED_OUT, "nobody waits for the order any more")
+            reply = self._client.call(Request(Operation.EVACUATE, fields), timeout_s=remaining_s)
+            if isinstance(reply, Failure) or "number" not in reply.fields:
+                return reply
+            fields["number"] = reply.fields["number"]
+
     @staticmethod
     def _unavailable(event: str, subject: str, reply: Reply | Failure) -> ApiResponse:
         get_logger().info(event, subject=subject, code=reply.code.label)
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -177,7 +177,7 @@
         control_port=Address.parse(cfg.listen.control).port,
         zones=cfg.zones,
     )
-    _serve(control.handle, cfg.listen.control, CONTROL_THREADS, "control")
+    _serve(control.handle, cfg.listen.control, CONTROL_THREADS, "control", lookahead=1)
     _serve_metrics(cfg, board, AUTHORITY_COUNTERS)
     get_logger().info(
         "started",
@@ -226,12 +226,14 @@
     address: str,
     threads: int,
     name: str,
+    lookahead: int = 0,
 ) -> HttpServer:
     server = HttpServer(
         app=application(handler),
         address=Address.parse(address),
         threads=threads,
         name=name,
+        lookahead=lookahead,
     )
     server.start()
     return server
--- a/tests/test_offer_index.py
+++ b/tests/test_offer_index.py
@@ -29,7 +29,7 @@
     """Return the offers by service and identity from a walk over all upstreams."""
     found: dict[str, dict[str, UpstreamOffer]] = {}
     for upstream in fleet.values():
-        free, state = upstream.free, upstream.state
+        free, state = upstream.offered(now), upstream.state
         is_full = free.cpu_milli <= 0 and free.memory_mb <= 0
         if is_full or free.cpu_milli < least_milli or not upstream.is_usable(now):
             continue
@@ -83,6 +83,10 @@
                 task = TaskKey("a", 0, 0, self.tasks)
                 size = Resources(1000 * (1 + value), 64, 0)
                 upstream.add(Run(task=task, number=1, size=size, expected_ms=1.0, now=self.now))
+            case 14:
+                upstream.cold_until = self.now + (value % 3) / 10
+            case 15:
+                upstream.is_evacuated = value % 3 == 0
             case _ if upstream.runs:
                 task = list(upstream.runs)[value % len(upstream.runs)]
                 if kind == 11:
@@ -92,7 +96,7 @@
 
 
 STEPS = st.lists(
-    st.tuples(st.integers(0, 13), st.sampled_from(NAMES), st.integers(0, 11)),
+    st.tuples(st.integers(0, 15), st.sampled_from(NAMES), st.integers(0, 11)),
     min_size=20,
     max_size=60,
 )
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -155,6 +155,7 @@
         clock_rate: float = 1.0,
         service: str = "s",
         address: str = "",
+        zone: str = "z",
     ) -> ModelUpstream:
         """Add an upstream and announce it to the authority; it gets an address if none is given."""
         state = UpstreamState(
@@ -162,7 +163,7 @@
             int(self.clock.now() * 1000),
             address or f"10.0.0.1:{self._ports.setdefault(name, len(self._ports) + 1)}",
             service,
-            "z",
+            zone,
             cpu_milli,
             32_768,
             0,
