Name the term in the number of an order for a zone

A number was an index in the log. One of an order that its leader proposed and never committed could be that of an entry of a later leader, which would then take a delayed message for a new one.

--- a/kumquatlift/authority/_evacuation.py
+++ b/kumquatlift/authority/_evacuation.py
@@ -80,17 +80,20 @@
     the number that its sender has just asked for, so the delayed one is found to be out of date.
 
     Args:
+        term: Term of the leader. As it is a part of the number, no later leader takes an order that
+            names the index of an entry that was never committed.
         evacuations: Returns the emptied zones of the replicated state.
     """
 
-    def __init__(self, *, evacuations: Callable[[], Evacuations]) -> None:
+    def __init__(self, *, term: int, evacuations: Callable[[], Evacuations]) -> None:
+        self._term = term
         self._evacuations = evacuations
         self._proposed = 0
 
     @property
-    def newest(self) -> int:
+    def newest(self) -> str:
         """Number of the newest order, committed or not."""
-        return max(self._proposed, self._evacuations().number)
+        return f"{self._term}.{max(self._proposed, self._evacuations().number)}"
 
     def record(self, index: int | None) -> None:
         """Record the log index of an order that is proposed; None if it was not."""
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -64,7 +64,7 @@
         self._attempts = attempts
         # Log indexes of the submitted jobs that are not committed yet, by job.
         self._open_submits: dict[str, int] = {}
-        self._evacuation_number = OrderNumber(evacuations=lambda: state.evacuations)
+        self._evacuation_number = OrderNumber(term=term, evacuations=lambda: state.evacuations)
 
     def handle(self, request: Request, answer: ReplyCallback) -> None:
         """Answer a request, either at once or after a commit or the end of a job.
