--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -184,7 +184,6 @@
             config=self._state.routing.cfg.version,
             evacuated=",".join(self._state.evacuations.zones),
         )
-        self._section.put("evacuated_zones", len(self._state.evacuations))
 
     def close(self) -> None:
         """Send no more orders, as the term of this leader is over."""
@@ -307,7 +306,6 @@
         for upstream in self.fleet.values():
             self._update_zone(upstream)
         self._meter.forget()
-        self._section.put("evacuated_zones", len(self._state.evacuations))
         self.runs.needs_placing = True
 
     def _update_zone(self, upstream: Upstream) -> None:
