--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -14,6 +14,7 @@
     CommandKind,
     UpstreamState,
 )
+from kumquatlift.authority._evacuation import OrderNumber, evacuation_command
 from kumquatlift.authority._leader import Leader
 from kumquatlift.authority._serving import Queue
 from kumquatlift.authority._state import Applied, State, job_of
@@ -63,6 +64,7 @@
         self._attempts = attempts
         # Log indexes of the submitted jobs that are not committed yet, by job.
         self._open_submits: dict[str, int] = {}
+        self._evacuation_number = OrderNumber(term=term, evacuations=lambda: state.evacuations)
 
     def handle(self, request: Request, answer: ReplyCallback) -> None:
         """Answer a request, either at once or after a commit or the end of a job.
@@ -92,9 +94,12 @@
                 cfg = self._state.routing.cfg
                 answer(Reply(ResultCode.ACCEPTED, {"version": cfg.version, "source": cfg.source}))
             case Operation.ANNOUNCE:
-                self._announce(UpstreamState(*fields["upstream"]), answer)
+                cold_s = fields.get("cold_ms", 0) / 1000
+                self._announce(UpstreamState(*fields["upstream"]), cold_s, answer)
             case Operation.LEAVE:
                 self._leave(fields, answer)
+            case Operation.EVACUATE:
+                self._evacuate(fields, answer)
             case Operation.WHO_LEADS:
                 raise ValueError("each instance answers this operation itself")
 
@@ -289,7 +294,27 @@
         )
         self._commit(command, answer)
 
-    def _announce(self, upstream: UpstreamState, answer: ReplyCallback) -> None:
+    def _evacuate(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
+        """Empty a zone or take it back, if the order names the number of the newest one.
+
+        Otherwise the answer holds that number. Each order is committed, also one that changes
+        nothing: the state may be about to change by an order that isn't committed yet.
+        """
+        zone, is_empty = fields["zone"], bool(fields["is_empty"])
+        upstreams = self._state.upstreams.values()
+        is_known = fields.get("is_known") or zone in self._state.evacuations
+        if not is_known and not any(each.zone == zone for each in upstreams):
+            answer(Reply(ResultCode.NOT_FOUND, {"reason": "there is no such zone"}))
+            return
+        number = self._evacuation_number.newest
+        if fields.get("number") != number:
+            answer(Reply(ResultCode.ACCEPTED, {"number": number}))
+            return
+        get_logger().info("evacuation_proposed", zone=zone, is_empty=is_empty)
+        index = self._commit(evacuation_command(zone, is_empty=is_empty), answer)
+        self._evacuation_number.record(index)
+
+    def _announce(self, upstream: UpstreamState, cold_s: float, answer: ReplyCallback) -> None:
         upstream = upstream._replace(labels=tuple(upstream.labels))
         known = self._state.upstreams.get(upstream.upstream_id)
         latest_ms = self._state.wall_ms() + MAX_START_AHEAD_MS
@@ -306,7 +331,7 @@
             # A delayed announcement of a previous incarnation.
             answer(_DONE)
             return
-        self._leader.record_contact(upstream.upstream_id)
+        self._leader.record_contact(upstream.upstream_id, cold_s)
         if (
             known is not None
             and upstream.started_at_ms == known.started_at_ms
--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -1,9 +1,12 @@
-"""The replicated state: configuration, jobs and upstreams; only committed commands change it."""
+"""The replicated state: configuration, jobs, upstreams and emptied zones.
+
+Only committed commands change it.
+"""
 
 import json
 import time
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from kumquatlift.authority._commands import (
     Command,
@@ -13,6 +16,7 @@
     TaskKey,
     UpstreamState,
 )
+from kumquatlift.authority._evacuation import Evacuations
 from kumquatlift.authority._serving import ConfigReader, RoutingTable, ServingConfig
 from kumquatlift.authority._work import MAX_REPEATED_TASKS, Job, JobSpec, JobState
 from kumquatlift.log import get_logger
@@ -54,6 +58,7 @@
         self.routing = RoutingTable(cfg=ServingConfig())
         self.jobs: dict[str, Job] = {}
         self.upstreams: dict[str, UpstreamState] = {}
+        self.evacuations = Evacuations()
 
     def wall_ms(self) -> int:
         """Return the time of day in Unix milliseconds."""
@@ -99,6 +104,14 @@
                     del self.upstreams[known.upstream_id]
             case CommandKind.FORGET:
                 self._forget(fields["ended_before_ms"])
+            case CommandKind.EVACUATION:
+                if self.evacuations.apply(index, fields):
+                    get_logger().info(
+                        "evacuation_in_force",
+                        zone=fields["zone"],
+                        is_empty=fields["is_empty"],
+                        index=index,
+                    )
         return applied
 
     def _add_job(self, term: int, command: Command) -> Job:
@@ -141,11 +154,13 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state as JSON."""
-        plain = {
+        plain: dict[str, Any] = {
             "config": self.routing.cfg.source,
             "jobs": [job.to_plain() for job in self.jobs.values()],
             "upstreams": list(self.upstreams.values()),
         }
+        if self.evacuations.number:
+            plain["evacuations"] = self.evacuations.to_plain()
         return json.dumps(plain, separators=(",", ":")).encode()
 
     def restore(self, data: bytes) -> None:
@@ -154,33 +169,32 @@
         Raises:
             ValueError: The bytes can't be read. The state is as it was before.
         """
+        restored = State(read_config=self._read_config, wall_clock=self._wall_clock)
         try:
-            routing, jobs, upstreams = self._read(data)
+            if data:
+                restored._load(json.loads(data))
         except (ArithmeticError, AttributeError, LookupError, RecursionError, TypeError) as exc:
             raise ValueError(f"unreadable state: {exc!r}") from exc
-        self._reset()
-        self.routing = routing
-        self.jobs = {job.job_id: job for job in jobs}
-        for upstream in upstreams:
-            self._add_upstream(upstream)
-
-    def _read(self, data: bytes) -> tuple[RoutingTable, list[Job], list[UpstreamState]]:
-        routing = RoutingTable(cfg=ServingConfig())
-        if not data:
-            return routing, [], []
-        plain = json.loads(data)
+        self.routing = restored.routing
+        self.jobs = restored.jobs
+        self.upstreams = restored.upstreams
+        self.evacuations = restored.evacuations
+
+    def _load(self, plain: dict[str, Any]) -> None:
+        """Fill the initial state with what a snapshot holds."""
         if plain["config"]:
             try:
-                routing = RoutingTable(cfg=self._read_config(plain["config"]))
+                self.routing = RoutingTable(cfg=self._read_config(plain["config"]))
             except ValueError as exc:
                 # Without a configuration, the operator sends it again; an error here would set the
                 # jobs aside as well.
                 get_logger().error("config_not_restored", error=str(exc)[:300])
-        jobs = [Job.from_plain(row) for row in plain["jobs"]]
-        upstreams = [UpstreamState(*row) for row in plain["upstreams"]]
-        for upstream in upstreams:
-            tuple(upstream.labels)
-        return routing, jobs, upstreams
+        for row in plain["jobs"]:
+            job = Job.from_plain(row)
+            self.jobs[job.job_id] = job
+        for row in plain["upstreams"]:
+            self._add_upstream(UpstreamState(*row))
+        self.evacuations = Evacuations.from_plain(plain.get("evacuations", [0, []]))
 
 
 def job_of(command: Command, term: int, *, is_logged: bool = True) -> Job:
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -177,9 +177,13 @@
     loop.after_batch(replica.flush)
     channel.handle_inline(Topic.AUTHORITY, authority_handler(authority.handle_request))
     client = LeaderClient(channel=channel, timer=timer, contacts=cfg.contacts)
-    control = Control(client=client, control_port=Address.parse(cfg.listen.control).port)
+    control = Control(
+        client=client,
+        control_port=Address.parse(cfg.listen.control).port,
+        zones=cfg.zones,
+    )
     requests = OpenRequests(handler=control.handle)
-    _serve(requests.handle, cfg.listen.control, CONTROL_THREADS, "control")
+    _serve(requests.handle, cfg.listen.control, CONTROL_THREADS, "control", lookahead=1)
     _serve_metrics(cfg, board, AUTHORITY_COUNTERS)
     get_logger().info(
         "started",
@@ -229,12 +233,14 @@
     address: str,
     threads: int,
     name: str,
+    lookahead: int = 0,
 ) -> HttpServer:
     server = HttpServer(
         app=application(handler),
         address=Address.parse(address),
         threads=threads,
         name=name,
+        lookahead=lookahead,
     )
     server.start()
     return server
--- a/kumquatlift/platform/_settings.py
+++ b/kumquatlift/platform/_settings.py
@@ -83,6 +83,7 @@
         listen: Addresses on which the process listens.
         bounds: Limits and guarantees of the platform.
         admission: How jobs are accepted while a service is full.
+        zones: All availability zones, in which upstreams may be.
     """
 
     name: str
@@ -96,6 +97,7 @@
     listen: Listen
     bounds: Bounds
     admission: Admission = Admission()
+    zones: tuple[str, ...] = ()
 
     @classmethod
     def from_text(cls, text: str) -> "PlatformSettings":
