Refuse no job that an earlier leader may have started

Cause: after a first leader without an answer, the client passed 404 and 400 of the next one on, which knows neither the job nor, once the route was removed, its queue. The new leader looked for the queue before it looked for runs, and kept no dropped queue. Change: every refusal of a resent submission is an unknown outcome; a resent submission says so (is_resent) and is held while recovery is open, if it would be refused; the replicated state keeps dropped queues, so that jobs that run, and stored ones, are finished. An error while a job is added is no fault of its request.

--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -32,6 +32,8 @@
 ELECTION_S = 0.9
 # Interval at which a waiting request checks whether the leader was lost or its caller has gone.
 CHECK_INTERVAL_S = 0.1
+# Codes of replies that say that a submitted job has not run.
+REFUSALS = frozenset({ResultCode.OVERLOADED, ResultCode.UNKNOWN_SERVICE, ResultCode.MALFORMED})
 
 
 class LeaderClient:
@@ -70,7 +72,8 @@
     ) -> Reply | Failure:
         """Send a request and wait for its reply; resend it when a leader doesn't answer.
 
-        Requests are idempotent, so resending one is safe.
+        Requests are idempotent, so resending one is safe. A submission that an earlier leader may
+        have received carries the field ``is_resent``.
 
         Args:
             request: The request.
@@ -95,6 +98,8 @@
             remaining_s = deadline - time.monotonic()
             if not target or remaining_s <= 0:
                 break
+            if is_sent and request.operation is Operation.SUBMIT:
+                body = request._replace(fields={**request.fields, "is_resent": True}).to_bytes()
             answer = self._attempt(target, body, min(remaining_s, attempt_s), is_abandoned)
             if isinstance(answer, Failure):
                 is_sent = is_sent or answer.code is not ResultCode.NOT_DELIVERED
@@ -107,9 +112,10 @@
                 self._drop_leader(target)
                 continue
             self._record_leader(target)
-            if is_sent and reply.code is ResultCode.OVERLOADED:
+            if is_sent and request.operation is Operation.SUBMIT and reply.code in REFUSALS:
                 # A refusal would mean that the job has not run, but an earlier leader may have
                 # started it.
+                get_logger().info("refusal_unproven", leader=target, code=reply.code.label)
                 break
             return reply
         if is_sent:
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -119,6 +119,8 @@
         # Jobs that are not in the log. Ended ones are kept for callers that submit them again.
         self.unlogged: dict[str, Job] = {}
         self._on_closed = on_closed
+        # Is called when the runs of earlier leaders are known, or over.
+        self.on_recovered: Callable[[], None] = lambda: None
         self.runs = Runs(
             state=state,
             find_job=self.find_job,
@@ -212,6 +214,11 @@
     def _expected(self, queue: str, spec: JobSpec) -> tuple[float, ...]:
         return tuple(self.estimates.expected_ms(queue, step.estimate_ms) for step in spec.steps)
 
+    @property
+    def is_recovering(self) -> bool:
+        """Whether runs of earlier leaders may be unknown."""
+        return self._recovery.is_open
+
     def find_job(self, job_id: str) -> Job | None:
         """Return a job by its identity, whether it is in the log or not."""
         return self.unlogged.get(job_id) or self._state.jobs.get(job_id)
@@ -224,7 +231,7 @@
             self._add_job(job)
 
     def _add_job(self, job: Job) -> None:
-        queue = self._state.routing.by_key.get(job.queue)
+        queue = self._state.queue_of(job.queue)
         expected = self._expected(job.queue, job.spec)
         age_s = max(0.0, (self._state.wall_ms() - job.accepted_at_ms) / 1000)
         self._arrivals += 1
@@ -455,3 +462,4 @@
         )
         for progress in list(self.progress.values()):
             self.runs.release(progress)
+        self.on_recovered()
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -63,6 +63,10 @@
         self._attempts = attempts
         # Log indexes of the submitted jobs that are not committed yet, by job.
         self._open_submits: dict[str, int] = {}
+        # Submissions that earlier leaders may have received and that this one would refuse. They
+        # wait until the runs of earlier leaders are known.
+        self._held: list[tuple[dict[str, Any], ReplyCallback]] = []
+        leader.on_recovered = self._submit_held
 
     def handle(self, request: Request, answer: ReplyCallback) -> None:
         """Answer a request, either at once or after a commit or the end of a job.
@@ -118,8 +122,13 @@
         """Tell all waiting callers that the result is unknown because the leader has changed."""
         waiters, self._waiters = self._waiters, {}
         self._open_submits.clear()
+        held, self._held = self._held, []
         unknown = Reply(ResultCode.CLAIM_UNKNOWN, {"reason": "leadership changed"})
-        for waiter in (*itertools.chain(*waiters.values()), *self._attempts.pop_all()):
+        for waiter in (
+            *itertools.chain(*waiters.values()),
+            *self._attempts.pop_all(),
+            *(answer for _, answer in held),
+        ):
             waiter(unknown)
 
     def _commit(self, command: Command, answer: ReplyCallback) -> int | None:
@@ -157,13 +166,13 @@
             )
             self._answer_known(known, fields, answer)
             return
-        queue = self._find_queue(fields, answer)
-        if queue is None:
-            return
         open_index = self._open_submits.get(job_id)
         if open_index is not None:
             self._waiters.setdefault(open_index, []).append(answer)
             return
+        queue = self._find_queue_of_submission(fields, answer)
+        if queue is None:
+            return
         spec = JobSpec.from_plain(fields["spec"])
         decision = self._leader.decide_admission(queue, spec)
         is_full = len(self._state.jobs) + len(self._leader.unlogged) >= MAX_JOBS
@@ -171,6 +180,8 @@
         reason = TOO_MANY_JOBS if is_full else decision.cause.value
         # A refusal says that the job has not run, which is not true of a job with orphaned runs.
         if is_refused and not self._leader.runs.orphans.has_started(job_id):
+            if self._is_held(fields, answer):
+                return
             get_logger().info(
                 "job_refused",
                 job=job_id,
@@ -205,8 +216,9 @@
         )
         index = None
         if spec.answers_at_end:
+            job = job_of(command, self._term, is_logged=False)
             self._attempts.add(job_id, attempt, answer, wait_s=_wait_s(fields))
-            self._leader.add_job(job_of(command, self._term, is_logged=False))
+            self._add_unlogged(job)
         else:
             index = self._commit(command, answer)
             if index is not None:
@@ -223,6 +235,49 @@
         )
         self._section.count("jobs_accepted")
 
+    def _add_unlogged(self, job: Job) -> None:
+        try:
+            self._leader.add_job(job)
+        except (KeyError, TypeError, ValueError) as exc:
+            # Such errors count as faults of the request, whose answer says that it has not run.
+            raise RuntimeError(f"{job.job_id} may run: {exc!r}") from exc
+
+    def _find_queue_of_submission(
+        self, fields: dict[str, Any], answer: ReplyCallback
+    ) -> Queue | None:
+        """Return the queue of a submission; if there is none, answer it and return None.
+
+        What an earlier leader accepted stays accepted when its queue is dropped. A job that the
+        caller itself submits again then gets no further runs, but isn't refused either.
+        """
+        host, path = fields["host"], fields["path"]
+        if self._state.routing.find(host, path) is not None:
+            return self._find_queue(fields, answer)
+        if self._leader.runs.orphans.has_started(fields["job"]):
+            former = self._state.find_former_queue(host, path)
+            if former is None or not fields.get("is_resent"):
+                answer(Reply(ResultCode.TIMED_OUT, {"reason": "its queue was dropped"}))
+                return None
+            get_logger().info("former_queue_used", job=fields["job"], queue=former.name)
+            return former
+        return None if self._is_held(fields, answer) else self._find_queue(fields, answer)
+
+    def _is_held(self, fields: dict[str, Any], answer: ReplyCallback) -> bool:
+        """Keep a submission that may run already until this is known; return whether it is kept."""
+        if not fields.get("is_resent") or not self._leader.is_recovering:
+            return False
+        self._section.count("submits_held")
+        self._held.append((fields, answer))
+        return True
+
+    def _submit_held(self) -> None:
+        held, self._held = self._held, []
+        for fields, answer in held:
+            try:
+                self._submit(fields, answer)
+            except (KeyError, TypeError, ValueError) as exc:
+                answer(Reply(ResultCode.MALFORMED, {"reason": repr(exc)}))
+
     def _answer_known(self, job: Job, fields: dict[str, Any], answer: ReplyCallback) -> None:
         """Answer a submission of a known job as it asks for, at once or at the end of the job."""
         if not JobSpec.from_plain(fields["spec"]).answers_at_end:
--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -13,10 +13,14 @@
     TaskKey,
     UpstreamState,
 )
-from kumquatlift.authority._serving import ConfigReader, RoutingTable, ServingConfig
+from kumquatlift.authority._serving import ConfigReader, Queue, RoutingTable, ServingConfig
 from kumquatlift.authority._work import MAX_REPEATED_TASKS, Job, JobSpec, JobState
 from kumquatlift.log import get_logger
 
+# Queues that later configurations dropped are kept for the jobs that they accepted, up to this many
+# beside those of open jobs in the log.
+MAX_FORMER_QUEUES = 200
+
 
 class Applied(NamedTuple):
     """A committed command and its effect.
@@ -52,6 +56,8 @@
 
     def _reset(self) -> None:
         self.routing = RoutingTable(cfg=ServingConfig())
+        # Queues that are in force no more, by key, the latest dropped last.
+        self.former_queues: dict[str, Queue] = {}
         self.jobs: dict[str, Job] = {}
         self.upstreams: dict[str, UpstreamState] = {}
 
@@ -80,7 +86,9 @@
         match command.kind:
             case CommandKind.CONFIG:
                 if fields["version"] > self.routing.cfg.version:
+                    former = self.routing
                     self.routing = RoutingTable(cfg=self._read_config(fields["source"]))
+                    self._keep_former_queues(former)
                     get_logger().info("config_in_force", version=fields["version"], index=index)
             case CommandKind.JOB:
                 applied = applied._replace(job=self._add_job(term, command))
@@ -101,6 +109,28 @@
                 self._forget(fields["ended_before_ms"])
         return applied
 
+    def queue_of(self, key: str) -> Queue | None:
+        """Return the queue with a key, in force or dropped; None if it is unknown."""
+        return self.routing.by_key.get(key) or self.former_queues.get(key)
+
+    def find_former_queue(self, host: str, path: str) -> Queue | None:
+        """Return the dropped queue with the longest prefix of a path, or None."""
+        queues = tuple(self.former_queues.values())
+        return RoutingTable(cfg=ServingConfig(queues=queues)).find(host, path)
+
+    def _keep_former_queues(self, former: RoutingTable) -> None:
+        for key, queue in former.by_key.items():
+            self.former_queues.pop(key, None)
+            self.former_queues[key] = queue
+        for key in self.routing.by_key:
+            self.former_queues.pop(key, None)
+        excess = len(self.former_queues) - MAX_FORMER_QUEUES
+        if excess > 0:
+            in_use = {job.queue for job in self.jobs.values() if job.is_open}
+            unused = [key for key in self.former_queues if key not in in_use]
+            for key in unused[:excess]:
+                del self.former_queues[key]
+
     def _add_job(self, term: int, command: Command) -> Job:
         fields = command.fields
         known = self.jobs.get(fields["job"])
@@ -143,6 +173,7 @@
         """Return the whole state as JSON."""
         plain = {
             "config": self.routing.cfg.source,
+            "former_queues": list(self.former_queues.values()),
             "jobs": [job.to_plain() for job in self.jobs.values()],
             "upstreams": list(self.upstreams.values()),
         }
@@ -161,6 +192,10 @@
                 # Without a configuration, the operator sends it again; an error here would end the
                 # process at each start.
                 get_logger().error("config_not_restored", error=str(exc)[:300])
+        # Earlier versions keep no dropped queues.
+        for row in plain.get("former_queues", ()):
+            queue = Queue(*row)
+            self.former_queues[queue.key] = queue
         for row in plain["jobs"]:
             job = Job.from_plain(row)
             self.jobs[job.job_id] = job
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -24,6 +24,7 @@
         self.unanswering: set[str] = set()
         self.called_peers: list[str] = []
         self.probes = 0
+        self.submits: list[dict[str, object]] = []
         self.reply = Reply(ResultCode.ACCEPTED)
 
     def call(
@@ -33,6 +34,8 @@
         request = Request.from_bytes(body)
         if request.operation is not Operation.WHO_LEADS:
             self.called_peers.append(peer)
+            if request.operation is Operation.SUBMIT:
+                self.submits.append(request.fields)
         else:
             self.probes += 1
         if peer in self.unanswering:
@@ -144,8 +147,11 @@
         assert reply.code is ResultCode.NOT_DELIVERED
         assert channel.called_peers == []
 
+    @pytest.mark.parametrize(
+        "code", [ResultCode.OVERLOADED, ResultCode.UNKNOWN_SERVICE, ResultCode.MALFORMED]
+    )
     def test_a_refusal_after_a_lost_leader_is_reported_as_unknown(
-        self, timer: Timer, monkeypatch: pytest.MonkeyPatch
+        self, timer: Timer, monkeypatch: pytest.MonkeyPatch, code: ResultCode
     ) -> None:
         """Guards against reporting a job as refused that the lost leader may have started."""
         monkeypatch.setattr(client_module, "ELECTION_S", 3.0)
@@ -154,7 +160,22 @@
         assert wait_for_leader(client) == "n1"
         channel.unanswering.add("n1")
         channel.leader = "n2"
-        channel.reply = Reply(ResultCode.OVERLOADED, {"retry_after_ms": 100})
+        channel.reply = Reply(code, {"retry_after_ms": 100})
         reply = client.call(Request(Operation.SUBMIT, {"job": "a"}), timeout_s=5.0, attempt_s=5.0)
         assert isinstance(reply, Failure)
         assert reply.code is ResultCode.TIMED_OUT
+        # The second leader is told that the first one may have received the submission.
+        assert [each.get("is_resent", False) for each in channel.submits] == [False, True]
+
+    @pytest.mark.parametrize(
+        "code", [ResultCode.OVERLOADED, ResultCode.UNKNOWN_SERVICE, ResultCode.MALFORMED]
+    )
+    def test_a_refusal_by_the_first_leader_is_passed_on(
+        self, timer: Timer, code: ResultCode
+    ) -> None:
+        channel = ScriptedChannel(leader="n1", members=("n1",))
+        channel.reply = Reply(code)
+        client = LeaderClient(channel=channel, timer=timer, contacts=("n1",))
+        assert wait_for_leader(client) == "n1"
+        reply = client.call(Request(Operation.SUBMIT, {"job": "a"}), timeout_s=5.0)
+        assert reply == Reply(code)
--- a/tests/users_platform/test_answers_across_leaders.py
+++ b/tests/users_platform/test_answers_across_leaders.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from kumquatlift.authority import Operation, Reply, Request, TaskKey
+from kumquatlift.authority import JobSpec, Operation, Reply, Request, TaskKey
 from kumquatlift.codes import ResultCode
-from tests.authority_world import answered_at_end, job, make
+from tests.authority_world import QUEUE, answered_at_end, job, make
 from tools.fleet_model import FleetModel
 
 JOB = "a" * 16
@@ -25,6 +25,89 @@
     return reply.code, reply.fields.get("state", "")
 
 
+def submit_again(
+    world: FleetModel, job_id: str, spec: JobSpec, *, is_resent: bool = True
+) -> "Future[Reply]":
+    """Submit a job again: the frontend that waits for it, or else its caller."""
+    fields = {"job": job_id, "attempt": "x", "spec": spec.to_plain(), "zone": "z"}
+    route = {"host": "h", "path": f"/q/{job_id}"}
+    resent = {"is_resent": True} if is_resent else {}
+    return world.send_request(Request(Operation.SUBMIT, {**fields, **route, **resent}))
+
+
+class TestDroppedQueues:
+    """Jobs whose queue is dropped by a configuration before the leader changes."""
+
+    @pytest.mark.parametrize("delay_s", [0.0, 0.01, 0.2], ids=["at once", "soon", "known"])
+    def test_a_running_job_is_finished(self, delay_s: float) -> None:
+        """Guards against an answer that says "not run" of a job that runs."""
+        world = make()
+        world.submit(JOB, answered_at_end(2), work_ms=2000)
+        world.run(0.1)
+        world.configure(QUEUE._replace(prefix="/other/"))
+        world.change_leader(gap_s=0.4)
+        world.run(0.401 + delay_s)
+        again = submit_again(world, JOB, answered_at_end(2))
+        world.run(4.0)
+        assert told(again) == (ResultCode.ACCEPTED, "completed")
+        assert world.starts == 2
+
+    def test_a_running_job_that_its_caller_submits_again_is_not_refused(self) -> None:
+        world = make()
+        world.submit(JOB, answered_at_end(2), work_ms=2000)
+        world.run(0.1)
+        world.configure(QUEUE._replace(prefix="/other/"))
+        world.change_leader(gap_s=0.4)
+        world.run(0.6)
+        again = submit_again(world, JOB, answered_at_end(2), is_resent=False)
+        world.run(0.1)
+        assert told(again) == (ResultCode.TIMED_OUT, "")
+
+    def test_a_job_that_no_leader_has_started_is_refused_after_recovery(self) -> None:
+        """Guards against starting jobs of a dropped queue; the frontend tells an unknown outcome."""
+        world = make()
+        world.configure(QUEUE._replace(prefix="/other/"))
+        world.change_leader(gap_s=0.4)
+        world.run(0.401)
+        again = submit_again(world, JOB, answered_at_end(2))
+        assert not again.done()
+        world.run(0.4)
+        assert told(again) == (ResultCode.UNKNOWN_SERVICE, "")
+        assert world.starts == 0
+
+    @pytest.mark.parametrize("from_snapshot", [False, True], ids=["log", "snapshot"])
+    def test_a_stored_job_is_finished(self, from_snapshot: bool) -> None:
+        """Guards against a stored job that no leader finishes once its queue was dropped."""
+        world = make()
+        for upstream in world.upstreams.values():
+            upstream.is_reachable = False
+        world.submit(JOB, job(2), work_ms=300)
+        world.run(0.1)
+        world.configure(QUEUE._replace(prefix="/other/"))
+        if from_snapshot:
+            world.authority.restore(world.authority.snapshot())
+        for upstream in world.upstreams.values():
+            upstream.is_reachable = True
+        world.change_leader(gap_s=0.4)
+        world.run(4.0)
+        assert world.state_of(JOB) == "completed"
+
+    def test_a_submission_is_held_only_until_recovery_ends(self) -> None:
+        """Load: a leader is lost while an upstream can't be reached, and the queue is full."""
+        world = make()
+        world.upstreams["u0"].is_reachable = False
+        world.change_leader(gap_s=0.1)
+        world.run(0.4)
+        again = submit_again(world, JOB, answered_at_end(1))
+        first = submit_again(world, "b" * 16, answered_at_end(1), is_resent=False)
+        world._work[JOB] = (100.0, 6800)
+        world.run(0.02)
+        assert told(first) == (ResultCode.OVERLOADED, "")
+        assert not again.done()
+        world.run(2.0)
+        assert told(again) == (ResultCode.ACCEPTED, "completed")
+
+
 class TestAnswersAtTheEnd:
     """A job that its leader alone knows, submitted again after the leader is gone."""
 
