Keep a note of cancelled jobs that are not in the log

Cause: a job that isn't stored is known to its leader only. A new leader answered its cancelling with 410 and kept nothing of it, so the frontend that waited handed the job on and it ran; the same held for a cancelling that the first leader had acknowledged, or answered with the job's result, and whose frontend did not hear of it. Change: each cancelling is committed before it is answered, and the state keeps a note of an id that is not in the log, until FORGET drops it, 10,000 at most. Runs of such a job are stopped when they are listed.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -147,8 +147,8 @@
                 leader.add_job(applied.job)
             case CommandKind.ENDS:
                 leader.on_ends(applied.position, applied.ends)
-            case CommandKind.CANCEL if applied.job is not None:
-                leader.on_cancelled(applied.job)
+            case CommandKind.CANCEL:
+                leader.on_cancel(fields["job"])
             case CommandKind.UPSTREAM:
                 known = self.state.upstreams.get(fields["upstream"][0])
                 if known is not None:
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -255,6 +255,16 @@
             self.runs.recovering_jobs.add(job.job_id)
         self.runs.release(progress)
 
+    def on_cancel(self, job_id: str) -> None:
+        """Handle the committed cancelling of a job, which may not be in the log, or be unknown."""
+        job = self.find_job(job_id)
+        if job is None:
+            self.runs.orphans.drop(job_id)
+            return
+        if job.is_open:
+            job.close(JobState.CANCELLED, self._state.wall_ms())
+        self.on_cancelled(job)
+
     def on_cancelled(self, job: Job) -> None:
         """Stop the running tasks of a cancelled job."""
         progress = self.progress.get(job.job_id)
--- a/kumquatlift/authority/_orphans.py
+++ b/kumquatlift/authority/_orphans.py
@@ -61,8 +61,11 @@
             task: Task of the run.
             upstream: Upstream that it runs on.
             number: Number of the run.
-            keep_s: Time after which it is stopped if its job is still unknown, in seconds.
+            keep_s: Time after which it is stopped if its job is still unknown, in seconds. A run of
+                a cancelled job is stopped at once.
         """
+        if task.job in self._state.cancelled:
+            keep_s = 0.0
         run = OrphanRun(upstream, number, self._clock.now() + keep_s)
         self._runs.setdefault(task, {})[upstream.state.upstream_id] = run
 
@@ -86,6 +89,14 @@
         for task in job.done:
             self.record_end(TaskEnd(task, job.ended_run[task], EndReason.DONE))
 
+    def drop(self, job_id: str) -> None:
+        """Stop the runs of an unknown job, which was cancelled, at the next check."""
+        now = self._clock.now()
+        for task in [task for task in self._runs if task.job == job_id]:
+            runs = self._runs[task]
+            for upstream_id, run in runs.items():
+                runs[upstream_id] = run._replace(keep_until=now)
+
     def find(self, task: TaskKey, upstream: Upstream) -> OrphanRun | None:
         """Return the run of a task on an upstream if its job is unknown, else None."""
         return self._runs.get(task, {}).get(upstream.state.upstream_id)
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -16,7 +16,7 @@
 )
 from kumquatlift.authority._leader import Leader
 from kumquatlift.authority._serving import Queue
-from kumquatlift.authority._state import Applied, State, job_of
+from kumquatlift.authority._state import Applied, CancelNote, State, job_of
 from kumquatlift.authority._work import RESULT_STATES, Job, JobSpec, JobState
 from kumquatlift.blackboard import Section
 from kumquatlift.codes import ResultCode
@@ -170,6 +170,11 @@
         if open_index is not None:
             self._waiters.setdefault(open_index, []).append(answer)
             return
+        note = self._state.cancelled.get(job_id)
+        if note is not None and JobSpec.from_plain(fields["spec"]).answers_at_end:
+            get_logger().info("cancelled_job_submitted", job=job_id, attempt=attempt)
+            answer(_result_reply(note))
+            return
         queue = self._find_queue_of_submission(fields, answer)
         if queue is None:
             return
@@ -223,6 +228,9 @@
             index = self._commit(command, answer)
             if index is not None:
                 self._open_submits[job_id] = index
+                if note is not None:
+                    # For replicas of earlier versions, which keep no note of the cancelling.
+                    self._propose(Command(CommandKind.CANCEL, {"job": job_id, "at_ms": note.at_ms}))
         get_logger().info(
             "job_accepted",
             job=job_id,
@@ -295,28 +303,37 @@
     def _status(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
         job = self._leader.find_job(fields["job"])
         if job is None:
-            answer(Reply(ResultCode.NOT_FOUND))
+            note = self._state.cancelled.get(fields["job"])
+            answer(_cancel_reply(note.state if note is not None else ""))
             return
         state = "running" if job.is_open and job.is_started else job.state
         answer(Reply(ResultCode.ACCEPTED, {"state": state}))
 
     def _cancel(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
-        job = self._leader.find_job(fields["job"])
-        if job is None and fields["job"] not in self._open_submits:
-            answer(Reply(ResultCode.NOT_FOUND))
+        """Cancel a job; the answer binds the leaders that follow, so it waits for a commit.
+
+        That holds for a job that isn't in the log and for an unknown one, too: a frontend may wait
+        to hand it on to the next leader.
+        """
+        job_id = fields["job"]
+        job = self._leader.find_job(job_id)
+        note = self._state.cancelled.get(job_id)
+        if job is not None and job.is_logged and not job.is_open:
+            answer(_cancel_reply(job.state))
             return
-        if job is not None and not job.is_open:
-            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
+        if note is not None and (job is None or not job.is_open):
+            answer(_cancel_reply(note.state))
             return
-        get_logger().info("job_cancelled", job=fields["job"])
+        is_known = job is not None or job_id in self._open_submits
+        get_logger().info("job_cancelled", job=job_id, is_known=is_known)
         self._section.count("cancels")
+        command_fields = {"job": job_id, "at_ms": self._state.wall_ms()}
         if job is not None and not job.is_logged:
-            job.close(JobState.CANCELLED, self._state.wall_ms())
-            self._leader.on_cancelled(job)
-            answer(Reply(ResultCode.ACCEPTED, {"state": job.state}))
-            return
-        fields = {"job": fields["job"], "at_ms": self._state.wall_ms()}
-        self._commit(Command(CommandKind.CANCEL, fields), answer)
+            if job.is_open:
+                job.close(JobState.CANCELLED, self._state.wall_ms())
+                self._leader.on_cancelled(job)
+            command_fields["state"] = job.state
+        self._commit(Command(CommandKind.CANCEL, command_fields), answer)
 
     def _withdraw(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
         """Remove a submission whose caller has left; abandon its job if no other one waits."""
@@ -415,12 +432,17 @@
     if applied.command.kind is not CommandKind.CANCEL:
         return _DONE
     if applied.job is None:
-        return Reply(ResultCode.NOT_FOUND)
-    return Reply(ResultCode.ACCEPTED, {"state": applied.job.state})
+        return _cancel_reply(applied.command.fields.get("state", ""))
+    return _cancel_reply(applied.job.state)
+
+
+def _cancel_reply(state: str) -> Reply:
+    """Return the reply to a request about one job; an empty state stands for an unknown job."""
+    return Reply(ResultCode.ACCEPTED, {"state": state}) if state else Reply(ResultCode.NOT_FOUND)
 
 
-def _result_reply(job: Job) -> Reply:
-    """Return the reply to a submission of a job that has ended."""
+def _result_reply(job: Job | CancelNote) -> Reply:
+    """Return the reply to a submission of a job that has ended, or was cancelled."""
     if job.state == JobState.REFUSED:
         fields = {"retry_after_ms": MIN_RETRY_MS, "reason": WAITED_TOO_LONG}
         return Reply(ResultCode.OVERLOADED, fields)
--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -20,6 +20,20 @@
 # Queues that later configurations dropped are kept for the jobs that they accepted, up to this many
 # beside those of open jobs in the log.
 MAX_FORMER_QUEUES = 200
+# Limit for the notes of cancelled jobs that are not in the log.
+MAX_CANCEL_NOTES = 10_000
+
+
+class CancelNote(NamedTuple):
+    """Note that a job that isn't in the log was cancelled, so that no later leader starts it.
+
+    Args:
+        at_ms: Time of the cancelling, Unix milliseconds.
+        state: State in which the job ended; empty if the leader didn't know the job.
+    """
+
+    at_ms: int
+    state: str
 
 
 class Applied(NamedTuple):
@@ -59,6 +73,8 @@
         # Queues that are in force no more, by key, the latest dropped last.
         self.former_queues: dict[str, Queue] = {}
         self.jobs: dict[str, Job] = {}
+        # By job, the oldest first.
+        self.cancelled: dict[str, CancelNote] = {}
         self.upstreams: dict[str, UpstreamState] = {}
 
     def wall_ms(self) -> int:
@@ -95,10 +111,7 @@
             case CommandKind.ENDS:
                 applied = applied._replace(ends=self._end_tasks(command))
             case CommandKind.CANCEL:
-                job = self.jobs.get(fields["job"])
-                if job is not None and job.is_open:
-                    job.close(JobState.CANCELLED, fields["at_ms"])
-                applied = applied._replace(job=job)
+                applied = applied._replace(job=self._cancel(command))
             case CommandKind.UPSTREAM:
                 self._add_upstream(UpstreamState(*fields["upstream"]))
             case CommandKind.UPSTREAM_LEFT:
@@ -137,9 +150,25 @@
         if known is not None:
             return known
         job = job_of(command, term)
+        note = self.cancelled.get(job.job_id)
+        if note is not None:
+            job.close(JobState.CANCELLED, note.at_ms)
         self.jobs[job.job_id] = job
         return job
 
+    def _cancel(self, command: Command) -> Job | None:
+        job_id, at_ms = command.fields["job"], command.fields["at_ms"]
+        job = self.jobs.get(job_id)
+        if job is None:
+            # Leaders of earlier versions give no state.
+            note = CancelNote(at_ms, command.fields.get("state", ""))
+            self.cancelled.setdefault(job_id, note)
+            if len(self.cancelled) > MAX_CANCEL_NOTES:
+                del self.cancelled[next(iter(self.cancelled))]
+        elif job.is_open:
+            job.close(JobState.CANCELLED, at_ms)
+        return job
+
     def _end_tasks(self, command: Command) -> tuple[TaskEnd, ...]:
         # All rows are read before the first one takes effect, so that a command is either applied
         # in full or skipped.
@@ -168,12 +197,16 @@
         ]
         for job_id in old:
             del self.jobs[job_id]
+        notes = [each for each, note in self.cancelled.items() if note.at_ms < ended_before_ms]
+        for job_id in notes:
+            del self.cancelled[job_id]
 
     def snapshot(self) -> bytes:
         """Return the whole state as JSON."""
         plain = {
             "config": self.routing.cfg.source,
             "former_queues": list(self.former_queues.values()),
+            "cancelled": [[job_id, *note] for job_id, note in self.cancelled.items()],
             "jobs": [job.to_plain() for job in self.jobs.values()],
             "upstreams": list(self.upstreams.values()),
         }
@@ -192,7 +225,9 @@
                 # Without a configuration, the operator sends it again; an error here would end the
                 # process at each start.
                 get_logger().error("config_not_restored", error=str(exc)[:300])
-        # Earlier versions keep no dropped queues.
+        # Earlier versions keep neither dropped queues nor notes of cancelled jobs.
+        for job_id, *note in plain.get("cancelled", ()):
+            self.cancelled[job_id] = CancelNote(*note)
         for row in plain.get("former_queues", ()):
             queue = Queue(*row)
             self.former_queues[queue.key] = queue
--- a/tests/users_platform/test_answers_across_leaders.py
+++ b/tests/users_platform/test_answers_across_leaders.py
@@ -1,10 +1,13 @@
 """Tests what the callers of a job are told before, during and after changes of the leader."""
 
+import json
 from concurrent.futures import Future
 
 import pytest
 
-from kumquatlift.authority import JobSpec, Operation, Reply, Request, TaskKey
+from kumquatlift.authority import JobSpec, Operation, Reply, Request, ServingConfig, TaskKey
+from kumquatlift.authority._commands import Command, CommandKind
+from kumquatlift.authority._state import MAX_CANCEL_NOTES, State
 from kumquatlift.codes import ResultCode
 from tests.authority_world import QUEUE, answered_at_end, job, make
 from tools.fleet_model import FleetModel
@@ -64,7 +67,7 @@
         assert told(again) == (ResultCode.TIMED_OUT, "")
 
     def test_a_job_that_no_leader_has_started_is_refused_after_recovery(self) -> None:
-        """Guards against starting jobs of a dropped queue; the frontend tells an unknown outcome."""
+        """Guards against starting jobs of a dropped queue. The frontend answers 504."""
         world = make()
         world.configure(QUEUE._replace(prefix="/other/"))
         world.change_leader(gap_s=0.4)
@@ -108,6 +111,156 @@
         assert told(again) == (ResultCode.ACCEPTED, "completed")
 
 
+def cancel(world: FleetModel, job_id: str) -> "Future[Reply]":
+    """Cancel a job."""
+    return world.send_request(Request(Operation.CANCEL, {"job": job_id}))
+
+
+def runs_of(world: FleetModel, job_id: str) -> int:
+    """Return the number of runs of a job that are in progress."""
+    return sum(task.job == job_id for each in world.upstreams.values() for task in each.runs)
+
+
+class TestCancelsOfJobsThatAreNotStored:
+    """The answer to a cancel binds the leaders that follow, and frontends that wait for one."""
+
+    @pytest.mark.parametrize("from_snapshot", [False, True], ids=["log", "snapshot"])
+    @pytest.mark.parametrize("wait_s", [0.0, 0.3], ids=["before its runs are known", "after"])
+    def test_a_job_that_the_next_leader_does_not_know(
+        self, wait_s: float, from_snapshot: bool
+    ) -> None:
+        """Guards against a job that goes on after its cancelling was answered with 410."""
+        world = make()
+        world.submit(JOB, answered_at_end(2), work_ms=3000)
+        world.run(0.1)
+        world.change_leader(gap_s=0.4)
+        world.run(0.401 + wait_s)
+        cancelled = cancel(world, JOB)
+        world.run(0.1)
+        assert told(cancelled) == (ResultCode.NOT_FOUND, "")
+        if from_snapshot:
+            world.authority.restore(world.authority.snapshot())
+        again = submit_again(world, JOB, answered_at_end(2))
+        world.run(0.5)
+        assert told(again) == (ResultCode.ACCEPTED, "failed")
+        assert world.starts == 2
+        assert runs_of(world, JOB) == 0
+
+    @pytest.mark.parametrize("from_snapshot", [False, True], ids=["log", "snapshot"])
+    def test_a_job_whose_frontend_did_not_hear_of_its_end(self, from_snapshot: bool) -> None:
+        """Guards against a cancelling that only the lost leader remembers."""
+        world = make()
+        world.submit(JOB, answered_at_end(2), work_ms=3000)
+        world.run(0.1)
+        cancelled = cancel(world, JOB)
+        world.run(0.05)
+        assert told(cancelled) == (ResultCode.ACCEPTED, "cancelled")
+        if from_snapshot:
+            world.authority.restore(world.authority.snapshot())
+        world.change_leader(gap_s=0.4)
+        world.run(0.5)
+        again = submit_again(world, JOB, answered_at_end(2))
+        asked = cancel(world, JOB)
+        world.run(2.0)
+        assert told(again) == (ResultCode.ACCEPTED, "failed")
+        assert told(asked) == (ResultCode.ACCEPTED, "cancelled")
+        assert world.state_of(JOB) == "cancelled"
+        assert world.starts == 2
+
+    def test_an_answer_waits_for_the_commit(self) -> None:
+        world = make()
+        world.submit(JOB, answered_at_end(2), work_ms=3000)
+        world.run(0.1)
+        cancelled = cancel(world, JOB)
+        world.run(0.002)
+        assert not cancelled.done()
+
+    def test_a_job_that_has_ended_does_not_run_again(self) -> None:
+        """Guards against new runs after a cancelling that was answered with the job's result."""
+        world = make()
+        world.submit(JOB, answered_at_end(2), work_ms=100)
+        world.run(0.5)
+        cancelled = cancel(world, JOB)
+        world.run(0.05)
+        assert told(cancelled) == (ResultCode.ACCEPTED, "completed")
+        world.change_leader(gap_s=5.0)
+        world.run(5.5)
+        again = submit_again(world, JOB, answered_at_end(2))
+        world.run(1.0)
+        assert told(again) == (ResultCode.ACCEPTED, "completed")
+        assert world.starts == 2
+
+    def test_a_submission_between_the_cancelling_and_its_commit(self) -> None:
+        """Guards against a job that is handed on while the note of its cancelling is written."""
+        world = make()
+        cancelled = cancel(world, JOB)
+        world.run(0.002)
+        fut = world.submit(JOB, answered_at_end(2), work_ms=3000)
+        world.run(1.0)
+        assert told(cancelled) == (ResultCode.NOT_FOUND, "")
+        assert told(fut) == (ResultCode.ACCEPTED, "failed")
+        assert runs_of(world, JOB) == 0
+
+    def test_a_job_that_is_to_be_stored_after_its_cancelling(self) -> None:
+        """Guards against a stored job that starts though the caller was told that it is gone."""
+        world = make()
+        cancel(world, JOB)
+        world.run(0.1)
+        fut = world.submit(JOB, job(2), work_ms=300)
+        world.run(1.0)
+        assert told(fut) == (ResultCode.ACCEPTED, "")
+        assert world.state_of(JOB) == "cancelled"
+        assert world.starts == 0
+
+
+class TestNotesOfCancels:
+    """Notes of cancelled jobs in the replicated state."""
+
+    @staticmethod
+    def state() -> State:
+        """Return an empty state."""
+        return State(read_config=lambda _source: ServingConfig(), wall_clock=lambda: 1.0)
+
+    @staticmethod
+    def apply(state: State, kind: CommandKind, **fields: object) -> None:
+        """Apply a command."""
+        state.apply(1, 1, Command(kind, fields).to_bytes())
+
+    def test_they_are_bounded_in_number(self) -> None:
+        state = self.state()
+        for number in range(MAX_CANCEL_NOTES + 2):
+            self.apply(state, CommandKind.CANCEL, job=f"{number:016x}", at_ms=5)
+        assert len(state.cancelled) == MAX_CANCEL_NOTES
+        assert f"{1:016x}" not in state.cancelled
+
+    def test_they_are_bounded_in_time(self) -> None:
+        state = self.state()
+        self.apply(state, CommandKind.CANCEL, job=JOB, at_ms=5)
+        self.apply(state, CommandKind.CANCEL, job="b" * 16, at_ms=7)
+        self.apply(state, CommandKind.FORGET, ended_before_ms=6)
+        assert list(state.cancelled) == ["b" * 16]
+
+    def test_a_snapshot_of_the_version_before_is_read(self) -> None:
+        state = self.state()
+        state.restore(b'{"config":"","jobs":[],"upstreams":[]}')
+        assert state.cancelled == {}
+        assert state.former_queues == {}
+
+    def test_the_version_before_cancels_a_stored_job_too(self) -> None:
+        """Guards against a job that a leader without the note starts, in a rolling restart."""
+        world = make()
+        cancel(world, JOB)
+        world.run(0.1)
+        plain = json.loads(world.authority.snapshot())
+        del plain["cancelled"]
+        world.submit(JOB, job(2), work_ms=300)
+        world.run(0.001)
+        # From here on, the replica has no note, like one that a leader of that version filled.
+        world.authority.restore(json.dumps(plain).encode())
+        world.run(0.1)
+        assert world.state_of(JOB) == "cancelled"
+
+
 class TestAnswersAtTheEnd:
     """A job that its leader alone knows, submitted again after the leader is gone."""
 
