Keep submissions from leaders that are silent, and answer truly for untouched ones

Load: the leader's machine is lost, or its zone is cut off, at 300 submissions a second. Those sent in the 0.5 s until the loss is noticed reach no upstream, yet can't be refused, since the leader may have started them. Change: a submission is not sent to a leader that has been silent for 0.3 s; it waits until that leader answers, or is lost, and then as usual for another one. A leader that steps down answers NOT_LEADER for submissions of which it has decided no start, so that their frontend may refuse them or hand them on as new.

--- a/kumquatlift/authority/_attempts.py
+++ b/kumquatlift/authority/_attempts.py
@@ -87,10 +87,14 @@
         """Remove all attempts of a job, and return their callbacks."""
         return [entry.answer for entry in self._waiting.pop(job_id, {}).values()]
 
-    def pop_all(self) -> list[ReplyCallback]:
-        """Remove all attempts of all jobs, and return their callbacks."""
+    def pop_all(self) -> list[tuple[str, ReplyCallback]]:
+        """Remove all attempts of all jobs, and return their jobs and callbacks."""
         waiting, self._waiting = self._waiting, {}
-        return [entry.answer for attempts in waiting.values() for entry in attempts.values()]
+        return [
+            (job_id, entry.answer)
+            for job_id, attempts in waiting.items()
+            for entry in attempts.values()
+        ]
 
     def count(self, job_id: str) -> int:
         """Return the number of attempts of a job."""
--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -20,7 +20,8 @@
 PROBE_TIMEOUT_S = 0.4
 # A leader that has not answered for this long, which is more than one probe interval, may have been
 # replaced, so the other instances are probed as well. An election takes about 0.4 s, so a new
-# leader can be found before the old one counts as lost.
+# leader can be found before the old one counts as lost. Submissions are kept meanwhile: one that
+# was sent to a leader that is gone can't be refused any more, as it may have run.
 SUSPECT_S = 0.3
 # A leader that has not answered for this long counts as lost, and requests fail at once. The time
 # covers three probes, so that a single slow answer does not cause refusals.
@@ -93,8 +94,11 @@
         is_sent = False
         while not is_abandoned():
             now = time.monotonic()
+            is_first_submit = request.operation is Operation.SUBMIT and not is_sent
             wait_s = ELECTION_S if is_sent else leader_wait_s + started_at - now
             target = self._await_leader(min(deadline, now + wait_s))
+            if target and is_first_submit and self._is_suspect:
+                target = self._await_answer(deadline, leader_wait_s)
             remaining_s = deadline - time.monotonic()
             if not target or remaining_s <= 0:
                 break
@@ -149,6 +153,28 @@
                 self._leader_found.wait(remaining_s)
             return self._leader
 
+    @property
+    def _is_suspect(self) -> bool:
+        """Whether the leader has been silent for longer than a probe and its answer take."""
+        return time.monotonic() - self._last_answer_at > SUSPECT_S
+
+    def _await_answer(self, deadline: float, leader_wait_s: float) -> str:
+        """Return the leader once one has answered; an empty string if it is lost before.
+
+        Args:
+            deadline: Time at which the call ends.
+            leader_wait_s: Time to wait for another leader once this one is lost, in seconds.
+        """
+        with self._leader_found:
+            lost_at = self._last_answer_at + LOST_S
+            until = min(deadline, lost_at + leader_wait_s)
+            while not self.leader or self._is_suspect:
+                remaining_s = until - time.monotonic()
+                if remaining_s <= 0:
+                    return ""
+                self._leader_found.wait(remaining_s)
+            return self._leader
+
     def _probe(self) -> None:
         if not self.leader and not self._is_lost:
             self._is_lost = True
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -281,6 +281,13 @@
         if progress is not None:
             self.runs.abandon(progress, keep_s=self._limits.resubmit_s + RESUBMIT_MARGIN_S)
 
+    def is_untouched(self, job_id: str) -> bool:
+        """Whether this leader has decided no start of a job that isn't in the log."""
+        progress = self.progress.get(job_id)
+        if progress is None or progress.job.is_logged or progress.job.is_started:
+            return False
+        return not progress.running
+
     def pending(self, queue: str) -> int:
         """Return the number of open jobs of a queue without a started task."""
         return sum(
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -119,17 +119,23 @@
             answer(_result_reply(job))
 
     def fail_waiting(self) -> None:
-        """Tell all waiting callers that the result is unknown because the leader has changed."""
+        """Tell all waiting callers that the leader has changed, and so the result is unknown.
+
+        A submission of which this leader has started nothing, and can start nothing more, counts as
+        one that has not reached a leader. Its frontend knows whether it reached an earlier one.
+        """
         waiters, self._waiters = self._waiters, {}
         self._open_submits.clear()
         held, self._held = self._held, []
         unknown = Reply(ResultCode.CLAIM_UNKNOWN, {"reason": "leadership changed"})
-        for waiter in (
-            *itertools.chain(*waiters.values()),
-            *self._attempts.pop_all(),
-            *(answer for _, answer in held),
-        ):
+        for waiter in itertools.chain(*waiters.values()):
             waiter(unknown)
+        for job_id, waiter in self._attempts.pop_all():
+            is_untouched = self._leader.is_untouched(job_id)
+            self._section.count("untouched_submits", int(is_untouched))
+            waiter(Reply(ResultCode.NOT_LEADER) if is_untouched else unknown)
+        for _, waiter in held:
+            waiter(Reply(ResultCode.NOT_LEADER))
 
     def _commit(self, command: Command, answer: ReplyCallback) -> int | None:
         """Propose a command and answer when it is committed; return its index, if it has one."""
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -167,6 +167,36 @@
         # The second leader is told that the first one may have received the submission.
         assert [each.get("is_resent", False) for each in channel.submits] == [False, True]
 
+    def test_a_submission_is_not_sent_to_a_silent_leader(self, timer: Timer) -> None:
+        """Load: the leader's machine is lost; requests arrive until its loss is noticed.
+
+        A submission that was sent to it could not be refused any more, since it may have run.
+        """
+        channel = ScriptedChannel(leader="n1", members=("n1",))
+        client = LeaderClient(channel=channel, timer=timer, contacts=("n1",))
+        assert wait_for_leader(client) == "n1"
+        channel.unanswering.add("n1")
+        at = time.monotonic()
+        time.sleep(client_module.SUSPECT_S + 0.05)
+        assert client.leader == "n1"
+        reply = client.call(Request(Operation.SUBMIT, {"job": "a"}), timeout_s=5.0)
+        assert isinstance(reply, Failure)
+        assert reply.code is ResultCode.NOT_DELIVERED
+        assert channel.called_peers == []
+        assert time.monotonic() - at < client_module.LOST_S + 0.1
+
+    def test_a_submission_waits_for_a_leader_that_answers_again(self, timer: Timer) -> None:
+        """Load: a leader is paused for less time than one that counts as lost."""
+        channel = ScriptedChannel(leader="n1", members=("n1",))
+        client = LeaderClient(channel=channel, timer=timer, contacts=("n1",))
+        assert wait_for_leader(client) == "n1"
+        channel.unanswering.add("n1")
+        time.sleep(client_module.SUSPECT_S + 0.02)
+        channel.unanswering.clear()
+        reply = client.call(Request(Operation.SUBMIT, {"job": "a"}), timeout_s=5.0)
+        assert reply == Reply(ResultCode.ACCEPTED)
+        assert channel.called_peers == ["n1"]
+
     @pytest.mark.parametrize(
         "code", [ResultCode.OVERLOADED, ResultCode.UNKNOWN_SERVICE, ResultCode.MALFORMED]
     )
--- a/tests/users_platform/test_answers_across_leaders.py
+++ b/tests/users_platform/test_answers_across_leaders.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from kumquatlift.authority import JobSpec, Operation, Reply, Request, ServingConfig, TaskKey
+from kumquatlift.authority import JobSpec, Operation, Reply, Request, ServingConfig, Step, TaskKey
 from kumquatlift.authority._commands import Command, CommandKind
 from kumquatlift.authority._state import MAX_CANCEL_NOTES, State
 from kumquatlift.codes import ResultCode
@@ -314,6 +314,52 @@
         assert told(second) == (ResultCode.ACCEPTED, expected)
 
 
+class TestUntouchedSubmissions:
+    """What a leader that steps down says of jobs that it alone knows."""
+
+    def test_a_job_of_which_nothing_was_started_counts_as_not_delivered(self) -> None:
+        """Load: a zone with its leader is cut off while jobs wait for room.
+
+        Their frontends can say truly that they have not run, or hand them to the next leader.
+        """
+        world = make(upstreams=1)
+        running = [world.submit(f"{n:016x}", answered_at_end(1), work_ms=2000) for n in range(2)]
+        world.run(0.1)
+        spec = JobSpec("text", (Step(1, 6800, 64, 0, 5000),), answers_at_end=True)
+        waiting = world.submit(JOB, spec, work_ms=100)
+        world.run(0.1)
+        world.change_leader(gap_s=0.4)
+        world.run(0.1)
+        assert told(waiting) == (ResultCode.NOT_LEADER, "")
+        assert [told(each) for each in running] == [(ResultCode.CLAIM_UNKNOWN, "")] * 2
+        world.run(4.0)
+        assert world.starts == 2
+
+    def test_a_job_that_was_started_and_waits_again_is_unknown(self) -> None:
+        """Guards against "not run" of a job whose first run was lost with its upstream."""
+        world = make(upstreams=1)
+        spec = JobSpec("text", (Step(1, 6800, 64, 0, 5000),), answers_at_end=True)
+        fut = world.submit(JOB, spec, work_ms=3000)
+        world.run(0.1)
+        world.upstreams["u0"].is_reachable = False
+        world.run(1.5)
+        world.change_leader(gap_s=0.4)
+        world.run(0.1)
+        assert told(fut) == (ResultCode.CLAIM_UNKNOWN, "")
+
+    def test_a_job_that_an_earlier_leader_started_is_unknown(self) -> None:
+        world = make()
+        world.submit(JOB, answered_at_end(1), work_ms=3000)
+        world.run(0.1)
+        world.change_leader(gap_s=0.4)
+        world.run(0.6)
+        again = submit_again(world, JOB, answered_at_end(1))
+        world.run(0.1)
+        world.change_leader(gap_s=0.4)
+        world.run(0.1)
+        assert told(again) == (ResultCode.CLAIM_UNKNOWN, "")
+
+
 class TestStoredJobs:
     """Jobs in the log, whose callers ask for their states throughout."""
 
