--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -31,8 +31,8 @@
 # An upstream that does not answer counts as unreachable after this number of polls.
 FAILURES_BY_TIMEOUT = 2
 # For this time, a new leader goes on polling an upstream that it has not heard, also when connects
-# fail. If one packet in 16 is lost, so are two polls of one upstream in 256, and with hundreds of
-# upstreams the backoff of one of them would mostly prolong recovery.
+# fail. One of hundreds of upstreams loses two polls in a row while a zone loses packets, and its
+# backoff would prolong recovery.
 FIRST_LISTS_S = 0.3
 # A poll without an answer for this time plus its waiting time has not been broken off, but has
 # timed out or nearly so.
--- a/tests/test_authority_handover.py
+++ b/tests/test_authority_handover.py
@@ -183,10 +183,9 @@
     def test_lost_connects_to_one_upstream_do_not_prolong_recovery(
         self, monkeypatch: pytest.MonkeyPatch, lost: int
     ) -> None:
-        """Load: a leader of 176 upstreams is lost while 6% of all packets are.
+        """Load: a leader of 176 upstreams is lost while a zone loses packets.
 
-        Two connects to the same upstream are then lost in most recoveries. Its backoff made these
-        0.4 s longer.
+        Two connects to one of them were lost, and its backoff made recovery 0.4 s longer.
         """
         world = make(upstreams=3)
         world.change_leader(gap_s=0.3)
