Notice queues that slow each other down, and keep them apart

Runs of some queues contend on an upstream for what no request names. The leader compares each queue's runs on one upstream with each other, in blocks, by what was there when each started, and takes the log ratios clipped around the median. Placement moves a task from a bad neighbour where its job stays in time, and never waits for it. On by [placement] keeps_apart of the settings; without a pair that interferes, nothing of placement changes.

--- a/kumquatlift/authority/_fleet.py
+++ b/kumquatlift/authority/_fleet.py
@@ -1,10 +1,11 @@
 """The leader's records of upstreams and of the runs on them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import Enum, auto
 from typing import Any, NamedTuple
 
 from kumquatlift.authority._commands import TaskKey, UpstreamState
+from kumquatlift.authority._company import Company, Mark
 from kumquatlift.authority._orders import UpstreamRef
 from kumquatlift.authority._work import Step
 from kumquatlift.log import get_logger
@@ -91,6 +92,7 @@
         size: Resources that it occupies.
         expected_ms: Expected run time at speed 1, in milliseconds; 0 when it is unknown.
         now: Time of the decision to start it.
+        kind: Runs of the same kind disturb others alike; empty if it is unknown.
     """
 
     __slots__ = (
@@ -99,10 +101,13 @@
         "confirmed_at",
         "decided_at",
         "expected_ms",
+        "kind",
+        "mark",
         "may_have_started",
         "number",
         "percent",
         "percent_at",
+        "shares",
         "size",
         "state",
         "task",
@@ -116,6 +121,7 @@
         size: Resources,
         expected_ms: float,
         now: float,
+        kind: str = "",
     ) -> None:
         self.task = task
         self.number = number
@@ -134,6 +140,11 @@
         # Whether a start order without an answer may have been carried out.
         self.may_have_started = False
         self.checkpoint = ""
+        self.kind = kind
+        # What else was there at its start, and the shares of its time for which others were beside
+        # it, once it has ended; None if it doesn't count as evidence on that.
+        self.mark: Mark | None = None
+        self.shares: Mapping[str, float] | None = None
 
 
 class Upstream:
@@ -146,6 +157,7 @@
         lease_s: Longest lease that it accepts, in seconds.
         on_change: Is called with its identity when tasks may be placed differently on it: its free
             resources, its speed, or whether it is usable has changed.
+        company: Keeps the kinds of its runs; None if nobody asks for them.
     """
 
     def __init__(
@@ -156,7 +168,9 @@
         now: float,
         lease_s: float,
         on_change: Callable[[str], None] = lambda upstream_id: None,
+        company: Company | None = None,
     ) -> None:
+        self.company = company
         self.upstream_id = state.upstream_id
         self.on_change = on_change
         self.state = state
@@ -269,6 +283,11 @@
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources; it replaces an earlier run of its task."""
         self.remove(run.task)
+        if self.company is not None and run.kind:
+            mark = self.company.enter(run.kind, run.expected_ms)
+            # The tasks of a job share the error of its declared run time, so one of them counts.
+            is_first = all(task.job != run.task.job for task in self.runs)
+            run.mark = mark if is_first else None
         self.runs[run.task] = run
         self.free = self.free.minus(run.size)
 
@@ -277,6 +296,10 @@
         run = self.runs.pop(task, None)
         if run is not None:
             self.free = self.free.plus(run.size)
+            if self.company is not None and run.kind:
+                if run.mark is not None:
+                    run.shares = self.company.shares(run.kind, run.mark)
+                self.company.leave(run.kind, run.expected_ms)
         return run
 
     def resize(self, run: Run, size: Resources) -> None:
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -12,9 +12,11 @@
     TaskKey,
     UpstreamState,
 )
+from kumquatlift.authority._company import Company
 from kumquatlift.authority._ends import EndLog
 from kumquatlift.authority._estimates import Estimates
 from kumquatlift.authority._fleet import MAX_CLOCK_SLOWNESS, Run, Upstream
+from kumquatlift.authority._interference_report import InterferenceReport
 from kumquatlift.authority._load import LoadMeter
 from kumquatlift.authority._offer_index import OfferIndex
 from kumquatlift.authority._orders import UpstreamGateway
@@ -49,12 +51,14 @@
         retention_s: Time for which the state of an ended job is kept, in seconds.
         resubmit_s: Time after which a caller whose connection broke submits its job again, in
             seconds.
+        keeps_apart: Whether queues that slow each other down are noticed and kept apart.
     """
 
     lease_s: float = 1.0
     remote_factor: float = 2.0
     retention_s: float = 150.0
     resubmit_s: float = 1.3
+    keeps_apart: bool = False
 
 
 class Leader:
@@ -106,6 +110,8 @@
         self.progress: dict[str, Progress] = {}
         self.estimates = Estimates()
         self._meter = LoadMeter(offer_index=self._offer_index, progress=self.progress, clock=clock)
+        self._mates = InterferenceReport(section=section) if limits.keeps_apart else None
+        interference = self._mates.interference if self._mates else None
         self._incarnations = 0
         self._arrivals = 0
         self._last_contact_at: dict[str, float] = {}
@@ -132,6 +138,7 @@
             lease_s=lambda: limits.lease_s - lease_age_s(),
             may_order=may_order,
             section=section,
+            interference=interference,
         )
         self._ends = EndLog(
             state=state,
@@ -163,6 +170,8 @@
             meter=self._meter,
             clock=clock,
             remote_factor=limits.remote_factor,
+            section=section,
+            interference=interference,
         )
 
     def begin(self) -> None:
@@ -185,6 +194,8 @@
     def close(self) -> None:
         """Send no more orders, as the term of this leader is over."""
         self.runs.orders.close()
+        if self._mates is not None:
+            self._mates.close()
 
     # Jobs
 
@@ -312,6 +323,7 @@
             now=now,
             lease_s=self._limits.lease_s,
             on_change=self._offer_index.mark_changed,
+            company=Company(clock=self._clock) if self._limits.keeps_apart else None,
         )
         upstream.previous_runs = previous_runs or {}
         self.fleet[state.upstream_id] = upstream
@@ -408,6 +420,8 @@
                 self._end_recovery()
         for progress in self.runs.recurring():
             self.runs.release(progress)
+        if self._mates is not None:
+            self._mates.tick(now)
         self._remove_unreachable(now)
         self._refuse_overdue(now)
         self._forget_unlogged(now)
--- a/kumquatlift/authority/_placement.py
+++ b/kumquatlift/authority/_placement.py
@@ -8,9 +8,12 @@
 """
 
 from bisect import bisect_left, insort
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from itertools import islice
 from typing import NamedTuple
 
+from kumquatlift.authority._interference import Disturbance
+
 # Run times vary around their estimate, so an upstream counts as fast enough only if this multiple
 # of the expected run time fits. Factors near 1 make more jobs late at the usual load.
 SAFETY_FACTOR = 2.2
@@ -22,6 +25,9 @@
 # The expected run time of a task is multiplied by this on upstreams on which it failed or whose
 # lease lapsed, so that other upstreams are preferred.
 AVOID_FACTOR = 4.0
+# Offers that are looked at to keep a task apart from bad neighbours. Looking at hundreds for each
+# task would take longer than the leader has for a start.
+MAX_LOOKED_AT = 32
 
 
 class WaitingTask(NamedTuple):
@@ -132,14 +138,57 @@
     for offer in offers:
         if not fits(task, offer) or offer.upstream_id in exclude:
             continue
-        time_ms = run_ms(task, offer)
-        is_in_time = time_ms * SAFETY_FACTOR <= remaining_ms
-        rank = (0, -time_ms) if is_in_time else (1, time_ms)
+        rank = _rank(task, offer, remaining_ms)
         if best_rank is None or rank < best_rank:
             best, best_rank = offer, rank
     return None if best is None or should_wait(task, best, remaining_ms) else best
 
 
+def _rank(task: WaitingTask, offer: UpstreamOffer, remaining_ms: float) -> tuple[int, float]:
+    """Return the sort key of an offer; the task starts on the one with the lowest."""
+    time_ms = run_ms(task, offer)
+    is_in_time = time_ms * SAFETY_FACTOR <= remaining_ms
+    return (0, -time_ms) if is_in_time else (1, time_ms)
+
+
+def choose_apart(
+    task: WaitingTask,
+    ranked: Iterable[UpstreamOffer],
+    now: float,
+    disturb: Callable[[UpstreamOffer], Disturbance],
+) -> UpstreamOffer | None:
+    """Return the offer on which a task starts that has bad neighbours on the best one.
+
+    The load is an upstream that is best for the task and runs tasks that it would slow down, or
+    that would slow it down, while others have room. The task goes where its job is in time, and
+    among these where the least time is lost by both sides; a faster upstream than needed counts as
+    no loss. If it is late everywhere, it goes where its own run and the time that the others lose
+    are the shortest together, so it goes to a slower upstream only if that pays. It never waits.
+
+    Args:
+        task: The task.
+        ranked: Offers that it fits, the best one first.
+        now: Current time, in seconds.
+        disturb: Returns what it costs to start it on an upstream.
+    """
+    remaining_ms = (task.objective_at - now) * 1000 - OVERHEAD_MS
+    best: UpstreamOffer | None = None
+    best_rank: tuple[bool, float] | None = None
+    for offer in islice(ranked, MAX_LOOKED_AT):
+        cost = disturb(offer)
+        alone_ms = run_ms(task, offer)
+        time_ms = alone_ms * cost.factor
+        others_ms = cost.others_ms / offer.speed
+        is_late = time_ms * SAFETY_FACTOR > remaining_ms
+        lost_ms = (time_ms if is_late else time_ms - alone_ms) + others_ms
+        if best_rank is None or (is_late, lost_ms) < best_rank:
+            best, best_rank = offer, (is_late, lost_ms)
+        if cost.is_none:
+            # The next ones in the order are not better for the task.
+            break
+    return best
+
+
 class OffersBySpeed:
     """The offers of one service, ordered by speed.
 
@@ -202,6 +251,32 @@
             # Run times depend on more than the speed of the upstream.
             return choose(task, self._offers.values(), now, exclude)
         remaining_ms = (task.objective_at - now) * 1000 - OVERHEAD_MS
+        offer = next(self._ranked(task, remaining_ms, exclude), None)
+        return None if offer is None or should_wait(task, offer, remaining_ms) else offer
+
+    def choose_apart(
+        self,
+        task: WaitingTask,
+        now: float,
+        exclude: frozenset[str],
+        disturb: Callable[[UpstreamOffer], Disturbance],
+    ) -> UpstreamOffer | None:
+        """Return the offer on which a task should start, like the function ``choose_apart``."""
+        remaining_ms = (task.objective_at - now) * 1000 - OVERHEAD_MS
+        if task.data_rack or task.avoid:
+            fitting = [
+                offer
+                for offer in self._offers.values()
+                if fits(task, offer) and offer.upstream_id not in exclude
+            ]
+            fitting.sort(key=lambda offer: _rank(task, offer, remaining_ms))
+            return choose_apart(task, fitting, now, disturb)
+        return choose_apart(task, self._ranked(task, remaining_ms, exclude), now, disturb)
+
+    def _ranked(
+        self, task: WaitingTask, remaining_ms: float, exclude: frozenset[str]
+    ) -> Iterator[UpstreamOffer]:
+        """Yield the offers that a task fits, the best one first."""
         min_speed = (
             task.expected_ms * SAFETY_FACTOR / remaining_ms if remaining_ms > 0 else float("inf")
         )
@@ -209,8 +284,7 @@
         for index in (*range(fast_enough, len(self._order)), *range(fast_enough - 1, -1, -1)):
             offer = self._offers[self._order[index][1]]
             if fits(task, offer) and offer.upstream_id not in exclude:
-                return None if should_wait(task, offer, remaining_ms) else offer
-        return None
+                yield offer
 
 
 def _effective_speed(offer: UpstreamOffer) -> float:
--- a/kumquatlift/authority/_poller.py
+++ b/kumquatlift/authority/_poller.py
@@ -427,7 +427,8 @@
         step = job.spec.steps[task.step] if job is not None and job.has_task(task) else None
         # The size of a run of an unknown job is unknown, so it counts as the whole upstream.
         size = size_of(step) if step else Resources(*upstream.capacity)
-        run = Run(task=task, number=number, size=size, expected_ms=0.0, now=now)
+        kind = job.queue if job is not None else ""
+        run = Run(task=task, number=number, size=size, expected_ms=0.0, now=now, kind=kind)
         run.confirmed_at = now
         if task in upstream.runs:
             get_logger().warning(
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -7,6 +7,7 @@
 from kumquatlift.authority._commands import EndReason, TaskEnd, TaskKey
 from kumquatlift.authority._estimates import Estimates
 from kumquatlift.authority._fleet import Run, RunState, Upstream, size_of
+from kumquatlift.authority._interference import Interference, Observation
 from kumquatlift.authority._orders import UpstreamGateway
 from kumquatlift.authority._orphans import Orphans
 from kumquatlift.authority._progress import Progress
@@ -49,6 +50,7 @@
         lease_s: Returns the length of a lease that is sent now, in seconds.
         may_order: Returns whether this instance still leads with a lease.
         section: Section of the blackboard.
+        interference: Learns which queues slow each other down; None if that is off.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         lease_s: Callable[[], float],
         may_order: Callable[[], bool],
         section: Section,
+        interference: Interference | None = None,
     ) -> None:
         self._state = state
         self._find_job = find_job
@@ -75,6 +78,7 @@
         self._estimates = estimates
         self._clock = clock
         self._section = section
+        self._interference = interference
         self.orders = RunOrders(
             find_job=find_job,
             fleet=fleet,
@@ -116,6 +120,7 @@
             size=size_of(step),
             expected_ms=progress.expected_ms[task.step],
             now=now,
+            kind=progress.job.queue,
         )
         upstream.add(entry)
         self._section.count("starts")
@@ -191,6 +196,8 @@
                 run_ms: float | None = (now - run.decided_at) * 1000
                 if self._has_lost_answers(run, ended_within):
                     run_ms = _run_ms(upstream, run, *ended_within)
+                else:
+                    self._observe_company(upstream, run, now)
                 if run_ms is not None:
                     upstream.learn_speed(run.expected_ms, run_ms, now)
                     self._estimates.observe(progress.job.queue, run_ms * upstream.speed)
@@ -210,6 +217,22 @@
         if is_charged:
             self._rest_if_failing(upstream, now)
 
+    def _observe_company(self, upstream: Upstream, run: Run, now: float) -> None:
+        """Learn from a run whose run time is known whether its neighbours slow it down."""
+        run_s = now - run.decided_at
+        if (
+            self._interference is None
+            or run.mark is None
+            or run.shares is None
+            or run_s <= 0
+            or run.expected_ms <= 0
+        ):
+            return
+        log_ratio = math.log(1000 * run_s / run.expected_ms)
+        self._interference.observe(
+            Observation(run.kind, upstream.token, log_ratio, run.mark.present, run.shares), now
+        )
+
     def _has_lost_answers(self, run: Run, ended_within: tuple[float, float]) -> bool:
         """Whether the start or the end of a run was heard late because of lost or late answers."""
         earliest, latest = ended_within
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -4,6 +4,7 @@
 
 from kumquatlift.authority._commands import TaskKey
 from kumquatlift.authority._fleet import Resources, Upstream, size_of
+from kumquatlift.authority._interference import Disturbance, Interference, disturbance
 from kumquatlift.authority._load import LoadMeter
 from kumquatlift.authority._offer_index import OfferIndex
 from kumquatlift.authority._placement import (
@@ -16,6 +17,7 @@
 from kumquatlift.authority._progress import Progress
 from kumquatlift.authority._runs import Runs
 from kumquatlift.authority._work import Step
+from kumquatlift.blackboard import Section
 from kumquatlift.clock import Clock
 from kumquatlift.log import get_logger
 
@@ -38,6 +40,8 @@
         meter: Provides the speed of the fast upstreams of a service.
         clock: Source of time.
         remote_factor: Factor by which the run time of a task grows on another rack than its data's.
+        section: Section of the blackboard.
+        interference: The queues that are kept apart; None if none are.
     """
 
     def __init__(
@@ -50,6 +54,8 @@
         meter: LoadMeter,
         clock: Clock,
         remote_factor: float,
+        section: Section,
+        interference: Interference | None = None,
     ) -> None:
         self._fleet = fleet
         self._offer_index = offer_index
@@ -58,6 +64,8 @@
         self._runs = runs
         self._clock = clock
         self._remote_factor = remote_factor
+        self._section = section
+        self._interference = interference
 
     def run(self) -> None:
         """Start as many waiting tasks as free resources allow, in the order of ``order_key``."""
@@ -139,7 +147,43 @@
             exclude = frozenset(
                 upstream_id for upstream_id, count in used.items() if count >= step.max_per_upstream
             )
-        return offers.choose(need, now, exclude)
+        offer = offers.choose(need, now, exclude)
+        kind = progress.job.queue
+        if offer is None or self._interference is None or kind not in self._interference.involved:
+            return offer
+        return self._choose_apart(kind, need, offer, offers, now, exclude)
+
+    def _choose_apart(
+        self,
+        kind: str,
+        need: WaitingTask,
+        offer: UpstreamOffer,
+        offers: OffersBySpeed,
+        now: float,
+        exclude: frozenset[str],
+    ) -> UpstreamOffer:
+        """Return the offer for a task of a queue that is kept apart from others.
+
+        Args:
+            kind: The queue.
+            need: The task.
+            offer: The offer on which it would start otherwise.
+            offers: All offers.
+            now: Current time, in seconds.
+            exclude: Upstreams on which it may not start.
+        """
+
+        def disturb(offer: UpstreamOffer) -> Disturbance:
+            company = self._fleet[offer.upstream_id].company
+            if company is None or self._interference is None:
+                return Disturbance()
+            return disturbance(kind, company.present(), self._interference.apart)
+
+        if disturb(offer).is_none:
+            return offer
+        apart = offers.choose_apart(need, now, exclude, disturb) or offer
+        self._section.count("starts_apart" if disturb(apart).is_none else "starts_beside")
+        return apart
 
     def _place_gang(
         self, progress: Progress, gang: tuple[int, int], offers: OffersBySpeed, now: float
--- a/kumquatlift/metrics.py
+++ b/kumquatlift/metrics.py
@@ -85,6 +85,12 @@
     Counter("kumquatlift.starts.unknown", "authority", "starts_unknown", "starts with no answer"),
     Counter("kumquatlift.stops", "authority", "stops", "runs stopped"),
     Counter("kumquatlift.looks", "authority", "looks", "lists asked of upstreams"),
+    Counter(
+        "kumquatlift.starts.apart", "authority", "starts_apart", "starts moved from a bad neighbour"
+    ),
+    Counter(
+        "kumquatlift.starts.beside", "authority", "starts_beside", "starts beside a bad neighbour"
+    ),
 )
 
 
@@ -111,6 +117,7 @@
         self._provider = MeterProvider([reader])
         meter = self._provider.get_meter("kumquatlift")
         self._registry.register(_Histograms(board=board))
+        self._registry.register(_Interference(board=board))
         for counter in counters:
             meter.create_observable_counter(
                 counter.name, [self._observer(counter)], unit="1", description=counter.help
@@ -131,6 +138,36 @@
         return observe
 
 
+class _Interference:
+    """Prometheus collector of the queues that slow each other down.
+
+    Args:
+        board: Blackboard on which the leader publishes the pairs.
+    """
+
+    def __init__(self, *, board: Blackboard) -> None:
+        self._board = board
+
+    def collect(self) -> Iterable[Any]:
+        """Return ratio, evidence and age of each pair that is published."""
+        from prometheus_client.core import GaugeMetricFamily
+
+        labels = ["queue", "beside"]
+        families = {
+            key: GaugeMetricFamily(f"kumquatlift_interference_{key}", help, labels=labels)
+            for key, help in (
+                ("ratio", "run time beside the other queue, relative to that without it"),
+                ("runs", "runs from which the ratio is known"),
+                ("age_s", "age of the newest evidence"),
+                ("is_apart", "whether both are kept apart"),
+            )
+        }
+        for row in self._board.read("authority", "interference", []):
+            for key, family in families.items():
+                family.add_metric([row["queue"], row["beside"]], float(row[key]))
+        return list(families.values())
+
+
 class _Histograms:
     """Prometheus collector of the blackboard's histograms.
 
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -148,6 +148,7 @@
             # A margin above the time for which callers may query an ended job.
             retention_s=cfg.bounds.state_kept_s * 1.2,
             resubmit_s=cfg.bounds.resubmit_ms / 1000,
+            keeps_apart=cfg.placement.keeps_apart,
         ),
         section=board.section("authority"),
     )
--- a/kumquatlift/platform/_settings.py
+++ b/kumquatlift/platform/_settings.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Annotated, Any, Literal, NamedTuple
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import ConfigDict, Field, StrictBool, TypeAdapter, ValidationError
 
 from kumquatlift.settings import Address, AddressText
 
@@ -58,6 +58,16 @@
     resubmit_ms: int = 1300
 
 
+class Placement(NamedTuple):
+    """How tasks are placed.
+
+    Args:
+        keeps_apart: Whether queues that slow each other down are noticed and kept apart.
+    """
+
+    keeps_apart: StrictBool = False
+
+
 class PlatformSettings(NamedTuple):
     """Settings of one process.
 
@@ -72,6 +82,7 @@
         disk_mb: Size of the disk, in megabytes.
         listen: Addresses on which the process listens.
         bounds: Limits and guarantees of the platform.
+        placement: How tasks are placed.
     """
 
     name: str
@@ -84,6 +95,7 @@
     disk_mb: int
     listen: Listen
     bounds: Bounds
+    placement: Placement = Placement()
 
     @classmethod
     def from_text(cls, text: str) -> "PlatformSettings":
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from kumquatlift.authority._interference import Pair
 from kumquatlift.blackboard import Blackboard
 from kumquatlift.metrics import (
     AUTHORITY_COUNTERS,
@@ -40,3 +41,12 @@
         assert 'kumquatlift_job_ms_bucket{le="2"} 1.0' in text
         assert 'kumquatlift_job_ms_bucket{le="50"} 2.0' in text
         assert 'kumquatlift_job_ms_bucket{le="+Inf"} 3.0' in text
+
+    def test_pairs_that_slow_each_other_down_are_gauges(self) -> None:
+        board = Blackboard()
+        pair = Pair("a", "b", 0.5, 0.1, 120.0, 4.0)
+        board.section("authority").put("interference", [pair.to_plain(7.0, is_apart=True)])
+        text = Metrics(board=board, counters=()).scrape().decode()
+        labels = '{beside="b",queue="a"}'
+        for name, value in (("ratio", 1.649), ("runs", 120.0), ("age_s", 3.0), ("is_apart", 1.0)):
+            assert f"kumquatlift_interference_{name}{labels} {value}" in text
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -261,3 +261,10 @@
         with pytest.raises(SettingsError, match="host") as caught:
             PlatformSettings.from_text('name = "n"\nhost = "x"\n')
         assert "seeds" in str(caught.value)
+
+    @pytest.mark.parametrize("value", ['"yes"', "1", "[]"])
+    def test_odd_placement_settings_are_refused_with_path_and_reason(self, value: str) -> None:
+        with pytest.raises(SettingsError, match=r"placement\.keeps_apart: Input should be a valid"):
+            PlatformSettings.from_text(f"[placement]\nkeeps_apart = {value}\n")
+        with pytest.raises(SettingsError, match=r"placement\.keeps_appart"):
+            PlatformSettings.from_text("[placement]\nkeeps_appart = true\n")
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -10,6 +10,7 @@
 import statistics
 import sys
 from collections import defaultdict
+from collections.abc import Callable
 from concurrent.futures import Future
 from functools import partial
 from typing import NamedTuple
@@ -156,10 +157,25 @@
     late: float
 
 
-def replay(pattern: Pattern, seed: int, length_s: float = 14.0) -> Outcome:
-    """Replay a load pattern and return its outcome."""
+def replay(
+    pattern: Pattern,
+    seed: int,
+    length_s: float = 14.0,
+    world: FleetModel | None = None,
+    on_completed: Callable[[SubmittedJob, float], None] = lambda row, elapsed_s: None,
+) -> Outcome:
+    """Replay a load pattern and return its outcome.
+
+    Args:
+        pattern: The pattern.
+        seed: Seed of the load.
+        length_s: Time for which jobs arrive, in seconds.
+        world: A simulation without upstreams; a new one if it is None.
+        on_completed: Is called with each completed job and its response time, in seconds.
+    """
     rng = random.Random(seed)
-    world = FleetModel(seed=seed, unanswered_share=pattern.unanswered)
+    if world is None:
+        world = FleetModel(seed=seed, unanswered_share=pattern.unanswered)
     for number in range(24):
         world.add_upstream(
             f"u{number}", speed=SPEEDS[number % 3], cpu_milli=SIZES[(number // 3) % 3]
@@ -221,7 +237,9 @@
                 refused.add(job)
         world.run(CHECK_INTERVAL_S)
         open_jobs = [
-            row for row in open_jobs if not _record_outcome(world, row, start, earned, refused)
+            row
+            for row in open_jobs
+            if not _record_outcome(world, row, start, earned, refused, on_completed)
         ]
     return _summarize(submitted, earned, refused)
 
@@ -259,7 +277,12 @@
 
 
 def _record_outcome(
-    world: FleetModel, row: SubmittedJob, start: float, earned: dict[str, float], refused: set[str]
+    world: FleetModel,
+    row: SubmittedJob,
+    start: float,
+    earned: dict[str, float],
+    refused: set[str],
+    on_completed: Callable[[SubmittedJob, float], None],
 ) -> bool:
     if row.job in refused:
         return True
@@ -268,6 +291,7 @@
     state = fut.result(timeout=0).fields.get("state")
     elapsed_s = world.clock.now() - start - row.at
     if state == "completed":
+        on_completed(row, elapsed_s)
         if elapsed_s <= row.objective_s:
             earned[row.job] = row.worth
         elif elapsed_s <= EXPIRY_FACTOR * row.objective_s:
--- a/tools/fleet_model.py
+++ b/tools/fleet_model.py
@@ -7,9 +7,10 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import Future
 from typing import Any
 
@@ -95,9 +96,26 @@
         seed: Seed of all random choices.
         unanswered_share: Share of orders that are not answered in time and are carried out seconds
             later.
+        limits: Limits that the platform sets.
+        slowdowns: Factors by which tasks take longer beside others, by the paths of their queues,
+            first that of the slower one.
     """
 
-    def __init__(self, *, seed: int = 1, unanswered_share: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int = 1,
+        unanswered_share: float = 0.0,
+        limits: Limits = Limits(),  # noqa: B008 - immutable
+        slowdowns: Mapping[tuple[str, str], float] | None = None,
+    ) -> None:
+        self._slowdowns = dict(slowdowns or {})
+        # Path of the queue of each job.
+        self._paths: dict[str, str] = {}
+        # Runs that started and those of them that started beside a task that disturbs either, by
+        # path.
+        self.starts_by_path: Counter[str] = Counter()
+        self.disturbed_by_path: Counter[str] = Counter()
         self.rng = random.Random(seed)
         self.clock = ManualClock(start=START_S)
         self.loop = EventLoop(clock=self.clock)
@@ -128,7 +146,7 @@
             gateway=self,
             loop=self.loop,
             clock=self.clock,
-            limits=Limits(),
+            limits=limits,
             section=Blackboard().section("authority"),
             wall_clock=self.clock.now,
         )
@@ -205,6 +223,7 @@
             attempt: Identity of the submission, by which it can be withdrawn; empty for none.
         """
         self._work[job] = (work_ms, spec.steps[0].cpu_milli)
+        self._paths[job] = path
         fields = {
             "job": job,
             "attempt": attempt,
@@ -361,6 +380,24 @@
         """Return the run time at speed 1, in milliseconds, and the processor demand of a task."""
         return self._work[task.job]
 
+    def slowdown(self, task: TaskKey, others: Iterable[TaskKey]) -> float:
+        """Return the factor by which a task takes longer beside others.
+
+        Several others of one queue disturb it as much as one.
+        """
+        if not self._slowdowns:
+            return 1.0
+        path = self._paths[task.job]
+        kinds = {self._paths[other.job] for other in others}
+        return math.prod(self._slowdowns.get((path, other), 1.0) for other in kinds)
+
+    def _count_disturbed(self, task: TaskKey, upstream: ModelUpstream) -> None:
+        path = self._paths.get(task.job, "")
+        self.starts_by_path[path] += 1
+        others = {self._paths.get(other.job, "") for other in upstream.runs if other != task}
+        pairs = {(path, other) for other in others} | {(other, path) for other in others}
+        self.disturbed_by_path[path] += any(pair in self._slowdowns for pair in pairs)
+
     def is_failing(self, task: TaskKey) -> bool:
         """Return whether a task fails wherever it runs."""
         return task in self.failing_tasks
@@ -368,6 +405,7 @@
     def on_start(self, task: TaskKey, upstream: ModelUpstream) -> None:
         """Check that a task does not run twice at a time."""
         self.starts += 1
+        self._count_disturbed(task, upstream)
         running = self._running.setdefault(task, set())
         self.check(not running, f"{task} runs twice")
         running.add(upstream.state.upstream_id)
--- a/tools/measure_leader.py
+++ b/tools/measure_leader.py
@@ -161,7 +161,12 @@
 
 
 def measure(
-    upstreams: int, factor: float, seconds: float, profile: cProfile.Profile | None
+    upstreams: int,
+    factor: float,
+    seconds: float,
+    profile: cProfile.Profile | None,
+    *,
+    keeps_apart: bool = False,
 ) -> Measurement:
     """Run a leader with a number of upstreams and return what it took.
 
@@ -170,6 +175,7 @@
         factor: Load, as a multiple of the usual one.
         seconds: Length of the measurement.
         profile: Collects the time by function; None for no profile, which takes time of its own.
+        keeps_apart: Whether queues that slow each other down are noticed.
     """
     loop = EventLoop(clock=MonotonicClock())
     section = Blackboard().section("authority")
@@ -187,7 +193,7 @@
         gateway=UpstreamClient(loop=loop),
         loop=loop,
         clock=MonotonicClock(),
-        limits=Limits(),
+        limits=Limits(keeps_apart=keeps_apart),
         section=section,
     )
     log = CommittingLog(loop=loop)
@@ -259,7 +265,13 @@
         authority.handle_request(Request.from_bytes(request.to_bytes()))
 
 
-def run(*upstreams: int, factor: float = 1.0, seconds: float = 5.0, profile: bool = False) -> None:
+def run(
+    *upstreams: int,
+    factor: float = 1.0,
+    seconds: float = 5.0,
+    profile: bool = False,
+    keeps_apart: bool = False,
+) -> None:
     """Print the processor time of a leader for each start of a task.
 
     Args:
@@ -267,6 +279,7 @@
         factor: Load, as a multiple of the usual one.
         seconds: Length of each measurement.
         profile: Whether to print the functions that take the most time as well.
+        keeps_apart: Whether queues that slow each other down are noticed, as `deploy/` sets it.
     """
     if factor <= 0 or seconds <= 0 or any(not 0 < each <= FILES // 4 for each in upstreams):
         sys.exit(f"factor and seconds must be above 0, and upstreams from 1 to {FILES // 4}")
@@ -279,7 +292,7 @@
     )
     for size in upstreams or SIZES:
         collected = cProfile.Profile() if profile else None
-        row = measure(size, factor, seconds, collected)
+        row = measure(size, factor, seconds, collected, keeps_apart=keeps_apart)
         print(
             f"{row.upstreams:>9} {row.factor:>5.2f} {row.starts:>9.0f} {row.us_per_start:>9.0f} "
             f"{row.busy:>6.2f} {row.in_time:>8.3f} {row.refused:>8.3f}"
--- a/tools/model_upstream.py
+++ b/tools/model_upstream.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol
 
 from kumquatlift.authority import (
@@ -37,6 +37,9 @@
     def work_of(self, task: TaskKey) -> tuple[float, int]:
         """Return the run time of a task at speed 1, in milliseconds, and its processor demand."""
 
+    def slowdown(self, task: TaskKey, others: Iterable[TaskKey]) -> float:
+        """Return the factor by which a task takes longer beside others."""
+
     def is_failing(self, task: TaskKey) -> bool:
         """Return whether a task fails wherever it runs."""
 
@@ -62,6 +65,7 @@
         started_at: Time of its start, in seconds.
         ends_at: Time at which it ends unless the upstream hangs, in seconds.
         cpu_milli: Processor that it occupies, in thousandths of a core.
+        slowdown: Factor by which it takes longer beside the runs that are there.
     """
 
     task: TaskKey
@@ -69,6 +73,7 @@
     started_at: float
     ends_at: float
     cpu_milli: int
+    slowdown: float = 1.0
 
 
 class ModelUpstream:
@@ -139,6 +144,7 @@
         now = self.world.clock.now()
         ends_at = now + work_ms / self.speed / 1000
         self.runs[order.task] = ModelRun(order.task, order.run, now, ends_at, cpu_milli)
+        self._slow_down()
         used = sum(run.cpu_milli for run in self.runs.values())
         self.world.check(used <= self.state.cpu_milli, f"capacity of {self.state.upstream_id}")
         self.world.on_start(order.task, self)
@@ -208,10 +214,21 @@
 
     def _end(self, run: ModelRun, reason: EndReason) -> None:
         del self.runs[run.task]
+        self._slow_down()
         self._barred[run.task] = max(run.run, self._barred.get(run.task, 0))
         self._ends.append((next(self._numbers), TaskEnd(run.task, run.run, reason)))
         self.world.on_end(run.task, self, reason)
 
+    def _slow_down(self) -> None:
+        """Move the ends of all runs after the runs that disturb them have changed."""
+        now = self.world.clock.now()
+        for run in list(self.runs.values()):
+            others = [task for task in self.runs if task != run.task]
+            slowdown = self.world.slowdown(run.task, others)
+            if slowdown != run.slowdown:
+                ends_at = now + (run.ends_at - now) * slowdown / run.slowdown
+                self.runs[run.task] = run._replace(ends_at=ends_at, slowdown=slowdown)
+
     def _poll_answer(self) -> PollAnswer:
         now = self.world.clock.now()
         running = tuple(
