--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -18,9 +18,11 @@
     TaskKey,
     UpstreamState,
 )
+from kumquatlift.authority._company import Company
 from kumquatlift.authority._ends import EndLog
 from kumquatlift.authority._estimates import Estimates
 from kumquatlift.authority._fleet import MAX_CLOCK_SLOWNESS, Run, Upstream
+from kumquatlift.authority._interference_report import InterferenceReport
 from kumquatlift.authority._load import LoadMeter
 from kumquatlift.authority._offer_index import OfferIndex
 from kumquatlift.authority._orders import UpstreamGateway
@@ -58,6 +60,7 @@
             seconds.
         has_fair_shares: Whether the queues and zones of callers of a service get fair shares of it
             while it is full.
+        keeps_apart: Whether queues that slow each other down are noticed and kept apart.
     """
 
     lease_s: float = 1.0
@@ -65,6 +68,7 @@
     retention_s: float = 150.0
     resubmit_s: float = 1.3
     has_fair_shares: bool = False
+    keeps_apart: bool = False
 
 
 class Leader:
@@ -117,6 +121,8 @@
         self.estimates = Estimates()
         self._shares: dict[str, FairShares] = {}
         self._meter = LoadMeter(offer_index=self._offer_index, progress=self.progress, clock=clock)
+        self._mates = InterferenceReport(section=section) if limits.keeps_apart else None
+        interference = self._mates.interference if self._mates else None
         self._incarnations = 0
         self._arrivals = 0
         self._last_contact_at: dict[str, float] = {}
@@ -147,6 +153,7 @@
             lease_s=lambda: limits.lease_s - lease_age_s(),
             may_order=may_order,
             section=section,
+            interference=interference,
         )
         self._ends = EndLog(
             state=state,
@@ -178,6 +185,8 @@
             meter=self._meter,
             clock=clock,
             remote_factor=limits.remote_factor,
+            section=section,
+            interference=interference,
         )
 
     def begin(self) -> None:
@@ -201,6 +210,8 @@
     def close(self) -> None:
         """Send no more orders, as the term of this leader is over."""
         self.runs.orders.close()
+        if self._mates is not None:
+            self._mates.close()
 
     # Jobs
 
@@ -398,6 +409,7 @@
             now=now,
             lease_s=self._limits.lease_s,
             on_change=self._offer_index.mark_changed,
+            company=Company(clock=self._clock) if self._limits.keeps_apart else None,
         )
         upstream.previous_runs = previous_runs or {}
         upstream.cold_until = self._cold_until.get(state.upstream_id, 0.0)
@@ -496,6 +508,8 @@
         self._end_recovery_if_over(now)
         for progress in self.runs.recurring():
             self.runs.release(progress)
+        if self._mates is not None:
+            self._mates.tick(now)
         self._remove_unreachable(now)
         self._refuse_overdue(now)
         self._forget_unlogged(now)
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -153,6 +153,7 @@
             retention_s=cfg.bounds.state_kept_s * 1.2,
             resubmit_s=cfg.bounds.resubmit_ms / 1000,
             has_fair_shares=cfg.admission.fair_shares,
+            keeps_apart=cfg.placement.keeps_apart,
         ),
         section=board.section("authority"),
     )
--- a/kumquatlift/platform/_settings.py
+++ b/kumquatlift/platform/_settings.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Annotated, Any, Literal, NamedTuple
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import ConfigDict, Field, StrictBool, TypeAdapter, ValidationError
 
 from kumquatlift.settings import Address, AddressText
 
@@ -65,7 +65,17 @@
         fair_shares: Whether the queues and zones of callers of a service get fair shares of it.
     """
 
-    fair_shares: bool = False
+    fair_shares: StrictBool = False
+
+
+class Placement(NamedTuple):
+    """How tasks are placed.
+
+    Args:
+        keeps_apart: Whether queues that slow each other down are noticed and kept apart.
+    """
+
+    keeps_apart: StrictBool = False
 
 
 class PlatformSettings(NamedTuple):
@@ -84,6 +94,7 @@
         bounds: Limits and guarantees of the platform.
         admission: How jobs are accepted while a service is full.
         zones: All availability zones, in which upstreams may be.
+        placement: How tasks are placed.
     """
 
     name: str
@@ -98,6 +109,7 @@
     bounds: Bounds
     admission: Admission = Admission()
     zones: tuple[str, ...] = ()
+    placement: Placement = Placement()
 
     @classmethod
     def from_text(cls, text: str) -> "PlatformSettings":
