Close callers' idle connections while no leader can be reached

Cause: a frontend of an availability zone that is cut off closes a caller's connection only after the next response, which is a refusal. The balancer chooses an instance for new connections only, so each idle connection cost its caller one refusal for as long as the zone was cut off.

Change: LeaderClient.is_cut_off tells that no leader has been known for longer than an election takes (0.9 s after leader_lost). Frontends then close connections that have been idle for 0.5 s and hold no request, read or not, in the thread of the server's I/O loop. Changes of the leader close none.

Without the look into the socket, test_a_request_that_was_sent_before_is_answered fails.

--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -51,6 +51,7 @@
         self._leader = ""
         self._last_answer_at = 0.0
         self._is_lost = True
+        self._lost_at = time.monotonic()
         self._probed_at = 0.0
         timer.call_every(SEARCH_INTERVAL_S, self._probe)
 
@@ -59,6 +60,11 @@
         """Name of the leader; empty when none has answered within ``LOST_S``."""
         return self._leader if time.monotonic() - self._last_answer_at < LOST_S else ""
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no leader has been known for longer than an election takes."""
+        return self._is_lost and time.monotonic() - self._lost_at > ELECTION_S
+
     def call(
         self,
         request: Request,
@@ -145,6 +151,7 @@
 
     def _probe(self) -> None:
         if not self.leader and not self._is_lost:
+            self._lost_at = time.monotonic()
             self._is_lost = True
             get_logger().warning("leader_lost", leader=self._leader)
         body = Request(Operation.WHO_LEADS, {}).to_bytes()
--- a/kumquatlift/platform/_programs.py
+++ b/kumquatlift/platform/_programs.py
@@ -10,6 +10,7 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from queue import Empty, SimpleQueue
 
@@ -35,6 +36,10 @@
 # A caller whose job is answered when it ends occupies a thread until then, for seconds in a burst.
 CALLER_THREADS = 128
 CONTROL_THREADS = 16
+# Interval at which a frontend that can't reach a leader looks for idle connections, and the time
+# after which one counts as idle. A new connection carries its first request long before.
+RELEASE_INTERVAL_S = 0.25
+RELEASE_IDLE_S = 0.5
 CHANNEL_WORKERS = 4
 # Shutdown of a frontend. The two shares of the grace period and ``ABANDON_S`` must add up to less
 # than the grace period.
@@ -109,6 +114,7 @@
         allows_keep_alive=lambda: frontend.is_ready,
     )
     callers.start()
+    timer.call_every(RELEASE_INTERVAL_S, partial(_release_callers, client, callers))
     _serve(frontend.ready, cfg.listen.readiness, 1, "readiness")
     _serve_metrics(cfg, board, FRONTEND_COUNTERS)
     get_logger().info("started", role="frontend", zone=cfg.zone, seeds=",".join(cfg.seeds))
@@ -126,6 +132,16 @@
     callers.close()
 
 
+def _release_callers(client: LeaderClient, callers: HttpServer) -> None:
+    """Close the idle connections of callers while no leader can be reached.
+
+    Each would cost its caller a refusal, since the platform chooses another instance only for new
+    connections.
+    """
+    if client.is_cut_off:
+        callers.close_idle_connections(idle_s=RELEASE_IDLE_S)
+
+
 def run_core(cfg: PlatformSettings, board: Blackboard) -> None:
     """Keep a replica of the log and lead when elected, until SIGTERM."""
     stop = StopSignal()
--- a/kumquatlift/transport/server.py
+++ b/kumquatlift/transport/server.py
@@ -1,9 +1,11 @@
 """HTTP server that can drain: it completes all requests before it closes."""
 
+import socket
 import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
+from functools import partial
 from typing import Any
 
 import waitress
@@ -11,6 +13,7 @@
 from waitress.task import ErrorTask, Task, WSGITask
 
 from kumquatlift.configuration.document import MAX_REQUEST_BYTES
+from kumquatlift.log import get_logger
 from kumquatlift.settings import Address
 from kumquatlift.transport._dispatcher import GrowingDispatcher
 from kumquatlift.transport.wsgi import WsgiApp
@@ -126,6 +129,7 @@
         self._server.channel_class = _KeepAliveChannel
         self._server.is_keep_alive_disabled = False
         self._server.allows_keep_alive = allows_keep_alive
+        self._name = name
         self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix=f"http-{name}")
         self._running: Future[None] | None = None
 
@@ -141,10 +145,26 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or served, and no response being written."""
+        return not any(map(_is_busy, list(self._server.active_channels.values())))
+
+    def close_idle_connections(self, *, idle_s: float) -> None:
+        """Close the connections without a request, so that their callers open new ones.
+
+        A request that is on its way then gets no answer, and has not been read.
+
+        Args:
+            idle_s: Time for which a connection must have been idle, in seconds.
+        """
+        self._server.trigger.pull_trigger(partial(self._close_idle, idle_s))
+
+    def _close_idle(self, idle_s: float) -> None:
+        latest = time.time() - idle_s
         channels = list(self._server.active_channels.values())
-        return not any(
-            channel.requests or channel.total_outbufs_len or channel.request for channel in channels
-        )
+        idle = [each for each in channels if each.last_activity <= latest and _is_idle(each)]
+        for channel in idle:
+            channel.handle_close()
+        if idle:
+            get_logger().info("idle_connections_closed", server=self._name, connections=len(idle))
 
     def disable_keep_alive(self) -> None:
         """Disable keep-alive; new connections are still accepted until ``close``."""
@@ -178,6 +198,24 @@
         self._executor.shutdown(wait=False)
 
 
+def _is_busy(channel: Any) -> bool:
+    """Return whether a request is being read or served on a connection, or its response written."""
+    return bool(channel.requests or channel.total_outbufs_len or channel.request)
+
+
+def _is_idle(channel: Any) -> bool:
+    """Return whether a connection has no request, read or not; for the thread of the I/O loop."""
+    if _is_busy(channel) or channel.socket is None:
+        return False
+    try:
+        # No bytes mean that the caller has closed the connection.
+        return not channel.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
 def close_sockets(server: Any) -> None:
     """Close all sockets of a waitress server in the thread of its I/O loop, which ends then.
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -340,3 +340,43 @@
             answer = caller.read()
             assert answer is not None
             assert answer.body == b"nextnext"
+
+
+class TestIdleConnections:
+    """Connections without a request are closed when their callers should go elsewhere."""
+
+    def test_only_idle_connections_are_closed(self, ahead: Server) -> None:
+        """Guards against a lost answer or half-read request, and a caller that stays."""
+        idle, busy, writing, fresh = (RawCaller(ahead.port) for _ in range(4))
+        for caller in (idle, busy, writing):
+            caller.send(request("first"))
+            assert caller.read() is not None
+        time.sleep(0.3)
+        busy.send(request("busy", delay_ms=400))
+        whole = request("writing", size=900)
+        writing.send(whole[:-300])
+        fresh.send(request("fresh"))
+        assert fresh.read() is not None
+        time.sleep(0.05)
+        ahead.http.close_idle_connections(idle_s=0.2)
+        assert idle.read() is None
+        writing.send(whole[-300:])
+        for caller, key in ((busy, b"busy"), (writing, b"writing" * 901)):
+            answer = caller.read()
+            assert answer is not None
+            assert answer.body == key
+        fresh.send(request("again"))
+        assert fresh.read() is not None
+
+    def test_a_request_that_was_sent_before_is_answered(self, ahead: Server) -> None:
+        """Guards against a connection that is closed with a request in its socket."""
+        for round_number in range(20):
+            callers = [RawCaller(ahead.port) for _ in range(CALLERS)]
+            for caller in callers:
+                caller.send(request(f"{round_number}"))
+            ahead.http.close_idle_connections(idle_s=0.0)
+            for caller in callers:
+                answer = caller.read()
+                assert answer is not None
+                assert answer.body == f"{round_number}".encode()
+                caller.sock.close()
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -95,6 +95,26 @@
         assert client.leader == "n1"
 
 
+class TestCutOff:
+    """Whether a client takes itself for cut off from all leaders."""
+
+    def test_it_is_cut_off_once_an_election_would_be_over(self, timer: Timer) -> None:
+        """Guards against callers that are sent away during each change of the leader."""
+        channel = ScriptedChannel(leader="n1", members=("n1",))
+        client = LeaderClient(channel=channel, timer=timer, contacts=("n1",))
+        assert wait_for_leader(client) == "n1"
+        assert not client.is_cut_off
+        channel.unanswering = {"n1"}
+        lost_at = time.monotonic()
+        while not client.is_cut_off:
+            assert time.monotonic() - lost_at < 5
+            time.sleep(0.01)
+        assert time.monotonic() - lost_at > client_module.ELECTION_S
+        channel.unanswering = set()
+        assert wait_for_leader(client) == "n1"
+        assert not client.is_cut_off
+
+
 class TestLeaderClient:
     """Finding the leader, and the outcome of requests when it is lost."""
 
--- a/tests/users_platform/test_callers_connections.py
+++ b/tests/users_platform/test_callers_connections.py
@@ -7,14 +7,17 @@
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
+from typing import cast
 
 import pytest
 
-from kumquatlift.authority import Operation, Reply, Request
+from kumquatlift.authority import LeaderClient, Operation, Reply, Request
 from kumquatlift.blackboard import Blackboard
 from kumquatlift.codes import ResultCode
 from kumquatlift.failure import Failure
 from kumquatlift.platform._frontend import Frontend
+from kumquatlift.platform._programs import RELEASE_IDLE_S, _release_callers
 from kumquatlift.settings import Address
 from kumquatlift.transport.server import HttpServer
 from kumquatlift.transport.wsgi import application
@@ -316,6 +319,29 @@
             sending.result(5)
 
 
+class TestCutOff:
+    """A frontend that no leader reaches, in an availability zone that is cut off."""
+
+    def test_idle_callers_are_sent_elsewhere_while_it_is_cut_off(self, process: Process) -> None:
+        """Replays callers that each keep an idle connection, and use it during the cut."""
+        callers = [process.connect() for _ in range(CALLERS)]
+        for caller in callers:
+            caller.send(request("POST", PATH, AT_END))
+            assert told(caller) == (200, result_of(JOB))
+        time.sleep(RELEASE_IDLE_S + 0.1)
+        client = cast(LeaderClient, SimpleNamespace(is_cut_off=False))
+        _release_callers(client, process.http)
+        for caller in callers[1:]:
+            caller.send(request("GET", PATH))
+            assert told(caller) == (200, state_of(JOB))
+        client = cast(LeaderClient, SimpleNamespace(is_cut_off=True))
+        _release_callers(client, process.http)
+        assert callers[0].read() is None
+        time.sleep(RELEASE_IDLE_S + 0.1)
+        _release_callers(client, process.http)
+        assert [caller.read() for caller in callers[1:]] == [None] * (CALLERS - 1)
+
+
 class TestStop:
     """A frontend that stops while answers wait."""
 
