Leave a connection that its caller has closed to the server's loop

Cause: an idle connection that its caller closed in the same round of the loop was closed at once as well. Its file descriptor could then be given to a new connection, which the rest of the round would have taken for the old one and closed without an answer.

Change: only a connection whose socket holds nothing counts as idle.

--- a/kumquatlift/transport/server.py
+++ b/kumquatlift/transport/server.py
@@ -208,12 +208,14 @@
     if _is_busy(channel) or channel.socket is None:
         return False
     try:
-        # No bytes mean that the caller has closed the connection.
-        return not channel.socket.recv(1, socket.MSG_PEEK)
+        channel.socket.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return True
     except OSError:
-        return False
+        pass
+    # Its caller has sent something or closed it. The loop handles that next, and would find another
+    # connection under the same file descriptor if this one were closed now.
+    return False
 
 
 def close_sockets(server: Any) -> None:
