Place the other steps of a job while one of its steps waits

Cause: a pass over the waiting tasks of a job ended at the first one that could not be placed, for the remaining tasks of its step need the same.

Change: only the step whose task can't be placed is left out for the rest of the pass; a job of one step ends its pass as before.

--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -104,9 +104,12 @@
         """Start the tasks of a job that fit; return the upstreams on which they start."""
         placed: list[str] = []
         seen_gangs: set[tuple[int, int]] = set()
+        steps = progress.job.spec.steps
+        # Steps of which a task could not be placed; their other tasks need the same resources.
+        blocked: set[int] = set()
         for task in list(progress.waiting):
-            step = progress.job.spec.steps[task.step]
-            if task in self._runs.orphans:
+            step = steps[task.step]
+            if task.step in blocked or task in self._runs.orphans:
                 continue
             if step.is_gang:
                 gang = (task.occurrence, task.step)
@@ -116,8 +119,10 @@
                 continue
             offer = self._choose(progress, task, step, offers, now)
             if offer is None:
-                # The remaining tasks of the step need the same resources.
-                break
+                blocked.add(task.step)
+                if len(blocked) == len(steps):
+                    break
+                continue
             self._start(progress, task, step, offer, offers, progress.next_run(task))
             placed.append(offer.upstream_id)
         return placed
