--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -218,11 +218,13 @@
         """Return the whole state as JSON."""
         plain: dict[str, Any] = {
             "config": self.routing.cfg.source,
-            "former_queues": list(self.former_queues.values()),
-            "cancelled": [[job_id, *note] for job_id, note in self.cancelled.items()],
             "jobs": [job.to_plain() for job in self.jobs.values()],
             "upstreams": list(self.upstreams.values()),
         }
+        if self.former_queues:
+            plain["former_queues"] = list(self.former_queues.values())
+        if self.cancelled:
+            plain["cancelled"] = [[job_id, *note] for job_id, note in self.cancelled.items()]
         if self.evacuations.number:
             plain["evacuations"] = self.evacuations.to_plain()
         return json.dumps(plain, separators=(",", ":")).encode()
