Sum up the runs in progress once for all jobs of a few milliseconds

Cause: while nothing is free, each submitted job summed up all runs to learn how soon one ends; with hundreds of upstreams and submissions a second that is a share of the leader's processor that grows with both.

Change: the sums are kept for 20 ms, for tasks of any size.

Measured: the sum equals the one over all runs in ten random fleets.

--- a/kumquatlift/authority/_load.py
+++ b/kumquatlift/authority/_load.py
@@ -5,6 +5,7 @@
 
 from kumquatlift.authority._admission import Load
 from kumquatlift.authority._fleet import Upstream
+from kumquatlift.authority._free_rate import FreeRate
 from kumquatlift.authority._offer_index import OfferIndex
 from kumquatlift.authority._progress import Progress
 from kumquatlift.clock import Clock
@@ -12,6 +13,8 @@
 # Slots and speeds are recomputed after this time, which is short against the 1.5 s between the
 # heartbeats by which upstreams come and go.
 CAPACITY_CACHE_S = 0.1
+# The rate at which runs make room is recomputed after this time, in which a few jobs are submitted.
+FREE_RATE_CACHE_S = 0.02
 # The cache of capacities is cleared when it holds this many entries.
 MAX_CAPACITIES = 1000
 # Longest expected time until the resources for a job are freed, in milliseconds. It bounds the
@@ -39,11 +42,13 @@
         self._clock = clock
         self._capacities: dict[tuple[str, int], _Capacity] = {}
         self._fast_speeds: dict[str, tuple[float, float]] = {}
+        self._free_rates: dict[str, tuple[FreeRate, float]] = {}
 
     def forget(self) -> None:
         """Count slots and speeds anew for the next job, as many upstreams have come or gone."""
         self._capacities.clear()
         self._fast_speeds.clear()
+        self._free_rates.clear()
 
     def load(self, service: str, cpu_milli: int, start_by: float, tasks: int = 1) -> Load:
         """Return the load of a service for a new job.
@@ -68,7 +73,7 @@
                     backlog_ms += progress.waiting_ms
         # A wider job starts with as many tasks as there is room for.
         first_tasks = int(min(tasks, capacity.slots))
-        start_ms = _time_to_free_ms(usable, cpu_milli, first_tasks, now)
+        start_ms = self._time_to_free_ms(service, cpu_milli, first_tasks, now)
         is_idle = not backlog_ms and not any(upstream.runs for upstream in usable)
         return Load(
             capacity.slots,
@@ -80,6 +85,28 @@
             speed_age_s=now - capacity.speed_at,
         )
 
+    def _time_to_free_ms(self, service: str, cpu_milli: int, tasks: int, now: float) -> float:
+        """Return the expected time until resources for some tasks are free, in milliseconds.
+
+        It is 0 if one of them can start at once. Runs end one after the other, so the first of
+        hundreds ends after a few milliseconds, although each of them has hundreds left.
+
+        Args:
+            service: Service of the tasks.
+            cpu_milli: Processor that each task needs, in thousandths of a core.
+            tasks: Number of tasks.
+            now: Current time, in seconds.
+        """
+        usable = self._offer_index.usable(service, now)
+        if any(upstream.free.cpu_milli >= cpu_milli for upstream in usable):
+            return 0.0
+        rate, counted_at = self._free_rates.get(service, (None, 0.0))
+        if rate is None or now - counted_at > FREE_RATE_CACHE_S:
+            rate = FreeRate(upstreams=usable, now=now)
+            self._free_rates[service] = (rate, now)
+        freed_per_s = rate.per_s(cpu_milli)
+        return min(MAX_START_MS, 1000 * tasks / freed_per_s) if freed_per_s else MAX_START_MS
+
     def fast_speed(self, service: str) -> float:
         """Return the least speed among the fastest fifth of the usable upstreams.
 
@@ -117,38 +144,6 @@
         return capacity
 
 
-def _time_to_free_ms(usable: Collection[Upstream], cpu_milli: int, tasks: int, now: float) -> float:
-    """Return the expected time until resources for some tasks are free, in milliseconds.
-
-    It is 0 if one of them can start at once. Runs end one after the other, so the first of hundreds
-    ends after a few milliseconds, although each of them has hundreds left.
-
-    Args:
-        usable: Upstreams on which the tasks may start.
-        cpu_milli: Processor that each task needs, in thousandths of a core.
-        tasks: Number of tasks.
-        now: Current time, in seconds.
-    """
-    if any(upstream.free.cpu_milli >= cpu_milli for upstream in usable):
-        return 0.0
-    freed_per_s = sum(_freed_per_s(upstream, cpu_milli, now) for upstream in usable)
-    return min(MAX_START_MS, 1000 * tasks / freed_per_s) if freed_per_s else MAX_START_MS
-
-
-def _freed_per_s(upstream: Upstream, cpu_milli: int, now: float) -> float:
-    """Return how many tasks of a size the runs of an upstream make room for in a second.
-
-    A run that has taken longer than expected is likely to take as long again.
-    """
-    free_milli = max(0, upstream.free.cpu_milli)
-    return sum(
-        min(1.0, (free_milli + run.size.cpu_milli) / max(1, cpu_milli))
-        / max(run.expected_ms / 1000 / upstream.speed, now - run.decided_at)
-        for run in upstream.runs.values()
-        if run.expected_ms > 0
-    )
-
-
 class _Capacity(NamedTuple):
     """Capacity of the usable upstreams for tasks of one size.
 
--- a/tests/test_start_waits.py
+++ b/tests/test_start_waits.py
@@ -1,8 +1,11 @@
 """How long a new job waits for resources while all upstreams are busy."""
 
+import random
+
 import pytest
 
 from kumquatlift.authority import JobSpec, Queue, Step
+from kumquatlift.authority._free_rate import FreeRate
 from kumquatlift.authority._leader import Leader
 from kumquatlift.codes import ResultCode
 from tools.fleet_model import FleetModel
@@ -70,6 +73,30 @@
         assert self.start_ms(world, leader, tasks=50) == 0.0
 
 
+class TestFreeRate:
+    """The sum over all runs, for tasks of any size."""
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_it_equals_the_sum_over_the_runs(self, seed: int) -> None:
+        rng = random.Random(seed)
+        world, leader = make(12)
+        for number in range(rng.randrange(8, 30)):
+            step = Step(1, rng.randrange(2000, 9000), 64, 0, rng.randrange(50, 900))
+            job = JobSpec("text", (step,), answers_at_end=True)
+            world.submit(f"{number:016x}", job, work_ms=400)
+            world.run(0.01)
+        now, fleet = world.clock.now(), leader.fleet.values()
+        rate = FreeRate(upstreams=fleet, now=now)
+        for cpu_milli in (0, 1000, 5000, 8000, 16_000, 40_000):
+            expected = sum(
+                min(1.0, (max(0, upstream.free.cpu_milli) + run.size.cpu_milli) / max(1, cpu_milli))
+                / max(run.expected_ms / 1000 / upstream.speed, now - run.decided_at)
+                for upstream in fleet
+                for run in upstream.runs.values()
+            )
+            assert rate.per_s(cpu_milli) == pytest.approx(expected)
+
+
 class TestAdmission:
     """Guards against refusals for the whole remaining time of the runs in progress.
 
