--- a/review/stand3.py
+++ b/review/stand3.py
@@ -258,6 +258,8 @@
         ]
         self.runners: list[Runner] = []
         self.world = World(self.record)
+        # Kinds of runners by their numbers; the others are of the kinds a and b.
+        self.kinds: dict[int, str] = {}
         # Replaces the address of a call by that of a proxy in front of it.
         self.proxies: dict[str, str] = {}
         self._next_host = 1
@@ -303,7 +305,7 @@
             runner_id=f"i-{number:04d}",
             ip=f"{self._net}.{10 + rack}.{number + 1}",
             zone=ZONES[rack],
-            labels=("b" if number % 3 == 2 else "a", f"r1-{rack + 1}"),
+            labels=(self.kinds.get(number, "b" if number % 3 == 2 else "a"), f"r1-{rack + 1}"),
         )
         await runner.open()
         self.runners.append(runner)
@@ -605,6 +607,8 @@
         self.has_ended = False
         # It fails all that it starts.
         self.fails_all = False
+        # It is unhealthy and starts nothing.
+        self.sheds = False
         self.runs: dict[str, Run] = {}
         self._barred: dict[str, int] = {}
         self._ends: list[list[Any]] = []
@@ -753,7 +757,7 @@
             return 409, {"reason": "fence"}
         self._token = token
         if path == "/api/run-start":
-            return self._start(fields)
+            return (503, {}) if self.sheds else self._start(fields)
         if path == "/api/run-stop":
             return self._stop(fields)
         if path == "/api/hold":
