Let a single failure in a gang show the fault of case 12

Cause: an end of another member that arrives first hides the failure, also if only one member fails.

--- a/review/stand3.py
+++ b/review/stand3.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -32,8 +33,8 @@
 HOLD_MAX_MS = 1000
 STOP_S = 0.01
 GANG_TIMEOUT_S = 3.0
-# Time until the other members of a gang end after one has ended.
-GANG_NEWS_S = 0.005
+# One-way delays between machines in one zone and between zones, in seconds.
+IN_ZONE_S, CROSS_ZONE_S = 0.0002, 0.0009
 METRICS_PORT = 9464
 # Exit codes of a case.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -245,9 +246,7 @@
         self.record = Record(folder)
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-        self._net = f"127.{random.randrange(20, 120)}"
-        ips = [f"{self._net}.{zone + 1}.{host}" for host in (1, 2, 3) for zone in range(3)]
-        self.ports = self._free_ports(ips)
+        self._net, ips, self.ports = _free_addresses()
         self.cores: list[Program] = []
         self.cores += [
             Program(cluster=self, role="core", ip=ips[zone], zone=ZONES[zone]) for zone in range(3)
@@ -258,6 +257,8 @@
         ]
         self.runners: list[Runner] = []
         self.world = World(self.record)
+        # Whether answers of runners take the time of the links of the small deployments.
+        self.has_delays = False
         # Kinds of runners by their numbers; the others are of the kinds a and b.
         self.kinds: dict[int, str] = {}
         # Replaces the address of a call by that of a proxy in front of it.
@@ -265,22 +266,6 @@
         self._next_host = 1
         self._tasks: set[asyncio.Task[Any]] = set()
 
-    def _free_ports(self, ips: list[str]) -> dict[str, int]:
-        for ip in ips:
-            if not _is_free(ip, METRICS_PORT):
-                raise CaseError(f"port {METRICS_PORT} is in use")
-        for _ in range(50):
-            base = random.randrange(20_000, 30_000)
-            used = (*range(base, base + 4), *range(base + 10, base + 26))
-            if all(_is_free(ip, port) for ip in ips for port in used):
-                return {
-                    "frontend": base,
-                    "readiness": base + 1,
-                    "control": base + 2,
-                    "internal": base + 10,
-                }
-        raise CaseError("no free ports")
-
     def spawn(self, work: Any) -> "asyncio.Task[Any]":
         """Run a coroutine until the case ends."""
         task = asyncio.get_running_loop().create_task(work)
@@ -298,8 +283,8 @@
         await self.wait_ready()
 
     async def add_runner(self, number: int) -> "Runner":
-        """Start a runner; eight share a rack, and racks share a zone."""
-        rack = number // 8 % 3
+        """Start a runner; each third one is in the same zone, in one rack."""
+        rack = number % 3
         runner = Runner(
             cluster=self,
             runner_id=f"i-{number:04d}",
@@ -450,6 +435,23 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _free_addresses() -> tuple[str, list[str], dict[str, int]]:
+    """Return a loopback network, the addresses of nine machines in it, and ports free on them.
+
+    Raises:
+        CaseError: There are none.
+    """
+    for _ in range(50):
+        net = f"127.{random.randrange(20, 120)}"
+        ips = [f"{net}.{zone + 1}.{host}" for host in (1, 2, 3) for zone in range(3)]
+        base = random.randrange(20_000, 30_000)
+        used = (METRICS_PORT, *range(base, base + 3), *range(base + 10, base + 26))
+        if all(_is_free(ip, port) for ip in ips for port in used):
+            ports = {"frontend": base, "readiness": base + 1, "control": base + 2}
+            return net, ips, {**ports, "internal": base + 10}
+    raise CaseError("no free ports")
+
+
 def _is_free(ip: str, port: int) -> bool:
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -734,6 +736,9 @@
                 data = json.dumps({"clockMs": self.clock_ms, "born": self.born, **fields}).encode()
                 head = f"HTTP/1.1 {status} x\r\nContent-Type: application/json\r\n"
                 head += f"Content-Length: {len(data)}\r\n\r\n"
+                if self.cluster.has_delays:
+                    near = self.zone == self.cluster.leader().zone
+                    await asyncio.sleep(IN_ZONE_S if near else CROSS_ZONE_S)
                 writer.write(head.encode() + data)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -834,8 +839,7 @@
         self.cluster.record.line(f"runner {self.id}: {run.task} run {run.number} ends {how}")
         self._ended.set()
         if run.members and run.begun_at is not None and how != "done":
-            # The other members are on other machines, too, which learn of it a little later.
-            asyncio.get_running_loop().call_later(GANG_NEWS_S, self._break_gang, run)
+            self._break_gang(run)
 
     def _break_gang(self, run: Run) -> None:
         key = (run.task.rpartition(".")[0], run.number)
@@ -939,25 +943,34 @@
         print("the build of the deploy file is missing: target/deps", file=sys.stderr)
         sys.exit(NOT_RUN)
 
-    async def main() -> int:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
         # Servers end with the case, in the middle of their connections.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop.set_exception_handler(lambda loop, context: None)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         cluster: Cluster | None = None
+        code = NOT_RUN
         try:
             cluster = Cluster(folder, frontends=frontends)
             violations = await asyncio.wait_for(play(cluster, has_trouble), 112.0)
-        except (CaseError, TimeoutError, asyncio.TimeoutError) as exc:
+            for text in violations:
+                cluster.record.line(f"BROKEN {text}")
+                print(text)
+            cluster.record.line(f"result: {'broken' if violations else 'held'}")
+            code = BROKEN if violations else HELD
+        except (CaseError, TimeoutError, asyncio.CancelledError) as exc:
             print(f"the case could not run: {exc!r}", file=sys.stderr)
-            return NOT_RUN
+        except Exception:
+            traceback.print_exc()
         finally:
             if cluster is not None:
                 cluster.close()
-        for text in violations:
-            cluster.record.line(f"BROKEN {text}")
-            print(text)
-        cluster.record.line(f"result: {'broken' if violations else 'held'}")
-        return BROKEN if violations else HELD
-
-    code = asyncio.run(main())
-    sys.stdout.flush()
-    os._exit(code)
+            sys.stdout.flush()
+            sys.stderr.flush()
+            # Tasks and connections of the stand-ins end with the process.
+            os._exit(code)
+
+    asyncio.run(main())
