--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Checks that the stand-ins of the cases 11 to 15 can be compiled; they use the standard library.
+# Checks that the stand-ins of the cases 11 and 12 can be compiled; they use the standard library.
 set -eu
 cd "$(dirname "$0")"
 for source in stand3.py 1[1-5]/*.py; do
--- a/review/stand3.py
+++ b/review/stand3.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the cases 11 to 15: clients, runners, the operator and a proxy, in one event loop.
+"""Stand-ins for the cases 11 and 12: clients, runners, the operator and a proxy, in one event loop.
 
 The programs under test run as separate processes, with the commands of ``deploy/system.toml`` and
 the settings that its template gives. Everything is on loopback addresses and on the real clock.
@@ -32,9 +32,6 @@
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 1000
 STOP_S = 0.01
-GANG_TIMEOUT_S = 3.0
-# One-way delays between machines in one zone and between zones, in seconds.
-IN_ZONE_S, CROSS_ZONE_S = 0.0002, 0.0009
 METRICS_PORT = 9464
 # Exit codes of a case.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -257,8 +254,6 @@
         ]
         self.runners: list[Runner] = []
         self.world = World(self.record)
-        # Whether answers of runners take the time of the links of the small deployments.
-        self.has_delays = False
         # Kinds of runners by their numbers; the others are of the kinds a and b.
         self.kinds: dict[int, str] = {}
         # Replaces the address of a call by that of a proxy in front of it.
@@ -374,18 +369,6 @@
         self.record.line(f"client: POST {job_id} at {frontend.name} -> {status}")
         return status, body
 
-    async def submit_until_accepted(
-        self, job_id: str, job: dict[str, Any], *, attempts: int = 20
-    ) -> bool:
-        """Submit a job again, at other frontends, until it is accepted."""
-        for number in range(attempts):
-            frontend = self.frontends[number % len(self.frontends)]
-            status, _ = await self.submit(frontend, job_id, job)
-            if status == 200:
-                return True
-            await asyncio.sleep(0.5)
-        return False
-
     async def state(self, frontend: Program, job_id: str) -> str:
         """Return the state of a job, or the status of an answer without one."""
         status, body = await call(
@@ -515,7 +498,7 @@
 
     try:
         return await asyncio.wait_for(exchange(), timeout_s)
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+    except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError):
         return 0, {}
 
 
@@ -523,7 +506,7 @@
 
 
 class World:
-    """What the runners have in common: gangs, and the history of all runs.
+    """What the runners have in common: the history of all runs.
 
     Args:
         record: The record of the case.
@@ -533,7 +516,6 @@
         self.record = record
         # Rows of task, run, runner, start, end, how; the last two are None while it runs.
         self.history: list[list[Any]] = []
-        self.gangs: dict[tuple[str, int], dict[str, "Run"]] = {}
 
     def of_task(self, task: str) -> list[list[Any]]:
         """Return the runs of a task, the earliest first."""
@@ -557,7 +539,7 @@
         runner: The runner.
         task: Its name, ID.K.STEP.INDEX.
         number: Number of the run.
-        work: What it does: ``ms``, and ``gang``, the number of members.
+        work: What it does: ``ms``, its run time.
         row: Its row in the history.
     """
 
@@ -568,16 +550,13 @@
         self.task = task
         self.number = number
         self.work_s = work.get("ms", 50) / 1000
-        self.members = work.get("gang", 0)
         self.row = row
-        self.begun_at: float | None = None
-        self.timers: list[asyncio.TimerHandle] = []
+        self.begun_at = time.monotonic()
+        self.timer: asyncio.TimerHandle | None = None
 
     @property
     def percent(self) -> int:
         """Share of its work that is done."""
-        if self.begun_at is None:
-            return 0
         return min(99, int(100 * (time.monotonic() - self.begun_at) / self.work_s))
 
 
@@ -607,8 +586,6 @@
         self.state = "ready"
         self.heartbeat_address = ""
         self.has_ended = False
-        # It fails all that it starts.
-        self.fails_all = False
         # It is unhealthy and starts nothing.
         self.sheds = False
         self.runs: dict[str, Run] = {}
@@ -736,9 +713,6 @@
                 data = json.dumps({"clockMs": self.clock_ms, "born": self.born, **fields}).encode()
                 head = f"HTTP/1.1 {status} x\r\nContent-Type: application/json\r\n"
                 head += f"Content-Length: {len(data)}\r\n\r\n"
-                if self.cluster.has_delays:
-                    near = self.zone == self.cluster.leader().zone
-                    await asyncio.sleep(IN_ZONE_S if near else CROSS_ZONE_S)
                 writer.write(head.encode() + data)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -782,55 +756,21 @@
             return 200, {}
         if present is not None or number <= self._barred.get(task, 0):
             return 409, {"reason": "old"}
-        works = json.loads(fields["spec"])
-        work = works.get(task.split(".")[2], works)
+        work = json.loads(fields["spec"])
         row: list[Any] = [task, number, self.id, self.cluster.record.now, None, None]
         self.cluster.world.history.append(row)
         run = Run(runner=self, task=task, number=number, work=work, row=row)
         self.runs[task] = run
         self.cluster.record.line(f"runner {self.id}: {task} run {number} starts")
-        if run.members:
-            self._join_gang(run)
-        else:
-            self._begin(run)
+        run.timer = asyncio.get_running_loop().call_later(run.work_s, self._end, run, "done")
         return 200, {}
 
-    def _begin(self, run: Run) -> None:
-        run.begun_at = time.monotonic()
-        loop = asyncio.get_running_loop()
-        if self.fails_all:
-            run.timers.append(loop.call_later(0.02, self._end, run, "failed"))
-        elif not run.members:
-            run.timers.append(loop.call_later(run.work_s, self._end, run, "done"))
-
-    def _join_gang(self, run: Run) -> None:
-        key = (run.task.rpartition(".")[0], run.number)
-        gang = self.cluster.world.gangs.setdefault(key, {})
-        gang[run.task] = run
-        loop = asyncio.get_running_loop()
-        if len(gang) < run.members:
-            run.timers.append(loop.call_later(GANG_TIMEOUT_S, self._end_alone, run))
-            return
-        for member in gang.values():
-            member.runner._begin(member)
-        if not any(member.runner.fails_all for member in gang.values()):
-            run.timers.append(loop.call_later(run.work_s, self._end_gang, key))
-
-    def _end_alone(self, run: Run) -> None:
-        if run.begun_at is None:
-            self._end(run, "alone")
-
-    def _end_gang(self, key: tuple[str, int]) -> None:
-        gang = self.cluster.world.gangs.get(key, {})
-        for member in list(gang.values()):
-            member.runner._end(member, "done")
-
     def _end(self, run: Run, how: str, *, is_listed: bool = True) -> None:
         if self.runs.get(run.task) is not run:
             return
         del self.runs[run.task]
-        for timer in run.timers:
-            timer.cancel()
+        if run.timer is not None:
+            run.timer.cancel()
         self._barred[run.task] = max(run.number, self._barred.get(run.task, 0))
         run.row[4:6] = [self.cluster.record.now, how]
         if is_listed:
@@ -838,13 +778,6 @@
             self._ends.append([self._last_end, run.task, run.number, how, ""])
         self.cluster.record.line(f"runner {self.id}: {run.task} run {run.number} ends {how}")
         self._ended.set()
-        if run.members and run.begun_at is not None and how != "done":
-            self._break_gang(run)
-
-    def _break_gang(self, run: Run) -> None:
-        key = (run.task.rpartition(".")[0], run.number)
-        for member in list(self.cluster.world.gangs.get(key, {}).values()):
-            member.runner._end(member, "broken")
 
     def _stop(self, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         task, number = fields["task"], fields["run"]
@@ -890,9 +823,7 @@
             whether the answer is passed on.
     """
 
-    def __init__(
-        self, *, cluster: Cluster, target: str, on_answer: Callable[[str], bool]
-    ) -> None:
+    def __init__(self, *, cluster: Cluster, target: str, on_answer: Callable[[str], bool]) -> None:
         self._cluster = cluster
         self._target = target
         self._on_answer = on_answer
