Keep an upstream that has left in the replicated state until it holds no runs

Cause: the command that an upstream has left removed it from the replicated state at once. That it may still hold runs was known to the leader alone, which kept it in its fleet until it had listed their ends or its lease was over. A new leader polls, and waits for, the upstreams of the state only, so its recovery ended with all lists of a fleet that was too small. The same holds for a removal that the leader itself proposes, if the upstream starts tasks again before the commit.

The leader forgets it with a second command, when it has listed all its ends, its lease is over, or another process has answered at its address. A newer incarnation ends the departure as well; an announcement of the same one takes it back.

--- a/kumquatlift/authority/_authority.py
+++ b/kumquatlift/authority/_authority.py
@@ -259,6 +259,7 @@
             "jobs": len(self.state.jobs),
             "open_jobs": len(self._leader.progress) if self._leader else 0,
             "upstreams": len(self.state.upstreams),
+            "departed_upstreams": len(self.state.departed),
             "evacuated_zones": self.state.evacuations.zones,
         }
 
--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -195,6 +195,8 @@
         for upstream in self._state.upstreams.values():
             self._last_contact_at[upstream.upstream_id] = now
             self._add_upstream(upstream)
+        for upstream in self._state.departed.values():
+            self._add_upstream(upstream._replace(is_draining=True))
         for job in self._state.jobs.values():
             if job.is_open:
                 self._add_job(job)
@@ -202,6 +204,7 @@
             "leader_begins",
             term=self._term,
             upstreams=len(self.fleet),
+            departed=len(self._state.departed),
             open_jobs=len(self.progress),
             config=self._state.routing.cfg.version,
             evacuated=",".join(self._state.evacuations.zones),
@@ -426,22 +429,33 @@
         self._poller.poll_if_due(upstream)
 
     def on_left(self, upstream_id: str) -> None:
-        """Handle the committed removal of an upstream."""
+        """Handle the committed departure of an upstream."""
         upstream = self.fleet.get(upstream_id)
         if upstream is None:
+            self._propose_end_of_departure(upstream_id)
             return
-        if self._may_hold_runs(upstream, self._clock.now()):
+        may_hold_runs = self._may_hold_runs(upstream, self._clock.now())
+        get_logger().info(
+            "upstream_left",
+            upstream=upstream_id,
+            runs=len(upstream.runs),
+            is_known=upstream.is_known,
+            may_hold_runs=may_hold_runs,
+        )
+        if may_hold_runs:
             # It may have reported its shutdown before its last tasks ended. It stays, draining,
             # until it has listed their ends or its lease is over.
             upstream.state = upstream.state._replace(is_draining=True)
             return
         self.runs.requeue_all(upstream, "left")
         self._remove(upstream_id)
+        self._propose_end_of_departure(upstream_id)
 
     def _may_hold_runs(self, upstream: Upstream, now: float) -> bool:
         """Return whether an upstream may hold runs, or ends of runs, that still count."""
-        if self._recovery.is_open and not upstream.has_clock:
-            # It has not answered yet, and an earlier leader may have started runs there.
+        is_lease_over = upstream.has_clock and upstream.is_lease_over(now)
+        if self._recovery.is_open and not upstream.is_known and not is_lease_over:
+            # An earlier leader may have started runs there that it has not listed yet.
             return True
         holds_runs = bool(upstream.runs) and not upstream.is_lease_over(now)
         return holds_runs or upstream.may_list_more_ends(now)
@@ -449,7 +463,10 @@
     def _on_ended(self, upstream: Upstream) -> None:
         """Remove an upstream at whose address another one has answered; its runs are removed."""
         self._remove(upstream.state.upstream_id)
-        self._propose_removal(upstream.state)
+        if upstream.state.upstream_id in self._state.departed:
+            self._propose_end_of_departure(upstream.state.upstream_id)
+        else:
+            self._propose_removal(upstream.state)
 
     def _remove(self, upstream_id: str) -> None:
         upstream = self.fleet.pop(upstream_id, None)
@@ -459,6 +476,13 @@
             self.runs.requeue_previous_runs(upstream)
         get_logger().info("upstream_removed", upstream=upstream_id)
 
+    def _propose_end_of_departure(self, upstream_id: str) -> None:
+        """Let all replicas forget an upstream that has left and certainly holds no runs."""
+        departed = self._state.departed.get(upstream_id)
+        if departed is not None:
+            fields = {"upstream": upstream_id, "born_ms": departed.started_at_ms}
+            self._propose(Command(CommandKind.DEPARTURE_OVER, fields))
+
     def _propose_removal(self, state: UpstreamState) -> None:
         fields = {"upstream": state.upstream_id, "born_ms": state.started_at_ms}
         self._propose(Command(CommandKind.UPSTREAM_LEFT, fields))
@@ -472,6 +496,7 @@
             last_contact_at = self._last_contact_at.get(upstream_id, now)
             if is_gone:
                 self._remove(upstream_id)
+                self._propose_end_of_departure(upstream_id)
             elif (
                 unreachable_since and now - max(unreachable_since, last_contact_at) > REMOVE_AFTER_S
             ):
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -394,13 +394,14 @@
 
     def _announce(self, upstream: UpstreamState, cold_s: float, answer: ReplyCallback) -> None:
         upstream = upstream._replace(labels=tuple(upstream.labels))
-        known = self._state.upstreams.get(upstream.upstream_id)
+        announced = self._state.upstreams.get(upstream.upstream_id)
+        known = announced or self._state.departed.get(upstream.upstream_id)
         latest_ms = self._state.wall_ms() + MAX_START_AHEAD_MS
         if upstream.started_at_ms > latest_ms:
             get_logger().warning("upstream_from_future", upstream=upstream.upstream_id)
             answer(Reply(ResultCode.MALFORMED, {"reason": "born: too far in the future"}))
             return
-        if known is not None and known.started_at_ms > latest_ms:
+        if announced is not None and announced.started_at_ms > latest_ms:
             # Earlier versions stored it. The next announcement takes its place.
             get_logger().warning("upstream_from_future_removed", upstream=upstream.upstream_id)
             self._leave({"upstream": upstream.upstream_id}, answer)
@@ -416,7 +417,7 @@
             and known.is_draining
         ):
             upstream = upstream._replace(is_draining=True)
-        if upstream == known:
+        if upstream == announced:
             answer(Reply(ResultCode.ACCEPTED, {"upstreams": len(self._leader.fleet)}))
             return
         get_logger().info(
@@ -430,7 +431,8 @@
 
     def _leave(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
         known = self._state.upstreams.get(fields["upstream"])
-        if known is None:
+        if known is None or fields.get("born_ms", known.started_at_ms) < known.started_at_ms:
+            # It has left already, or this is a delayed message of a previous incarnation.
             answer(_DONE)
             return
         departure = {"upstream": known.upstream_id, "born_ms": known.started_at_ms}
--- a/kumquatlift/authority/_state.py
+++ b/kumquatlift/authority/_state.py
@@ -80,6 +80,9 @@
         # By job, the oldest first.
         self.cancelled: dict[str, CancelNote] = {}
         self.upstreams: dict[str, UpstreamState] = {}
+        # Upstreams that have left, by identity, until a leader has shown that they hold no runs.
+        # Its successors would start the tasks of those runs a second time.
+        self.departed: dict[str, UpstreamState] = {}
         self.evacuations = Evacuations()
 
     def wall_ms(self) -> int:
@@ -123,6 +126,11 @@
                 known = self.upstreams.get(fields["upstream"])
                 if known is not None and known.started_at_ms <= fields["born_ms"]:
                     del self.upstreams[known.upstream_id]
+                    self.departed[known.upstream_id] = known
+            case CommandKind.DEPARTURE_OVER:
+                known = self.departed.get(fields["upstream"])
+                if known is not None and known.started_at_ms <= fields["born_ms"]:
+                    del self.departed[known.upstream_id]
             case CommandKind.FORGET:
                 self._forget(fields["ended_before_ms"])
             case CommandKind.EVACUATION:
@@ -198,9 +206,15 @@
         return tuple(ends)
 
     def _add_upstream(self, upstream: UpstreamState) -> None:
-        known = self.upstreams.get(upstream.upstream_id)
+        known = self.find_upstream(upstream.upstream_id)
         if known is None or upstream.started_at_ms >= known.started_at_ms:
             self.upstreams[upstream.upstream_id] = upstream._replace(labels=tuple(upstream.labels))
+            # A newer incarnation shows that this one has ended, with all its runs.
+            self.departed.pop(upstream.upstream_id, None)
+
+    def find_upstream(self, upstream_id: str) -> UpstreamState | None:
+        """Return an upstream that was announced or that has left, or None if it is unknown."""
+        return self.upstreams.get(upstream_id) or self.departed.get(upstream_id)
 
     def _forget(self, ended_before_ms: int) -> None:
         old = [
@@ -223,6 +237,8 @@
         }
         if self.former_queues:
             plain["former_queues"] = list(self.former_queues.values())
+        if self.departed:
+            plain["departed"] = list(self.departed.values())
         if self.cancelled:
             plain["cancelled"] = [[job_id, *note] for job_id, note in self.cancelled.items()]
         if self.evacuations.number:
@@ -246,6 +262,7 @@
         self.jobs = restored.jobs
         self.cancelled = restored.cancelled
         self.upstreams = restored.upstreams
+        self.departed = restored.departed
         self.evacuations = restored.evacuations
 
     def _load(self, plain: dict[str, Any]) -> None:
@@ -257,7 +274,7 @@
                 # Without a configuration, the operator sends it again; an error here would set the
                 # jobs aside as well.
                 get_logger().error("config_not_restored", error=str(exc)[:300])
-        # Earlier versions keep neither dropped queues nor notes of cancelled jobs.
+        # Earlier versions keep neither dropped queues, notes of cancelled jobs nor departures.
         for job_id, *note in plain.get("cancelled", ()):
             self.cancelled[job_id] = CancelNote(*note)
         for row in plain.get("former_queues", ()):
@@ -268,6 +285,9 @@
             self.jobs[job.job_id] = job
         for row in plain["upstreams"]:
             self._add_upstream(UpstreamState(*row))
+        for row in plain.get("departed", ()):
+            upstream = UpstreamState(*row)
+            self.departed[upstream.upstream_id] = upstream._replace(labels=tuple(upstream.labels))
         self.evacuations = Evacuations.from_plain(plain.get("evacuations", [0, []]))
 
 
