Keep a leaving upstream while it may run tasks of its previous incarnation

Callers could see a task run twice at a time: an upstream restarts while start orders to it are unanswered, its new incarnation carries them out, and leaves before it has listed its runs.

Cause: the leader keeps the tasks of such orders back until the new incarnation has listed its runs, but a departure removed the incarnation at once if the leader had no runs of its own there, and queued them again.

Change: an upstream with runs of its previous incarnation counts as one that may hold runs; they are queued again after a complete list or 2 s, as without a departure.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -457,6 +457,9 @@
         if self._recovery.is_open and not upstream.is_known and not is_lease_over:
             # An earlier leader may have started runs there that it has not listed yet.
             return True
+        if upstream.previous_runs:
+            # It may have carried out an order to its previous incarnation.
+            return True
         holds_runs = bool(upstream.runs) and not upstream.is_lease_over(now)
         return holds_runs or upstream.may_list_more_ends(now)
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -116,6 +116,28 @@
         assert world.violations == []
         assert world.state_of(JOB) == "completed"
 
+    def test_an_incarnation_that_leaves_before_it_has_listed_the_runs_of_its_predecessor(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a second start of tasks that its predecessor's orders started there."""
+        world = make(upstreams=1)
+        orders: list[tuple[object, ...]] = []
+        monkeypatch.setattr(world, "start", lambda *order: orders.append(order))
+        monkeypatch.setattr(world, "poll", lambda *_poll: None)
+        world.submit(JOB, job(2, estimate_ms=600), work_ms=600)
+        world.run(0.03)
+        world.kill_upstream("u0")
+        world.add_upstream("u0")
+        world.run(0.02)
+        monkeypatch.undo()
+        for order in orders:
+            world.start(*order)  # type: ignore[arg-type]
+        world.add_upstream("spare")
+        leave(world, "u0")
+        world.run(6.0)
+        assert world.violations == []
+        assert world.state_of(JOB) == "completed"
+
 
 class TestEndsOfDepartures:
     """Guards against upstreams that have left and stay in the replicated state for ever."""
