Take note of which incarnation a departure is of

Cause: the core read no body of the call, so the command named the incarnation that the state held.

Change: a whole number in "born" of the body is passed on, and a departure of an earlier incarnation is acknowledged without effect. Without it, all is as before; the protocol's page names no body for this call.

What a late departure without it does is tested, too: no task runs twice when the leader changes then, and the upstream is back after its next heartbeat.

--- a/kumquatlift/platform/_control.py
+++ b/kumquatlift/platform/_control.py
@@ -9,7 +9,13 @@
 from kumquatlift.failure import Failure
 from kumquatlift.log import get_logger
 from kumquatlift.platform._fields import WireError, upstream_identity
-from kumquatlift.platform._wire import read_cold_ms, read_config, read_heartbeat, read_zone
+from kumquatlift.platform._wire import (
+    read_cold_ms,
+    read_config,
+    read_departing_incarnation,
+    read_heartbeat,
+    read_zone,
+)
 from kumquatlift.settings import Address
 from kumquatlift.transport.wsgi import ApiRequest, ApiResponse
 
@@ -48,7 +54,7 @@
             if action == "heartbeat":
                 return self._heartbeat(unquote(upstream_id), req)
             if action == "deregister":
-                return self._deregister(unquote(upstream_id))
+                return self._deregister(unquote(upstream_id), req)
         if req.path.startswith(_EVACUATIONS):
             zone, _, action = req.path.removeprefix(_EVACUATIONS).rpartition("/")
             if action in ("start", "stop"):
@@ -82,13 +88,17 @@
         address = Address(Address.parse(leader).host, self._control_port)
         return ApiResponse.from_json(200, {"heartbeatAddress": str(address)})
 
-    def _deregister(self, upstream_id: str) -> ApiResponse:
+    def _deregister(self, upstream_id: str, req: ApiRequest) -> ApiResponse:
         try:
             upstream_identity(upstream_id)
         except WireError as exc:
             get_logger().warning("leave_malformed", reason=str(exc))
             return ApiResponse.from_json(400, {"reason": str(exc)})
-        request = Request(Operation.LEAVE, {"upstream": upstream_id})
+        fields: dict[str, Any] = {"upstream": upstream_id}
+        born_ms = read_departing_incarnation(req.body)
+        if born_ms is not None:
+            fields["born_ms"] = born_ms
+        request = Request(Operation.LEAVE, fields)
         reply = self._client.call(request, timeout_s=ANNOUNCE_TIMEOUT_S)
         if not isinstance(reply, Reply) or reply.code is not ResultCode.ACCEPTED:
             return self._unavailable("leave_not_passed_on", upstream_id, reply)
--- a/kumquatlift/platform/_wire.py
+++ b/kumquatlift/platform/_wire.py
@@ -233,6 +233,19 @@
     )
 
 
+def read_departing_incarnation(body: bytes) -> int | None:
+    """Return when the sender of a departure started, in Unix milliseconds; None if it isn't said.
+
+    The protocol names no body for this call, so one that can't be read doesn't refuse it.
+    """
+    if not body:
+        return None
+    try:
+        return integer_or_none(decode_object(body).get("born"))
+    except WireError:
+        return None
+
+
 def read_cold_ms(body: bytes) -> int:
     """Return how long the sender of a heartbeat will still run tasks slowly, in milliseconds.
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,6 +7,7 @@
 from kumquatlift.authority import Operation, Request, ServingConfig
 from kumquatlift.authority._commands import Command, CommandKind, UpstreamState
 from kumquatlift.authority._state import State
+from kumquatlift.codes import ResultCode
 from tests.authority_world import job, make
 from tools import fleet_model
 from tools.fleet_model import FleetModel
@@ -232,6 +233,44 @@
         assert world.authority.state.upstreams == {}
 
 
+class TestLateDepartures:
+    """A departure may be delayed until the next incarnation has begun."""
+
+    def restart(self) -> tuple[FleetModel, UpstreamState]:
+        """Return a world whose upstream has restarted and runs tasks, and its first incarnation."""
+        world = make(upstreams=1)
+        first = world.upstreams["u0"].state
+        world.kill_upstream("u0")
+        world.run(0.1)
+        world.add_upstream("u0")
+        world.submit(JOB, job(2, estimate_ms=1500), work_ms=1500)
+        world.run(0.5)
+        assert world.starts == 2
+        return world, first
+
+    def test_one_that_names_the_first_incarnation_changes_nothing(self) -> None:
+        world, first = self.restart()
+        fields = {"upstream": "u0", "born_ms": first.started_at_ms}
+        fut = world.send_request(Request(Operation.LEAVE, fields))
+        world.run(0.1)
+        assert fut.result(timeout=0).code is ResultCode.ACCEPTED
+        assert set(world.authority.state.upstreams) == {"u0"}
+
+    def test_after_one_that_names_none_the_leader_is_lost(self) -> None:
+        """Guards against tasks that run twice, and an upstream that is never used again."""
+        world, _ = self.restart()
+        world.add_upstream("spare")
+        leave(world, "u0")
+        world.run(COMMITTED_S)
+        world.change_leader(gap_s=0.1)
+        world.run(1.0)
+        world.announce(world.upstreams["u0"].state)
+        world.run(5.0)
+        assert world.violations == []
+        assert world.state_of(JOB) == "completed"
+        assert set(world.authority.state.upstreams) == {"u0", "spare"}
+
+
 class TestReplicatedState:
     """Guards against departures that a snapshot or a build before this one loses or misreads."""
 
--- a/tests/users_platform/test_control.py
+++ b/tests/users_platform/test_control.py
@@ -68,6 +68,32 @@
         assert leader.requests[0].fields.get("cold_ms") == expected
 
 
+class TestDepartures:
+    """Guards against a late departure that ends the use of the next incarnation."""
+
+    @pytest.mark.parametrize(
+        ("body", "born_ms"),
+        [
+            (b"", None),
+            (b"{}", None),
+            (b'{"born": 1733500000000}', 1733500000000),
+            (b'{"born": "odd"}', None),
+            (b'{"born": -1}', None),
+            (b"[", None),
+            (b"7", None),
+        ],
+    )
+    def test_the_leader_learns_which_incarnation_leaves(
+        self, body: bytes, born_ms: int | None
+    ) -> None:
+        leader = FakeLeader(Reply(ResultCode.ACCEPTED))
+        control = Control(client=leader, control_port=8166)  # type: ignore[arg-type]
+        answer = control.handle(ApiRequest("POST", "/api/instances/i-1/deregister", {}, {}, body))
+        assert answer.status == 200
+        assert leader.requests[0].fields["upstream"] == "i-1"
+        assert leader.requests[0].fields.get("born_ms") == born_ms
+
+
 class NumberingLeader(FakeLeader):
     """Takes an order if it names the number of the newest one, as leaders do."""
 
