Fuzz the leader with upstreams that leave

Change: tools.fuzz_departures adds departures to the same faults, with numbers of their own, so that the schedules of tools.fuzz_leases stay as they are for each seed.

With a state that forgets departures it finds "runs twice" (test).

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 	$(PY) -m tools.fuzz_register --steps 200000 --seed $(SEED)
 	$(PY) -m tools.fuzz_store --steps 200000 --seed $(SEED)
 	$(PY) -m tools.fuzz_leases --steps 200000 --seed $(SEED)
+	$(PY) -m tools.fuzz_departures --steps 200000 --seed $(SEED)
 
 docs: setup
 	$(PY) -m tools.configuration_page > docs/configuration.md
--- a/tests/test_fuzz_leases.py
+++ b/tests/test_fuzz_leases.py
@@ -14,9 +14,12 @@
     _poller,
     _recovery,
     _requests,
+    _state,
 )
+from kumquatlift.authority._commands import UpstreamState
 from kumquatlift.authority._work import Job, JobState
 from kumquatlift.codes import ResultCode
+from tools.fuzz_departures import run_departures
 from tools.fuzz_leases import run
 
 STEPS = 12_000
@@ -36,6 +39,35 @@
         assert counts["told failed"] > 0
 
 
+class TestDepartures:
+    """Upstreams that leave while they run tasks violate no invariant when leaders are lost."""
+
+    def test_invariants_hold(self) -> None:
+        counts = run_departures(seed=1, steps=STEPS)
+        assert counts["departures"] > 0
+        assert counts["ended"] > 0
+
+    def test_a_state_that_forgets_departures_is_detected(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The fault of docs/incidents/forgotten-departures.md."""
+
+        class Forgetful(dict[str, UpstreamState]):
+            def __setitem__(self, upstream_id: str, upstream: UpstreamState) -> None:
+                return
+
+        reset = _state.State._reset
+
+        def reset_without_departures(state: _state.State) -> None:
+            reset(state)
+            state.departed = Forgetful()
+
+        monkeypatch.setattr(_state.State, "_reset", reset_without_departures)
+        with pytest.raises(AssertionError, match="runs twice"):
+            for seed in SEEDS:
+                run_departures(seed=seed, steps=STEPS)
+
+
 class TestMutations:
     """Guards against schedules that detect nothing: each mutation of the leader is detected."""
 
--- a/tools/fuzz_leases.py
+++ b/tools/fuzz_leases.py
@@ -159,10 +159,14 @@
         if now - self._announced_at > HEARTBEAT_S:
             self._announced_at = now
             for upstream in self.world.upstreams.values():
-                if upstream.is_reachable:
+                if self._announces(upstream):
                     self.world.announce(upstream.state)
         self._check()
 
+    def _announces(self, upstream: ModelUpstream) -> bool:
+        """Return whether an upstream sends heartbeats that arrive."""
+        return upstream.is_reachable
+
     def _check(self) -> None:
         broken = [text for text in self.world.violations if self._is_relevant(text)]
         broken += self._wrong_replies
@@ -377,12 +381,13 @@
     upstream.fail_share = 0.0
 
 
-def run(*, seed: int, steps: int) -> Counter[str]:
+def run(*, seed: int, steps: int, schedule: type[Schedule] = Schedule) -> Counter[str]:
     """Run worlds until the number of steps is reached.
 
     Args:
         seed: Seed of the first world; each further one has the next number.
         steps: Total number of steps of 10 ms, without those after the last fault of each world.
+        schedule: Kind of the schedules.
 
     Returns:
         Number of events of each kind.
@@ -392,12 +397,12 @@
     """
     counts: Counter[str] = Counter()
     while counts["steps"] < steps:
-        schedule = Schedule(seed=seed + counts["worlds"])
+        world = schedule(seed=seed + counts["worlds"])
         try:
-            schedule.run()
+            world.run()
         except AssertionError as exc:
             raise AssertionError(f"seed {seed + counts['worlds']}: {exc}") from exc
-        counts += schedule.counts
+        counts += world.counts
         counts["worlds"] += 1
     return counts
 
