Log what made a submission count as one that may have run, and why a leader refused it

Change: submit_not_decided (frontend) for each answer without a decision, with code, reason and whether the submission counts as sent from then on; refusal_unproven with job, attempt and reason; job_refused also for a queue that isn't in force, with is_resent; submit_held and leader_ends on the core.

Measured: the lines are asserted for a lost leader in test_leader_client.py. Each is written when a leader is lost or refuses, not for each job that is served.

--- a/kumquatlift/authority/_client.py
+++ b/kumquatlift/authority/_client.py
@@ -115,17 +115,27 @@
                 is_sent = is_sent or answer.code is not ResultCode.NOT_DELIVERED
                 if answer.code is ResultCode.NOT_DELIVERED:
                     self._drop_leader(target)
+                _log_unanswered(request, target, answer.code, answer.reason, is_sent=is_sent)
                 continue
             reply = Reply.from_bytes(answer)
             is_sent = is_sent or reply.code is ResultCode.CLAIM_UNKNOWN
             if reply.code in (ResultCode.NOT_LEADER, ResultCode.CLAIM_UNKNOWN):
                 self._drop_leader(target)
+                reason = reply.fields.get("reason", "")
+                _log_unanswered(request, target, reply.code, reason, is_sent=is_sent)
                 continue
             self._record_leader(target)
             if is_sent and request.operation is Operation.SUBMIT and reply.code in REFUSALS:
                 # A refusal would mean that the job has not run, but an earlier leader may have
                 # started it.
-                get_logger().info("refusal_unproven", leader=target, code=reply.code.label)
+                get_logger().info(
+                    "refusal_unproven",
+                    job=request.fields["job"],
+                    attempt=request.fields.get("attempt", ""),
+                    leader=target,
+                    code=reply.code.label,
+                    reason=reply.fields.get("reason", ""),
+                )
                 break
             return reply
         if is_sent:
@@ -238,6 +248,30 @@
                 self._last_answer_at = 0.0
 
 
+def _log_unanswered(
+    request: Request, leader: str, code: ResultCode, reason: str, *, is_sent: bool
+) -> None:
+    """Log that a submission got no decision from a leader.
+
+    Args:
+        request: The request; others than submissions leave no line.
+        leader: The instance that was asked.
+        code: Code of the failure or of the reply.
+        reason: Its reason.
+        is_sent: Whether this leader or an earlier one may have started the job.
+    """
+    if request.operation is Operation.SUBMIT:
+        get_logger().info(
+            "submit_not_decided",
+            job=request.fields["job"],
+            attempt=request.fields.get("attempt", ""),
+            leader=leader,
+            code=code.label,
+            reason=reason,
+            is_sent=is_sent,
+        )
+
+
 def authority_handler(
     handle_request: Callable[[Request], "Future[Reply]"],
 ) -> AsyncHandler:
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -135,10 +135,19 @@
         unknown = Reply(ResultCode.CLAIM_UNKNOWN, {"reason": "leadership changed"})
         for waiter in itertools.chain(*waiters.values()):
             waiter(unknown)
-        for job_id, waiter in self._attempts.pop_all():
-            is_untouched = self._leader.is_untouched(job_id)
-            self._section.count("untouched_submits", int(is_untouched))
-            waiter(Reply(ResultCode.NOT_LEADER) if is_untouched else unknown)
+        attempts = self._attempts.pop_all()
+        untouched = {job_id for job_id, _ in attempts if self._leader.is_untouched(job_id)}
+        get_logger().info(
+            "leader_ends",
+            term=self._term,
+            submits=len(attempts),
+            untouched_submits=sum(job_id in untouched for job_id, _ in attempts),
+            held_submits=len(held),
+            commits=len(waiters),
+        )
+        for job_id, waiter in attempts:
+            self._section.count("untouched_submits", int(job_id in untouched))
+            waiter(Reply(ResultCode.NOT_LEADER) if job_id in untouched else unknown)
         for _, waiter in held:
             waiter(Reply(ResultCode.NOT_LEADER))
 
@@ -206,6 +215,7 @@
                 wait_ms=round(decision.wait_ms),
                 retry_after_ms=decision.retry_after_ms,
                 reason=reason,
+                is_resent=bool(fields.get("is_resent")),
                 order_ms=round(self._leader.runs.orders.answer_ms),
                 **_estimate_fields(decision.estimate),
                 jobs=len(self._state.jobs),
@@ -281,12 +291,26 @@
                 return None
             get_logger().info("former_queue_used", job=fields["job"], queue=former.name)
             return former
-        return None if self._is_held(fields, answer) else self._find_queue(fields, answer)
+        if self._is_held(fields, answer):
+            return None
+        has_config = bool(self._state.routing.cfg.version)
+        get_logger().info(
+            "job_refused",
+            job=fields["job"],
+            attempt=fields.get("attempt", ""),
+            reason="there is no such queue" if has_config else "there is no configuration yet",
+            is_resent=bool(fields.get("is_resent")),
+            config=self._state.routing.cfg.version,
+        )
+        return self._find_queue(fields, answer)
 
     def _is_held(self, fields: dict[str, Any], answer: ReplyCallback) -> bool:
         """Keep a submission that may run already until this is known; return whether it is kept."""
         if not fields.get("is_resent") or not self._leader.is_recovering:
             return False
+        get_logger().info(
+            "submit_held", job=fields["job"], attempt=fields.get("attempt", ""), term=self._term
+        )
         self._section.count("submits_held")
         self._held.append((fields, answer))
         return True
--- a/tests/test_leader_client.py
+++ b/tests/test_leader_client.py
@@ -5,6 +5,7 @@
 from concurrent.futures import Future
 
 import pytest
+from structlog.testing import capture_logs
 
 from kumquatlift.authority import LeaderClient, Operation, Reply, Request
 from kumquatlift.authority import _client as client_module
@@ -181,9 +182,16 @@
         channel.unanswering.add("n1")
         channel.leader = "n2"
         channel.reply = Reply(code, {"retry_after_ms": 100})
-        reply = client.call(Request(Operation.SUBMIT, {"job": "a"}), timeout_s=5.0, attempt_s=5.0)
+        with capture_logs() as lines:
+            reply = client.call(
+                Request(Operation.SUBMIT, {"job": "a"}), timeout_s=5.0, attempt_s=5.0
+            )
         assert isinstance(reply, Failure)
         assert reply.code is ResultCode.TIMED_OUT
+        # Its log names the answer that the refusal would contradict.
+        events = {line["event"]: line for line in lines if line.get("job") == "a"}
+        assert events["submit_not_decided"]["is_sent"]
+        assert events["refusal_unproven"]["code"] == code.label
         # The second leader is told that the first one may have received the submission.
         assert [each.get("is_resent", False) for each in channel.submits] == [False, True]
 
