Refuse no job of which any end was listed

Callers could be told that a job has not run (404, 429) although a lost leader had started it: a caller whose frontend was lost submits a job that isn't stored again at another frontend, which doesn't know of the first submission, and the runs of the job have failed, lapsed or been stopped meanwhile.

Cause: of jobs that only a lost leader knew, the next one remembered the runs that go on and the ends that were done.

Change: the identities of unknown jobs of which a run or an end was listed are kept for 10 s, 10,000 at most. Such a job isn't refused for load, and without its queue the answer is an unknown outcome (504).

--- a/kumquatlift/authority/_orphans.py
+++ b/kumquatlift/authority/_orphans.py
@@ -11,6 +11,8 @@
 # Limit for the stored ends of unknown jobs: about as many as end within a second in the largest
 # system.
 MAX_ORPHAN_ENDS = 2000
+# Limit for the identities of unknown jobs that are known to have started, for the same time.
+MAX_STARTED_JOBS = 10_000
 
 
 class OrphanRun(NamedTuple):
@@ -50,6 +52,8 @@
         # Highest run numbers of the tasks of abandoned jobs that had started, and when they were
         # abandoned, by job.
         self._abandoned: dict[str, tuple[dict[TaskKey, int], float]] = {}
+        # Unknown jobs of which a run or an end was listed, and when the latest one was.
+        self._started: dict[str, float] = {}
 
     def __contains__(self, task: TaskKey) -> bool:
         return task in self._runs
@@ -64,6 +68,7 @@
             keep_s: Time after which it is stopped if its job is still unknown, in seconds. A run of
                 a cancelled job is stopped at once.
         """
+        self._record_started(task.job)
         if task.job in self._state.cancelled:
             keep_s = 0.0
         run = OrphanRun(upstream, number, self._clock.now() + keep_s)
@@ -103,8 +108,15 @@
 
     def has_started(self, job_id: str) -> bool:
         """Return whether tasks of an unknown job are known to have started."""
-        is_abandoned = job_id in self._abandoned
-        return is_abandoned or any(task.job == job_id for task in (*self._runs, *self._ends))
+        if job_id in self._abandoned or job_id in self._started:
+            return True
+        return any(task.job == job_id for task in (*self._runs, *self._ends))
+
+    def _record_started(self, job_id: str) -> None:
+        self._started.pop(job_id, None)
+        self._started[job_id] = self._clock.now()
+        if len(self._started) > MAX_STARTED_JOBS:
+            del self._started[next(iter(self._started))]
 
     def remove(self, task: TaskKey, upstream: Upstream, number: int) -> bool:
         """Remove a run that has ended.
@@ -126,7 +138,8 @@
         return True
 
     def record_end(self, end: TaskEnd) -> None:
-        """Store the end of a run of an unknown job if it succeeded."""
+        """Record that an unknown job has started, and the end of its run if it succeeded."""
+        self._record_started(end.task.job)
         if end.reason is EndReason.DONE and len(self._ends) < MAX_ORPHAN_ENDS:
             self._ends[end.task] = (end, self._clock.now())
 
@@ -159,8 +172,10 @@
                 progress.running[task] = upstream.state.upstream_id
 
     def forget(self, before: float) -> None:
-        """Remove ends that were listed, and jobs that were abandoned, before a time."""
+        """Remove ends that were listed, and jobs that were last known to run, before a time."""
         for task in [task for task, (_, at) in self._ends.items() if at < before]:
             del self._ends[task]
         for job_id in [job_id for job_id, (_, at) in self._abandoned.items() if at < before]:
             del self._abandoned[job_id]
+        for job_id in [job_id for job_id, at in self._started.items() if at < before]:
+            del self._started[job_id]
