Answer all held submissions when one of them can't be handled

When recovery ends, the leader decides the submissions that it has held. An unexpected error of one left all later ones without an answer until their callers gave up, and ended the rest of the event.

Change: such an error is logged and answered as an unknown outcome, as outside recovery.

Measured: test_an_error_of_one_costs_that_one_only passes; without the change the two later submissions have no answer.

--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -332,6 +332,9 @@
                 self._submit(fields, answer)
             except (KeyError, TypeError, ValueError) as exc:
                 answer(Reply(ResultCode.MALFORMED, {"reason": repr(exc)}))
+            except Exception as exc:
+                get_logger().error("held_submit_failed", job=fields["job"], error=repr(exc))
+                answer(Reply(ResultCode.TIMED_OUT, {"reason": repr(exc)}))
 
     def _answer_known(self, job: Job, fields: dict[str, Any], answer: ReplyCallback) -> None:
         """Answer a submission of a known job as it asks for, at once or at the end of the job."""
--- a/tests/test_refusal_proofs.py
+++ b/tests/test_refusal_proofs.py
@@ -9,6 +9,7 @@
 import pytest
 
 from kumquatlift.authority import JobSpec, Operation, Reply, Request, Step
+from kumquatlift.authority._requests import Requests
 from kumquatlift.codes import ResultCode
 from tests.authority_world import QUEUE, answered_at_end, make
 from tools.fleet_model import FleetModel
@@ -164,3 +165,31 @@
         world.change_leader(gap_s=0.4)
         world.run(0.1)
         assert code(again) is ResultCode.CLAIM_UNKNOWN
+
+
+class TestHeldSubmissions:
+    """Guards against submissions that are never answered because another one can't be handled."""
+
+    def test_an_error_of_one_costs_that_one_only(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        world = make()
+        world.upstreams["u0"].is_reachable = False
+        drop_queue(world)
+        world.change_leader(gap_s=0.1)
+        world.run(0.15)
+        held = [submit_elsewhere(world, answered_at_end(1), c * 16) for c in "abc"]
+        assert not any(each.done() for each in held)
+        submit = Requests._submit
+
+        def fail_for_one(requests: Requests, fields: dict[str, str], answer: object) -> None:
+            if fields["job"] == "a" * 16:
+                raise RuntimeError("a fault of the leader")
+            submit(requests, fields, answer)  # type: ignore[arg-type]
+
+        monkeypatch.setattr(Requests, "_submit", fail_for_one)
+        world.upstreams["u0"].is_reachable = True
+        world.run(2.0)
+        assert [code(each) for each in held] == [
+            ResultCode.TIMED_OUT,
+            ResultCode.UNKNOWN_SERVICE,
+            ResultCode.UNKNOWN_SERVICE,
+        ]
