Test that draining, refusals and departed callers bind the next leader

These three facts had no test of their own across a change of the leader. None fails: draining is committed before it is acknowledged, a refused job was never proposed nor kept, and the runs of a job whose callers have left are stopped by the next leader, too.

--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -8,7 +8,7 @@
 from kumquatlift.authority._commands import Command, CommandKind, UpstreamState
 from kumquatlift.authority._state import State
 from kumquatlift.codes import ResultCode
-from tests.authority_world import job, make
+from tests.authority_world import answered_at_end, job, make
 from tools import fleet_model
 from tools.fleet_model import FleetModel
 
@@ -318,3 +318,55 @@
         apply(state, CommandKind.UPSTREAM, {"upstream": list(announcement("u", 2000))})
         assert state.departed == {}
         assert state.upstreams == {"u": announcement("u", 2000)}
+
+
+class TestOtherFactsOfALostLeader:
+    """What a leader has told an upstream or a caller holds under its successor."""
+
+    @pytest.mark.parametrize("has_snapshot", [False, True])
+    def test_an_upstream_whose_draining_was_acknowledged_gets_no_tasks(
+        self, has_snapshot: bool
+    ) -> None:
+        world = make(upstreams=1)
+        fut = world.announce(world.upstreams["u0"].state._replace(is_draining=True))
+        world.run(COMMITTED_S)
+        assert fut.result(timeout=0).code is ResultCode.ACCEPTED
+        world.change_leader(gap_s=0.1)
+        if has_snapshot:
+            reload_state(world)
+        world.submit(JOB, job(), work_ms=50)
+        world.run(1.0)
+        world.announce(world.upstreams["u0"].state)
+        world.run(1.0)
+        assert world.starts == 0
+
+    @pytest.mark.parametrize("answers_at_end", [False, True])
+    def test_a_job_that_was_refused_never_runs(self, answers_at_end: bool) -> None:
+        world = make(upstreams=1)
+        spec = job(4, estimate_ms=2000)._replace(answers_at_end=answers_at_end)
+        futs = []
+        for number in range(20):
+            futs.append(world.submit(f"{number:016x}", spec, work_ms=2000))
+            world.run(COMMITTED_S)
+        refused = {
+            f"{n:016x}"
+            for n, fut in enumerate(futs)
+            if fut.done() and fut.result().code is ResultCode.OVERLOADED
+        }
+        assert refused
+        world.change_leader(gap_s=0.2)
+        world.run(40.0)
+        assert not refused.intersection(task.job for task in world._started_at)
+        assert world.violations == []
+
+    def test_a_job_that_all_callers_have_left_is_not_started_by_the_next_leader(self) -> None:
+        world = make(upstreams=1)
+        world.submit(JOB, answered_at_end(2), work_ms=9000, attempt="first")
+        world.run(0.1)
+        fields = {"job": JOB, "attempt": "first"}
+        world.send_request(Request(Operation.WITHDRAW, fields))
+        world.run(0.1)
+        world.change_leader(gap_s=0.2)
+        world.run(4.0)
+        assert world.starts == 2
+        assert not world.upstreams["u0"].runs
