Let the end of a gang's member count for the run and the member that it names

Cause: the end of one member settled the run of all members, so the failure behind it was ignored. The leader, which keeps a failed task marked as running until its failure changes the job, waited for ever; the attempt did not count.

Change: an end settles the run of its own member, but for "done", which stands for all. A late checkpoint of an earlier run replaces no newer one.

--- a/kumquatlift/authority/_work.py
+++ b/kumquatlift/authority/_work.py
@@ -127,6 +127,7 @@
         "done_of_step",
         "ended_at_ms",
         "ended_run",
+        "failed_gang_runs",
         "failures",
         "is_logged",
         "is_started",
@@ -167,6 +168,9 @@
         # Number of failed runs and highest run number that has ended, by task.
         self.failures: dict[TaskKey, int] = {}
         self.ended_run: dict[TaskKey, int] = {}
+        # Numbers of the runs that count as failed attempts of a gang, by its first member. Several
+        # members may fail in one run, and ends of different upstreams arrive in any order.
+        self.failed_gang_runs: dict[TaskKey, tuple[int, ...]] = {}
         self.checkpoint: dict[TaskKey, str] = {}
         # Number of done tasks, by occurrence and number of the step. Only steps with done tasks are
         # included, as a job may have very many occurrences.
@@ -226,20 +230,31 @@
         members = self.tasks_of(task.occurrence, task.step) if step.is_gang else [task]
         self.is_started = True
         self.state = JobState.RUNNING
-        for member in members:
-            self.ended_run[member] = end.run
-            if end.checkpoint:
-                self.checkpoint[member] = end.checkpoint
+        is_newest = end.run >= max(self.ended_run.get(member, 0) for member in members)
+        self.ended_run[task] = end.run
+        if end.checkpoint and is_newest:
+            self.checkpoint.update(dict.fromkeys(members, end.checkpoint))
         if step.runs_until_cancelled:
             return True
         if end.reason is EndReason.DONE:
+            self.ended_run.update(dict.fromkeys(members, end.run))
             self._complete(members, now_ms)
-        elif end.reason is EndReason.FAILED:
+        elif end.reason is EndReason.FAILED and self._is_new_attempt(members, end.run):
             self.failures[members[0]] = self.failures.get(members[0], 0) + 1
             if self.failures[members[0]] >= self.max_attempts:
                 self.close(JobState.FAILED, now_ms)
         return True
 
+    def _is_new_attempt(self, members: list[TaskKey], run: int) -> bool:
+        """Return whether a failed run is the first end by which this attempt counts as failed."""
+        if len(members) == 1:
+            return True
+        counted = self.failed_gang_runs.get(members[0], ())
+        if run in counted:
+            return False
+        self.failed_gang_runs[members[0]] = (*counted, run)
+        return True
+
     def _complete(self, members: list[TaskKey], now_ms: int) -> None:
         for member in members:
             if member not in self.done:
@@ -254,13 +269,14 @@
         self.ended_at_ms = now_ms
         self.spec = self.spec._replace(payload="")
         self.checkpoint.clear()
+        self.failed_gang_runs.clear()
 
     def to_plain(self) -> list[Any]:
         """Return the job as nested lists, for a snapshot of the log."""
         ended = [[*task[1:], run] for task, run in self.ended_run.items()]
         failures = [[*task[1:], count] for task, count in self.failures.items()]
         checkpoint = [[*task[1:], text] for task, text in self.checkpoint.items()]
-        return [
+        plain = [
             [self.job_id, self.queue, self.term, self.accepted_at_ms, self.max_attempts, self.zone],
             self.spec.to_plain(),
             [self.state, self.ended_at_ms, self.is_started],
@@ -269,6 +285,10 @@
             failures,
             checkpoint,
         ]
+        if self.failed_gang_runs:
+            # The build before ignores further fields.
+            plain.append([[*task[1:], runs] for task, runs in self.failed_gang_runs.items()])
+        return plain
 
     @classmethod
     def from_plain(cls, plain: list[Any]) -> "Job":
@@ -293,5 +313,7 @@
             {task: row[3] for row in rows if job.has_task(task := TaskKey(job_id, *row[:3]))}
             for rows in plain[4:7]
         )
+        for row in plain[7] if len(plain) > 7 else ():
+            job.failed_gang_runs[TaskKey(job_id, *row[:3])] = tuple(row[3])
         job.done_of_step.update((task.occurrence, task.step) for task in job.done)
         return job
