Count a job as begun when an upstream has shown a run of it

Cause: a job was marked as started with the decision on a start, and a refusal didn't take that back. The mark itself is right for what it also serves: a leader must not say "not run" of a job whose start it has ordered.

Change: the count and the state shown go by what upstreams have shown: a confirmed start, a listed run or a listed end. It is kept when the run is lost, so a job that waits again doesn't become pending.

--- a/kumquatlift/authority/_leader.py
+++ b/kumquatlift/authority/_leader.py
@@ -339,13 +339,18 @@
         return not progress.running
 
     def pending(self, queue: str) -> int:
-        """Return the number of open jobs of a queue without a started task."""
+        """Return the number of open jobs of a queue of which no run has begun."""
         return sum(
             1
             for progress in self.progress.values()
-            if progress.job.queue == queue and not progress.job.is_started
+            if progress.job.queue == queue and not self.runs.has_begun(progress)
         )
 
+    def has_begun(self, job_id: str) -> bool:
+        """Return whether a run of an open job has begun."""
+        progress = self.progress.get(job_id)
+        return progress is not None and self.runs.has_begun(progress)
+
     # Configuration
 
     def on_config(self) -> None:
--- a/kumquatlift/authority/_progress.py
+++ b/kumquatlift/authority/_progress.py
@@ -37,6 +37,7 @@
         "expires_at",
         "failed_runs",
         "first_start_at",
+        "has_begun",
         "has_met_fault",
         "is_released",
         "job",
@@ -88,6 +89,8 @@
         # Whether answers for one of its runs were lost, or a task had to start again.
         self.has_met_fault = False
         self.first_start_at: float | None = None
+        # Whether an upstream has shown that a run which is known no more had begun.
+        self.has_begun = False
         # Time at which the tasks of each step were released to start, and the longest time that one
         # of them has waited for its first start, by occurrence and number of the step.
         self.released_at: dict[tuple[int, int], float] = {}
--- a/kumquatlift/authority/_requests.py
+++ b/kumquatlift/authority/_requests.py
@@ -356,7 +356,7 @@
             note = self._state.cancelled.get(fields["job"])
             answer(_cancel_reply(note.state if note is not None else ""))
             return
-        state = "running" if job.is_open and job.is_started else job.state
+        state = "running" if job.is_open and self._leader.has_begun(job.job_id) else job.state
         answer(Reply(ResultCode.ACCEPTED, {"state": state}))
 
     def _cancel(self, fields: dict[str, Any], answer: ReplyCallback) -> None:
--- a/kumquatlift/authority/_runs.py
+++ b/kumquatlift/authority/_runs.py
@@ -131,6 +131,20 @@
         self._section.count("starts")
         self.orders.start(upstream, entry)
 
+    def has_begun(self, progress: Progress) -> bool:
+        """Return whether an upstream has confirmed a run of a job, or listed one or its end.
+
+        A start that was ordered may be refused, or be on its way for long.
+        """
+        if progress.has_begun or progress.job.ended_run:
+            return True
+        for task, upstream_id in progress.running.items():
+            upstream = self._fleet.get(upstream_id)
+            run = upstream.runs.get(task) if upstream else None
+            if run is not None and run.state is RunState.RUNNING:
+                progress.has_begun = True
+        return progress.has_begun
+
     # Ends
 
     def end(self, upstream: Upstream, end: TaskEnd, ended_within: tuple[float, float]) -> None:
@@ -149,6 +163,8 @@
         is_orphan = self.orphans.remove(end.task, upstream, end.run)
         if is_orphan or self._find_job(end.task.job) is None:
             self.orphans.record_end(end)
+        if progress is not None:
+            progress.has_begun = True
         if run is None:
             if progress is not None:
                 self._wait_for_commit(upstream, end, progress)
@@ -392,6 +408,8 @@
         self.orphans.remove(run.task, upstream, run.number)
         progress = self._progress.get(run.task.job)
         self.needs_placing = True
+        if progress is not None and run.state is RunState.RUNNING:
+            progress.has_begun = True
         if progress is None or progress.running.get(run.task) != upstream.state.upstream_id:
             return
         del progress.running[run.task]
