Let no job wait behind jobs that need what it doesn't

Cause: a pass gave a service up after 20 jobs that could not be placed, and the same 20 stand first in each pass.

Change: skipped jobs are counted by need (size, label, gang); after 20 of one need, others of that need are passed over without a try, and those of other needs are tried. 200 skipped jobs end the pass for a service.

--- a/kumquatlift/authority/_progress.py
+++ b/kumquatlift/authority/_progress.py
@@ -1,9 +1,11 @@
 """The leader's state of an open job beyond the replicated state."""
 
 from collections import deque
+from typing import NamedTuple
 
 from kumquatlift.authority._commands import TaskKey
 from kumquatlift.authority._failed_runs import FailedRuns
+from kumquatlift.authority._fleet import Resources, size_of
 from kumquatlift.authority._serving import Queue
 from kumquatlift.authority._work import Job
 
@@ -14,6 +16,20 @@
 RUNS_PER_TERM = 1000
 
 
+class Need(NamedTuple):
+    """What decides whether a task can be placed, beside the offers.
+
+    Args:
+        size: Resources of the task.
+        label: Label that the upstream must have; empty for any.
+        gang: Number of tasks that start together; 1 without a gang.
+    """
+
+    size: Resources
+    label: str
+    gang: int
+
+
 class Progress:
     """The waiting and running tasks of an open job, and the times by which it should complete.
 
@@ -41,6 +57,7 @@
         "has_met_fault",
         "is_released",
         "job",
+        "needs",
         "objective_at",
         "objective_ms",
         "queue",
@@ -68,6 +85,10 @@
         self.job = job
         self.queue = queue
         self.expected_ms = expected_ms
+        self.needs = tuple(
+            Need(size_of(step), step.label, step.tasks if step.is_gang else 1)
+            for step in job.spec.steps
+        )
         self.arrival_number = arrival_number
         # Run numbers of this leader must exceed those of earlier ones. A job that is not in the log
         # may have been accepted in any earlier term.
@@ -121,6 +142,12 @@
         self.waiting.remove(task)
         self.waiting_ms -= self.expected_ms[task.step]
 
+    def waiting_needs(self) -> frozenset[Need]:
+        """Return what the waiting tasks need."""
+        if len(self.needs) == 1:
+            return frozenset(self.needs)
+        return frozenset(self.needs[number] for number in {task.step for task in self.waiting})
+
     def record_start(self, task: TaskKey, now: float) -> None:
         """Record that a run of a task starts now."""
         if self.first_start_at is None:
--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -1,6 +1,6 @@
 """Starts waiting tasks on the upstreams that the placement functions choose."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 from kumquatlift.authority._commands import TaskKey
 from kumquatlift.authority._fleet import Resources, Upstream, size_of
@@ -14,7 +14,7 @@
     WaitingTask,
     order_key,
 )
-from kumquatlift.authority._progress import Progress
+from kumquatlift.authority._progress import Need, Progress
 from kumquatlift.authority._runs import Runs
 from kumquatlift.authority._work import Step
 from kumquatlift.blackboard import Section
@@ -24,9 +24,39 @@
 # Time after the acceptance of a job for which its tasks may wait for a fast upstream: half of the
 # time within which the platform requires that tasks start if resources are free.
 MAX_FAST_WAIT_S = 1.5
-# Jobs that cannot be placed are skipped so that smaller ones behind them can start. This limits the
-# skipped jobs per service, and so the work of one pass when many jobs wait and little is free.
-MAX_SKIPPED = 20
+# Jobs that can't be placed are skipped, so that others behind them can start. After this many that
+# need the same, further ones of that need are not tried in the same pass.
+MAX_SKIPPED_ALIKE = 20
+# Limit for all jobs of a service that are skipped in one pass, which bounds its work when jobs have
+# very many different needs.
+MAX_SKIPPED = 200
+
+
+class SkippedJobs:
+    """The jobs of a service that could not be placed in one pass, by what they need.
+
+    Load pattern: many jobs wait for what is gone, such as the only upstreams with a label, and
+    stand before jobs for which there is room.
+    """
+
+    def __init__(self) -> None:
+        self._by_need: Counter[Need] = Counter()
+        self._exhausted: set[Need] = set()
+        self._jobs = 0
+
+    def add(self, progress: Progress) -> None:
+        """Add a job of which no task could be placed."""
+        self._jobs += 1
+        for need in progress.waiting_needs():
+            self._by_need[need] += 1
+            if self._by_need[need] >= MAX_SKIPPED_ALIKE:
+                self._exhausted.add(need)
+
+    def is_hopeless(self, progress: Progress) -> bool:
+        """Return whether a job is not tried in this pass."""
+        if self._jobs >= MAX_SKIPPED:
+            return True
+        return bool(self._exhausted) and progress.waiting_needs() <= self._exhausted
 
 
 class Scheduler:
@@ -81,11 +111,12 @@
         if not any(offers_by_service.values()):
             return
         waiting.sort(key=lambda each: order_key(queued_job(each), now))
-        skipped: Counter[str] = Counter()
+        skipped_jobs: defaultdict[str, SkippedJobs] = defaultdict(SkippedJobs)
         for progress in waiting:
             service = progress.queue.service if progress.queue else ""
             offers = offers_by_service.get(service)
-            if not offers or skipped[service] >= MAX_SKIPPED:
+            skipped = skipped_jobs[service]
+            if not offers or skipped.is_hopeless(progress):
                 continue
             placed = self._place_job(progress, offers, now)
             if placed:
@@ -98,7 +129,7 @@
                     slack_ms=round((progress.objective_at - now) * 1000),
                 )
             else:
-                skipped[service] += 1
+                skipped.add(progress)
 
     def _place_job(self, progress: Progress, offers: OffersBySpeed, now: float) -> list[str]:
         """Start the tasks of a job that fit; return the upstreams on which they start."""
