Let the members of a gang count each other for anti-affinity

Cause: the number of tasks of a step on an upstream is counted from those that run. The members of a gang are chosen together, and none of them runs until all are chosen.

Change: the upstreams that are chosen for earlier members count as well. A gang that has too few upstreams waits.

--- a/kumquatlift/authority/_scheduler.py
+++ b/kumquatlift/authority/_scheduler.py
@@ -1,6 +1,7 @@
 """Starts waiting tasks on the upstreams that the placement functions choose."""
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 
 from kumquatlift.authority._commands import TaskKey
 from kumquatlift.authority._fleet import Resources, Upstream, size_of
@@ -159,8 +160,24 @@
         return placed
 
     def _choose(
-        self, progress: Progress, task: TaskKey, step: Step, offers: OffersBySpeed, now: float
+        self,
+        progress: Progress,
+        task: TaskKey,
+        step: Step,
+        offers: OffersBySpeed,
+        now: float,
+        chosen: Iterable[str] = (),
     ) -> UpstreamOffer | None:
+        """Return the offer on which a task starts, or None if it has to wait.
+
+        Args:
+            progress: Its job.
+            task: The task.
+            step: Its step.
+            offers: All offers.
+            now: Current time, in seconds.
+            chosen: Upstreams on which other tasks of its step and occurrence start with it.
+        """
         queue = progress.queue
         may_wait = now - progress.accepted_at < MAX_FAST_WAIT_S
         need = WaitingTask(
@@ -180,6 +197,7 @@
                 for other, upstream_id in progress.running.items()
                 if other.step == task.step and other.occurrence == task.occurrence
             )
+            used.update(chosen)
             exclude = frozenset(
                 upstream_id for upstream_id, count in used.items() if count >= step.max_per_upstream
             )
@@ -232,7 +250,8 @@
         trial = offers.copy()
         chosen: list[tuple[TaskKey, UpstreamOffer]] = []
         for task in members:
-            offer = self._choose(progress, task, step, trial, now)
+            upstreams = [each.upstream_id for _, each in chosen]
+            offer = self._choose(progress, task, step, trial, now, upstreams)
             if offer is None:
                 return []
             chosen.append((task, offer))
